Fix the shared interfaces of the request path

Verdicts, the filter chain, the platform's and the backend servers' interfaces, the rpc messages, the document and the settings are defined first, so that the parts can be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+PACKAGES := ./...
+
+.PHONY: build test lint generate clean
+
+build: ## Builds the three programs into bin.
+	$(GO) build -o bin/ ./cmd/...
+
+test: lint ## The README's test command: format, vet, staticcheck, tests with -race.
+	$(GO) run ./internal/tools/redtest -known KNOWN-RED.txt -- -race -timeout 15m $(PACKAGES)
+
+lint:
+	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck $(PACKAGES)
+
+generate: ## Makes the rpc code again; needs protoc.
+	mkdir -p bin/tools
+	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go
+	$(GO) build -o bin/tools/ storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH=$(CURDIR)/bin/tools:$$PATH protoc -I internal/rpc/wire \
+		--go_out=. --go_opt=module=github.com/wasabigate/wasabigate \
+		--go-drpc_out=. --go-drpc_opt=module=github.com/wasabigate/wasabigate \
+		wasabigate.proto
+
+clean:
+	rm -rf bin report
--- /dev/null
+++ b/internal/config/doc.go
@@ -0,0 +1,3 @@
+// Package config holds the two kinds of configuration: the document, which
+// operators write for a whole environment, and the settings of one daemon.
+package config
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,142 @@
+package config
+
+import "time"
+
+// Document is the operators' configuration of one environment: what all
+// daemons have to agree on. It is immutable after Parse.
+type Document struct {
+	Environment Environment
+	Models      []Model
+	Groups      []Group
+	Workspaces  []Workspace
+	Keys        []Key
+	Routes      []Route
+	index       index
+}
+
+// Environment is the section [environment].
+type Environment struct {
+	Name string // for people; the same bytes serve trial and production
+}
+
+// Class is the urgency of a request.
+type Class string
+
+// The classes of requests.
+const (
+	ClassUrgent     Class = "urgent"     // a person waits
+	ClassDeferrable Class = "deferrable" // may wait overnight
+)
+
+// Model is a section [model NAME].
+type Model struct {
+	Name             string
+	Adapter          string // empty for the base model
+	Group            string // group of the engines that hold the model
+	WeightsVersion   string // version that new requests use
+	ContextTokens    int    // longest prompt plus completion, in tokens
+	DefaultMaxTokens int    // completion tokens reserved when the caller gives no max_tokens
+}
+
+// GroupKind says what the backend servers of a group are.
+type GroupKind string
+
+// The kinds of groups.
+const (
+	GroupEngines GroupKind = "engines"
+	GroupService GroupKind = "service"
+)
+
+// Group is a section [group NAME]: the backend servers whose VMs the VM list
+// shows under that group.
+type Group struct {
+	Name         string
+	Kind         GroupKind
+	ChecksOrders bool // the backend servers refuse old fencing numbers themselves
+}
+
+// Workspace is a section [workspace NAME].
+type Workspace struct {
+	Name  string
+	Rate  int64 // tokens per second
+	Burst int64 // tokens
+	// MaxClass is the highest class that the workspace's requests may have.
+	MaxClass Class
+}
+
+// Key is a section [key ID].
+type Key struct {
+	ID        string
+	Workspace string
+	SHA256    [32]byte // of the whole key text
+}
+
+// Access says who may use a route.
+type Access string
+
+// The kinds of access.
+const (
+	AccessKey  Access = "key"  // needs a workspace's key
+	AccessOpen Access = "open" // open to all, limited as the workspace that the route names
+)
+
+// Route is a section [route NAME]: a plain service's path, or one of the two
+// generation paths.
+type Route struct {
+	Name      string
+	Method    string // empty for any
+	Path      string // exact, or a prefix that ends in "/*"
+	Group     string // group of the service; empty for generation
+	Access    Access
+	Workspace string        // for open routes: the workspace whose bucket they use
+	Once      bool          // at most once: needs an idempotency key
+	Class     Class         // default class
+	Cost      int64         // tokens drawn per call of a plain service
+	Patience  time.Duration // longest wait for execution before a refusal
+	Timeout   time.Duration // longest execution of a call
+}
+
+// Generation says whether the route leads to model engines.
+func (r *Route) Generation() bool { return r.Group == "" }
+
+type index struct {
+	models     map[string]*Model
+	groups     map[string]*Group
+	workspaces map[string]*Workspace
+	keys       map[string]*Key
+}
+
+// Model returns the model of that name, or nil.
+func (d *Document) Model(name string) *Model { return d.index.models[name] }
+
+// Group returns the group of that name, or nil.
+func (d *Document) Group(name string) *Group { return d.index.groups[name] }
+
+// Workspace returns the workspace of that name, or nil.
+func (d *Document) Workspace(name string) *Workspace { return d.index.workspaces[name] }
+
+// Key returns the key of that id, or nil.
+func (d *Document) Key(id string) *Key { return d.index.keys[id] }
+
+// BuildIndex makes the lookups by name. Whoever fills a Document calls it once,
+// before the Document is shared.
+func (d *Document) BuildIndex() {
+	d.index = index{
+		models:     make(map[string]*Model, len(d.Models)),
+		groups:     make(map[string]*Group, len(d.Groups)),
+		workspaces: make(map[string]*Workspace, len(d.Workspaces)),
+		keys:       make(map[string]*Key, len(d.Keys)),
+	}
+	for i := range d.Models {
+		d.index.models[d.Models[i].Name] = &d.Models[i]
+	}
+	for i := range d.Groups {
+		d.index.groups[d.Groups[i].Name] = &d.Groups[i]
+	}
+	for i := range d.Workspaces {
+		d.index.workspaces[d.Workspaces[i].Name] = &d.Workspaces[i]
+	}
+	for i := range d.Keys {
+		d.index.keys[d.Keys[i].ID] = &d.Keys[i]
+	}
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,176 @@
+// Package engine defines the interfaces of the backend servers: model engines
+// and plain services.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of engines and services. Implementations wrap them.
+var (
+	// ErrRefused means that the backend server refused the work; it has not run.
+	ErrRefused = errors.New("refused by backend server")
+	// ErrUnreachable means that no connection was made; the work has not run.
+	ErrUnreachable = errors.New("backend server unreachable")
+	// ErrBroken means that the connection broke while the work was running.
+	ErrBroken = errors.New("connection to backend server broke")
+	// ErrStaleFence means that the order carried an old fencing number.
+	ErrStaleFence = errors.New("stale fencing number")
+	// ErrGap means that cache events were lost.
+	ErrGap = errors.New("cache events lost")
+)
+
+// Priority orders work in an engine. Lower runs first.
+type Priority int
+
+// The priorities sent to engines.
+const (
+	PriorityUrgent     Priority = 0
+	PriorityDeferrable Priority = 10
+)
+
+// GenerateRequest asks for a completion of Prompt followed by Resume.
+type GenerateRequest struct {
+	RequestID      string   `json:"request_id"`
+	Model          string   `json:"model"`
+	Adapter        string   `json:"adapter,omitempty"`
+	WeightsVersion string   `json:"weights_version"`
+	Prompt         string   `json:"prompt"`
+	Resume         string   `json:"resume,omitempty"`        // text already generated elsewhere
+	ResumeTokens   int      `json:"resume_tokens,omitempty"` // tokens in Resume
+	MaxTokens      int      `json:"max_tokens"`              // including ResumeTokens
+	Seed           int64    `json:"seed"`
+	Temperature    float64  `json:"temperature"`
+	Stop           []string `json:"stop,omitempty"`
+	CacheSalt      string   `json:"cache_salt"`
+	Priority       Priority `json:"priority"`
+}
+
+// FinishReason says why a generation ended.
+type FinishReason string
+
+// The finish reasons of the OpenAI interface that engines return.
+const (
+	FinishStop   FinishReason = "stop"
+	FinishLength FinishReason = "length"
+)
+
+// Usage counts the tokens of a generation.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CachedTokens     int `json:"cached_tokens"` // prompt tokens found in the cache
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// Chunk is one step of a generation. The last chunk has a Finish reason and
+// Usage; a stream that ends without one is incomplete.
+type Chunk struct {
+	RequestID   string       `json:"request_id"`
+	Incarnation uint64       `json:"incarnation"`
+	Index       int          `json:"index"` // index of the first token in the completion
+	Text        string       `json:"text"`
+	Tokens      int          `json:"tokens"`
+	Finish      FinishReason `json:"finish,omitempty"`
+	Usage       *Usage       `json:"usage,omitempty"`
+}
+
+// ChunkStream delivers the chunks of a generation in order.
+type ChunkStream interface {
+	// Next returns the next chunk, io.EOF after the last one, or an error that
+	// wraps ErrBroken.
+	Next() (Chunk, error)
+	// Close releases the stream. Closing early does not cancel the work.
+	Close() error
+}
+
+// LoadedWeights is a set of weights that an engine holds.
+type LoadedWeights struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version string `json:"version"`
+}
+
+// State is an engine's report of itself. It lags behind the truth.
+type State struct {
+	Incarnation    uint64          `json:"incarnation"` // new after each restart
+	Loaded         []LoadedWeights `json:"loaded"`
+	Role           string          `json:"role"`
+	Fence          uint64          `json:"fence"` // highest fencing number seen
+	Running        int             `json:"running"`
+	Waiting        int             `json:"waiting"`
+	MaxRunning     int             `json:"max_running"`
+	PrefillBacklog int             `json:"prefill_backlog"` // tokens waiting for prefill
+	CachedBlocks   int             `json:"cached_blocks"`
+	CacheCapacity  int             `json:"cache_capacity"` // blocks
+	PrefillRate    float64         `json:"prefill_rate"`   // tokens per second
+	DecodeStep     time.Duration   `json:"decode_step"`    // time per token of a stream
+}
+
+// CacheEvent tells of blocks stored in or evicted from an engine's cache.
+type CacheEvent struct {
+	Sequence    uint64   `json:"sequence"` // consecutive within an incarnation
+	Incarnation uint64   `json:"incarnation"`
+	Stored      []uint64 `json:"stored,omitempty"`  // block hashes, see package prefix
+	Evicted     []uint64 `json:"evicted,omitempty"` // block hashes
+}
+
+// Order changes what an engine holds or does.
+type Order struct {
+	Fence  uint64         `json:"fence"`
+	Load   *LoadedWeights `json:"load,omitempty"`
+	Unload *LoadedWeights `json:"unload,omitempty"`
+	Role   string         `json:"role,omitempty"`
+}
+
+// Engine is a model engine.
+type Engine interface {
+	// Generate starts a generation. Errors wrap ErrRefused, ErrUnreachable or
+	// ErrBroken.
+	Generate(ctx context.Context, req GenerateRequest) (ChunkStream, error)
+	// Cancel ends a running generation. It is idempotent.
+	Cancel(ctx context.Context, requestID string) error
+	// State returns the engine's report of itself.
+	State(ctx context.Context) (State, error)
+	// Events delivers cache events after the given sequence number until the
+	// connection breaks or ctx ends, when the channel is closed.
+	Events(ctx context.Context, after uint64) (<-chan CacheEvent, error)
+	// Apply carries out an order, or returns ErrStaleFence.
+	Apply(ctx context.Context, order Order) error
+	// ExportPiece returns the cached data of the given blocks, or ErrRefused when
+	// one is not cached.
+	ExportPiece(ctx context.Context, salt string, blocks []uint64) ([]byte, error)
+	// ImportPiece puts data of an exported piece into the cache.
+	ImportPiece(ctx context.Context, salt string, blocks []uint64, data []byte) error
+}
+
+// CallRequest is a call to a plain service.
+type CallRequest struct {
+	RequestID string
+	Method    string
+	Path      string // with query
+	Header    http.Header
+	Body      []byte
+}
+
+// CallReply is the answer of a plain service. RequestID is the one that the
+// service echoed in HeaderRequestID, empty if it echoed none.
+type CallReply struct {
+	RequestID string
+	Status    int
+	Header    http.Header
+	Body      []byte
+}
+
+// HeaderRequestID carries the request id to a plain service and back.
+const HeaderRequestID = "X-Request-Id"
+
+// Service is a plain service.
+type Service interface {
+	// Call sends the request once. Errors wrap ErrUnreachable (not run) or
+	// ErrBroken (may have run).
+	Call(ctx context.Context, req CallRequest) (CallReply, error)
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,72 @@
+// Package logging sets up the structured log. Each part of a daemon logs short
+// sentences under its own fixed prefix.
+package logging
+
+import (
+	"io"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/pkg/errors"
+)
+
+// Log formats.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// Setup configures the process's log.
+func Setup(w io.Writer, level, format string) error {
+	switch format {
+	case FormatText:
+		log.SetHandler(text.New(w))
+	case FormatJSON:
+		log.SetHandler(json.New(w))
+	default:
+		return errors.Errorf("unknown log format %q", format)
+	}
+	return SetLevel(level)
+}
+
+// SetLevel changes the level at run time.
+func SetLevel(level string) error {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return errors.Wrapf(err, "log level %q", level)
+	}
+	log.SetLevel(parsed)
+	return nil
+}
+
+// Prefixed is the log of one part.
+type Prefixed struct {
+	prefix string
+}
+
+// For returns the log of the part with that name.
+func For(part string) Prefixed { return Prefixed{prefix: part + ": "} }
+
+// Fields are the structured fields of a line.
+type Fields = log.Fields
+
+// Debug logs a sentence with fields.
+func (p Prefixed) Debug(fields Fields, sentence string) {
+	log.WithFields(fields).Debug(p.prefix + sentence)
+}
+
+// Info logs a sentence with fields.
+func (p Prefixed) Info(fields Fields, sentence string) {
+	log.WithFields(fields).Info(p.prefix + sentence)
+}
+
+// Warn logs a sentence with fields.
+func (p Prefixed) Warn(fields Fields, sentence string) {
+	log.WithFields(fields).Warn(p.prefix + sentence)
+}
+
+// Error logs a sentence with fields.
+func (p Prefixed) Error(fields Fields, sentence string) {
+	log.WithFields(fields).Error(p.prefix + sentence)
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,70 @@
+// Package membership describes the VMs that a daemon knows of. A View is
+// immutable; the control goroutine replaces it when the VM list changes.
+package membership
+
+import "github.com/wasabigate/wasabigate/internal/platform"
+
+// Server is a backend server with its sidecar.
+type Server struct {
+	Name             string
+	Address          string // rpc address of the sidecar
+	AvailabilityZone string
+	Group            string
+	Leaving          bool // by the VM list or the sidecar's own notice
+}
+
+// Router is a router on an entry VM.
+type Router struct {
+	Name             string
+	Address          string // rpc address
+	AvailabilityZone string
+	Leaving          bool
+}
+
+// View is what is known of the VMs at one time.
+type View struct {
+	Servers []Server // ordered by name
+	Routers []Router // ordered by name
+	byGroup map[string][]Server
+}
+
+// NewView makes a View of listed VMs, which must be ordered by name. leaving
+// holds the addresses of sidecars that gave notice themselves.
+func NewView(vms []platform.VM, leaving map[string]struct{}) *View {
+	view := &View{byGroup: make(map[string][]Server)}
+	for _, vm := range vms {
+		_, noticed := leaving[vm.Address]
+		isLeaving := noticed || vm.State == platform.VMLeaving
+		if vm.Group == platform.GroupRouters {
+			view.Routers = append(view.Routers, Router{vm.Name, vm.Address, vm.AvailabilityZone, isLeaving})
+			continue
+		}
+		server := Server{vm.Name, vm.Address, vm.AvailabilityZone, vm.Group, isLeaving}
+		view.Servers = append(view.Servers, server)
+		view.byGroup[vm.Group] = append(view.byGroup[vm.Group], server)
+	}
+	return view
+}
+
+// Group returns the backend servers of a group. The caller must not change it.
+func (v *View) Group(name string) []Server { return v.byGroup[name] }
+
+// HasServer says whether a backend server with that rpc address is listed.
+func (v *View) HasServer(address string) bool {
+	for i := range v.Servers {
+		if v.Servers[i].Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// HasRouter says whether a router with that rpc address is listed.
+func (v *View) HasRouter(address string) bool {
+	for i := range v.Routers {
+		if v.Routers[i].Address == address {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,155 @@
+// Package verdict defines the error type of the request path. Every error
+// says whether the request may have run on a backend server, because only a
+// request that has not run may be repeated without asking the caller.
+package verdict
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Verdict says whether a request may have run on a backend server.
+type Verdict uint8
+
+// The zero Verdict is MayHaveRun, so that a forgotten verdict is the safe one.
+const (
+	// MayHaveRun means that the outcome is unknown.
+	MayHaveRun Verdict = iota
+	// NotRun means that the request did not reach execution and never will.
+	NotRun
+	// Ran means that the request was executed.
+	Ran
+)
+
+// String returns the name used in headers, bodies and log lines.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Code classifies an error for callers, logs and metrics.
+type Code string
+
+// The codes that callers can meet.
+const (
+	CodeInvalidRequest   Code = "invalid_request"
+	CodeUnauthenticated  Code = "invalid_api_key"
+	CodeKeyWithdrawn     Code = "key_withdrawn"
+	CodeForbidden        Code = "forbidden"
+	CodeNotFound         Code = "not_found"
+	CodeModelNotFound    Code = "model_not_found"
+	CodeTooLarge         Code = "request_too_large"
+	CodeCostAboveBurst   Code = "cost_above_burst"
+	CodeRateLimited      Code = "rate_limit_exceeded"
+	CodeOverloaded       Code = "overloaded"
+	CodeNoBackendServer  Code = "no_backend_server"
+	CodeWeightsMismatch  Code = "weights_not_loaded"
+	CodeStaleShardEpoch  Code = "stale_shard_epoch"
+	CodeStaleDocument    Code = "stale_document"
+	CodeDraining         Code = "draining"
+	CodeKeyMismatch      Code = "idempotency_key_reused"
+	CodeInProgress       Code = "request_in_progress"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeStoreUnavailable Code = "store_unavailable"
+	CodeBackendFailed    Code = "backend_failed"
+	CodeStreamLost       Code = "stream_lost"
+	CodeCancelled        Code = "cancelled"
+	CodeInternal         Code = "internal_error"
+)
+
+var statusByCode = map[Code]int{
+	CodeInvalidRequest:   http.StatusBadRequest,
+	CodeUnauthenticated:  http.StatusUnauthorized,
+	CodeKeyWithdrawn:     http.StatusUnauthorized,
+	CodeForbidden:        http.StatusForbidden,
+	CodeNotFound:         http.StatusNotFound,
+	CodeModelNotFound:    http.StatusNotFound,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeCostAboveBurst:   http.StatusBadRequest,
+	CodeRateLimited:      http.StatusTooManyRequests,
+	CodeOverloaded:       http.StatusServiceUnavailable,
+	CodeNoBackendServer:  http.StatusServiceUnavailable,
+	CodeWeightsMismatch:  http.StatusServiceUnavailable,
+	CodeStaleShardEpoch:  http.StatusServiceUnavailable,
+	CodeStaleDocument:    http.StatusServiceUnavailable,
+	CodeDraining:         http.StatusServiceUnavailable,
+	CodeKeyMismatch:      http.StatusUnprocessableEntity,
+	CodeInProgress:       http.StatusConflict,
+	CodeOutcomeUnknown:   http.StatusConflict,
+	CodeStoreUnavailable: http.StatusServiceUnavailable,
+	CodeBackendFailed:    http.StatusBadGateway,
+	CodeStreamLost:       http.StatusBadGateway,
+	CodeCancelled:        statusClientClosedRequest,
+}
+
+// statusClientClosedRequest is the customary status for a caller that left.
+const statusClientClosedRequest = 499
+
+// Status returns the HTTP status of the code.
+func (c Code) Status() int {
+	if status, ok := statusByCode[c]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Error is the error type of the request path.
+type Error struct {
+	Verdict    Verdict
+	Code       Code
+	Message    string
+	RetryAfter time.Duration // zero when a retry time is not known
+	Cause      error
+}
+
+// New returns an Error with a formatted message.
+func New(v Verdict, code Code, format string, args ...any) *Error {
+	return &Error{Verdict: v, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error that keeps cause for logs.
+func Wrap(cause error, v Verdict, code Code, format string, args ...any) *Error {
+	e := New(v, code, format, args...)
+	e.Cause = cause
+	return e
+}
+
+// WithRetryAfter sets the time after which a retry may succeed.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s: %s (%s)", e.Code, e.Message, e.Verdict)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// From returns err as an *Error. An error of another type becomes an internal
+// error whose verdict is MayHaveRun. From returns nil for nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, MayHaveRun, CodeInternal, "unexpected error")
+}
