--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -2,7 +2,12 @@
 // immutable; the control goroutine replaces it when the VM list changes.
 package membership
 
-import "github.com/wasabigate/wasabigate/internal/platform"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
 
 // Server is a backend server with its sidecar.
 type Server struct {
@@ -10,7 +15,7 @@
 	Address          string // rpc address of the sidecar
 	AvailabilityZone string
 	Group            string
-	Leaving          bool // by the VM list or the sidecar's own notice
+	Leaving          bool
 }
 
 // Router is a router on an entry VM.
@@ -28,13 +33,12 @@
 	byGroup map[string][]Server
 }
 
-// NewView makes a View of listed VMs, which must be ordered by name. leaving
-// holds the addresses of sidecars that gave notice themselves.
-func NewView(vms []platform.VM, leaving map[string]struct{}) *View {
+// NewView makes a View of listed VMs.
+func NewView(vms []platform.VM) *View {
 	view := &View{byGroup: make(map[string][]Server)}
-	for _, vm := range vms {
-		_, noticed := leaving[vm.Address]
-		isLeaving := noticed || vm.State == platform.VMLeaving
+	ordered := slices.SortedFunc(slices.Values(vms), func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
+	for _, vm := range ordered {
+		isLeaving := vm.State == platform.VMLeaving
 		if vm.Group == platform.GroupRouters {
 			view.Routers = append(view.Routers, Router{vm.Name, vm.Address, vm.AvailabilityZone, isLeaving})
 			continue
