Add in-process stand-ins of the key-value service and the VM list

Cause: tests of the other parts need a key-value service and a VM list whose faults come on order.

Ruled out: a full event history for watches (grows without bound; the last change of each key is enough to catch up without loss of state), and dropping a delayed write whose caller gave up (a slow service applies it later, which is the harder case for callers).

Change: standin/kv and standin/vmlist. platform gains ErrTooLarge for values above MaxValueSize, and Delete of an absent key is ErrNotFound.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,6 +28,9 @@
 	ErrUnsure = errors.New("outcome unknown")
 	// ErrThrottled means that the service refused the call for its rate.
 	ErrThrottled = errors.New("rate exceeded")
+	// ErrTooLarge means that the value is larger than MaxValueSize; the write has
+	// no effect.
+	ErrTooLarge = errors.New("value too large")
 	// ErrCorrupt means that the data do not match their checksum.
 	ErrCorrupt = errors.New("checksum mismatch")
 )
@@ -63,7 +66,8 @@
 	// absent). The key vanishes with the lease unless lease is zero. It returns
 	// the new version, or ErrConflict, ErrUnavailable or ErrUnsure.
 	CompareAndSwap(ctx context.Context, key string, value []byte, expected Version, lease LeaseID) (Version, error)
-	// Delete removes the key if its version is expected.
+	// Delete removes the key if its version is expected; ErrNotFound if it is
+	// absent.
 	Delete(ctx context.Context, key string, expected Version) error
 	// Watch delivers changes of keys under prefix with versions above after. The
 	// channel is closed when the watch breaks or ctx ends; the caller reads the
--- /dev/null
+++ b/internal/standin/kv/lease.go
@@ -0,0 +1,112 @@
+package kv
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+// lease holds keys until it lapses.
+type lease struct {
+	ttl    time.Duration
+	lapses time.Time
+	keys   map[string]struct{}
+	timer  *time.Timer
+}
+
+// GrantLease implements platform.KV.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if ttl <= 0 {
+		return 0, errors.Errorf("lease of %v: the time must be positive", ttl)
+	}
+	var id platform.LeaseID
+	err := s.write(ctx, func() error {
+		s.lastLease++
+		id = s.lastLease
+		s.leases[id] = &lease{
+			ttl:    ttl,
+			lapses: time.Now().Add(ttl),
+			keys:   make(map[string]struct{}),
+			timer:  time.AfterFunc(ttl, s.lapseNow),
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return id, nil
+}
+
+// RenewLease implements platform.KV.
+func (s *Store) RenewLease(ctx context.Context, id platform.LeaseID) error {
+	return s.write(ctx, func() error {
+		held, ok := s.leases[id]
+		if !ok {
+			return errors.Wrapf(platform.ErrNotFound, "lease %d", id)
+		}
+		held.lapses = time.Now().Add(held.ttl)
+		held.timer.Reset(held.ttl)
+		return nil
+	})
+}
+
+// RevokeLease implements platform.KV.
+func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	return s.write(ctx, func() error {
+		if _, ok := s.leases[id]; !ok {
+			return errors.Wrapf(platform.ErrNotFound, "lease %d", id)
+		}
+		s.end(id)
+		return nil
+	})
+}
+
+// attach binds a key to a lease that must be held.
+func (s *Store) attach(key string, id platform.LeaseID) error {
+	if id == 0 {
+		return nil
+	}
+	held, ok := s.leases[id]
+	if !ok {
+		return errors.Wrapf(platform.ErrNotFound, "lease %d", id)
+	}
+	held.keys[key] = struct{}{}
+	return nil
+}
+
+// detach releases a key from its former lease.
+func (s *Store) detach(key string, former, next platform.LeaseID) {
+	if held, ok := s.leases[former]; ok && former != next {
+		delete(held.keys, key)
+	}
+}
+
+// lapseNow ends the leases whose time is over, also while the service is down.
+func (s *Store) lapseNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse(time.Now())
+}
+
+func (s *Store) lapse(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if !now.Before(s.leases[id].lapses) {
+			s.end(id)
+		}
+	}
+}
+
+// end removes a lease and its keys.
+func (s *Store) end(id platform.LeaseID) {
+	held := s.leases[id]
+	held.timer.Stop()
+	for _, key := range slices.Sorted(maps.Keys(held.keys)) {
+		s.remove(key)
+	}
+	delete(s.leases, id)
+}
--- /dev/null
+++ b/internal/standin/kv/store.go
@@ -0,0 +1,196 @@
+// Package kv is a stand-in for the platform's key-value service: one process
+// holds everything in memory, and its faults are switched on order. It serves
+// tests and demos.
+package kv
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+// state is what a key holds after a write. Version 0 means absent.
+type state struct {
+	value   []byte
+	version platform.Version
+	lease   platform.LeaseID
+}
+
+// record is a key's current state, the one before, and the version of its last
+// change, which outlives a deletion so that watches can catch up.
+type record struct {
+	current  state
+	previous state
+	changed  platform.Version
+}
+
+// Store is a key-value service in memory. It implements platform.KV.
+type Store struct {
+	mu        sync.Mutex
+	random    *rand.Rand
+	records   map[string]*record
+	last      platform.Version
+	leases    map[platform.LeaseID]*lease
+	lastLease platform.LeaseID
+	watchers  map[*watcher]struct{}
+	faults    Faults
+	reads     *rate.Limiter
+	writes    *rate.Limiter
+	counts    Counts
+}
+
+var _ platform.KV = (*Store)(nil)
+
+// New returns an empty Store whose faults are drawn from seed.
+func New(seed uint64) *Store {
+	return &Store{
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		records:  make(map[string]*record),
+		leases:   make(map[platform.LeaseID]*lease),
+		watchers: make(map[*watcher]struct{}),
+		reads:    rate.NewLimiter(rate.Inf, 0),
+		writes:   rate.NewLimiter(rate.Inf, 0),
+	}
+}
+
+// Get implements platform.KV.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	entry := platform.Entry{Key: key}
+	err := s.read(ctx, func(stale bool) error {
+		seen := s.seen(key, stale)
+		if seen.version == 0 {
+			return errors.Wrapf(platform.ErrNotFound, "key %q", key)
+		}
+		entry = seen.entry(key)
+		return nil
+	})
+	return entry, err
+}
+
+// List implements platform.KV.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	var entries []platform.Entry
+	err := s.read(ctx, func(stale bool) error {
+		for _, key := range slices.Sorted(maps.Keys(s.records)) {
+			seen := s.seen(key, stale)
+			if seen.version != 0 && strings.HasPrefix(key, prefix) {
+				entries = append(entries, seen.entry(key))
+			}
+		}
+		return nil
+	})
+	return entries, err
+}
+
+// CompareAndSwap implements platform.KV.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Version, id platform.LeaseID) (platform.Version, error) {
+	if len(value) > platform.MaxValueSize {
+		return 0, errors.Wrapf(platform.ErrTooLarge, "key %q: %d bytes", key, len(value))
+	}
+	value = slices.Clone(value)
+	var version platform.Version
+	err := s.write(ctx, func() error {
+		if err := s.expect(key, expected); err != nil {
+			return err
+		}
+		if err := s.attach(key, id); err != nil {
+			return err
+		}
+		version = s.put(key, state{value: value, lease: id})
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return version, nil
+}
+
+// Delete implements platform.KV. It returns ErrNotFound if the key is absent.
+func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
+	return s.write(ctx, func() error {
+		if s.seen(key, false).version == 0 {
+			return errors.Wrapf(platform.ErrNotFound, "key %q", key)
+		}
+		if err := s.expect(key, expected); err != nil {
+			return err
+		}
+		s.remove(key)
+		return nil
+	})
+}
+
+// seen returns the state of key that a read shows.
+func (s *Store) seen(key string, stale bool) state {
+	known, ok := s.records[key]
+	switch {
+	case !ok:
+		return state{}
+	case stale:
+		return known.previous
+	default:
+		return known.current
+	}
+}
+
+func (s *Store) expect(key string, expected platform.Version) error {
+	if actual := s.seen(key, false).version; actual != expected {
+		return errors.Wrapf(platform.ErrConflict, "key %q: version %d, expected %d", key, actual, expected)
+	}
+	return nil
+}
+
+// put writes a state under a new version and tells the watchers.
+func (s *Store) put(key string, next state) platform.Version {
+	s.last++
+	next.version = s.last
+	known, ok := s.records[key]
+	if !ok {
+		known = &record{}
+		s.records[key] = known
+	}
+	s.detach(key, known.current.lease, next.lease)
+	known.previous = known.current
+	known.current = next
+	known.changed = s.last
+	s.notify(known.event(key))
+	return s.last
+}
+
+// remove deletes a key that exists and tells the watchers.
+func (s *Store) remove(key string) {
+	s.last++
+	known := s.records[key]
+	s.detach(key, known.current.lease, 0)
+	known.previous = known.current
+	known.current = state{}
+	known.changed = s.last
+	s.notify(known.event(key))
+}
+
+func (st state) entry(key string) platform.Entry {
+	return platform.Entry{Key: key, Value: slices.Clone(st.value), Version: st.version}
+}
+
+// event is the last change of the record.
+func (r *record) event(key string) platform.Event {
+	event := platform.Event{Entry: r.current.entry(key), Deleted: r.current.version == 0}
+	event.Version = r.changed
+	return event
+}
+
+// Now returns the version of the newest write.
+func (s *Store) Now() platform.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse(time.Now())
+	return s.last
+}
--- /dev/null
+++ b/internal/standin/kv/watch.go
@@ -0,0 +1,116 @@
+package kv
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+// watchBuffer is the number of events that a watch holds for a slow reader
+// before it breaks.
+const watchBuffer = 1024
+
+// watcher is an open watch.
+type watcher struct {
+	prefix string
+	events chan platform.Event
+}
+
+// Watch implements platform.KV. It first delivers the last change of each key
+// that changed after the given version, in order, then every change.
+func (s *Store) Watch(ctx context.Context, prefix string, after platform.Version) (<-chan platform.Event, error) {
+	delay, err := s.admit(ctx, &s.counts.Watches, func() *rate.Limiter { return s.reads })
+	if err != nil {
+		return nil, err
+	}
+	if _, err := wait(ctx, delay); err != nil {
+		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	var opened *watcher
+	err = s.run(func() error {
+		opened = s.open(prefix, after)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { s.close(opened) })
+	return opened.events, nil
+}
+
+// open registers a watcher that holds the changes missed since after.
+func (s *Store) open(prefix string, after platform.Version) *watcher {
+	missed := s.changesSince(prefix, after)
+	opened := &watcher{
+		prefix: prefix,
+		events: make(chan platform.Event, len(missed)+watchBuffer),
+	}
+	for _, event := range missed {
+		opened.events <- event
+	}
+	s.watchers[opened] = struct{}{}
+	s.reserveWatches()
+	return opened
+}
+
+// changesSince returns the last change of each key under prefix above a
+// version, in version order.
+func (s *Store) changesSince(prefix string, after platform.Version) []platform.Event {
+	var events []platform.Event
+	for key, known := range s.records {
+		if known.changed > after && strings.HasPrefix(key, prefix) {
+			events = append(events, known.event(key))
+		}
+	}
+	slices.SortFunc(events, func(a, b platform.Event) int { return cmp.Compare(a.Version, b.Version) })
+	return events
+}
+
+// notify gives an event to the watchers; one whose buffer is full breaks.
+func (s *Store) notify(event platform.Event) {
+	for open := range s.watchers {
+		if !strings.HasPrefix(event.Key, open.prefix) {
+			continue
+		}
+		select {
+		case open.events <- event:
+		default:
+			s.drop(open)
+		}
+	}
+}
+
+// BreakWatches closes all open watches.
+func (s *Store) BreakWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breakWatches()
+}
+
+func (s *Store) breakWatches() {
+	for open := range s.watchers {
+		s.drop(open)
+	}
+}
+
+func (s *Store) close(open *watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(open)
+}
+
+// drop closes a watch if it is still open.
+func (s *Store) drop(open *watcher) {
+	if _, ok := s.watchers[open]; !ok {
+		return
+	}
+	delete(s.watchers, open)
+	close(open.events)
+	s.reserveWatches()
+}
