Parse the document and the daemon's settings

Cause: nothing reads the operators' document or a daemon's INI file yet. Ruled out: stopping at the first fault (operators then fix one line a try); the INI library alone, which keeps no lines and passes over doubled sections and settings. Change: config.Parse and config.LoadSettings read INI with the library, take lines from a small scan, and report all faults at once with section, key and line. One table for each kind holds type, unit, default and range of every setting. Route gets StripPrefix: /desk/lookup/7 reaches the service as /lookup/7 with strip_prefix = /desk.

--- /dev/null
+++ b/internal/config/build.go
@@ -0,0 +1,98 @@
+package config
+
+func (l *loader) build() *Settings {
+	settings := &Settings{
+		Daemon:   buildDaemon(l.reader(sectionDaemon)),
+		Platform: buildPlatform(l.reader(sectionPlatform)),
+		Log:      buildLog(l.reader(sectionLog)),
+	}
+	role := settings.Daemon.Role
+	settings.TLS = buildTLS(l.reader(sectionTLS), role)
+	settings.Router = buildRouter(l.reader(sectionRouter), role)
+	settings.Sidecar = buildSidecar(l.reader(sectionSidecar), role)
+	return settings
+}
+
+func buildDaemon(r *reader) DaemonSettings {
+	return DaemonSettings{
+		Name:             r.text("name"),
+		Role:             Role(r.text("role")),
+		AvailabilityZone: r.text("availability_zone"),
+		Environment:      r.text("environment"),
+		RPCAddress:       r.text("rpc_address"),
+		AdminAddress:     r.text("admin_address"),
+		Peers:            r.ipPorts("peers"),
+		DrainTimeout:     r.duration("drain_timeout"),
+	}
+}
+
+func buildPlatform(r *reader) PlatformSettings {
+	return PlatformSettings{
+		KeyValue:    r.text("key_value"),
+		VMList:      r.text("vm_list"),
+		WeightStore: r.text("weight_store"),
+		PieceStore:  r.text("piece_store"),
+		Timeout:     r.duration("timeout"),
+		VMListLag:   r.duration("vm_list_lag"),
+	}
+}
+
+func buildTLS(r *reader, role Role) TLSSettings {
+	tls := TLSSettings{
+		Plaintext:         r.boolean("plaintext"),
+		CA:                r.text("ca"),
+		Certificate:       r.text("certificate"),
+		Key:               r.text("key"),
+		CallerCertificate: r.text("caller_certificate"),
+		CallerKey:         r.text("caller_key"),
+	}
+	if tls.Plaintext {
+		return tls
+	}
+	r.need("plaintext is not set to yes", "ca", "certificate", "key")
+	if role == RoleRouter {
+		r.need("plaintext is not set to yes", "caller_certificate", "caller_key")
+	}
+	return tls
+}
+
+func buildLog(r *reader) LogSettings {
+	return LogSettings{Level: r.text("level"), Format: r.text("format")}
+}
+
+func buildRouter(r *reader, role Role) RouterSettings {
+	if role == RoleRouter {
+		r.need("the role is router", "http_address")
+	}
+	return RouterSettings{
+		HTTPAddress:   r.text("http_address"),
+		MaxBodyBytes:  r.size("max_body_bytes"),
+		Policy:        r.text("policy"),
+		LimitWait:     r.duration("limit_wait"),
+		PrefixEntries: int(r.integer("prefix_entries")),
+	}
+}
+
+func buildSidecar(r *reader, role Role) SidecarSettings {
+	if role == RoleSidecar {
+		r.need("the role is sidecar", "kind", "group", "backend_url")
+	}
+	return SidecarSettings{
+		Kind:          GroupKind(r.text("kind")),
+		Group:         r.text("group"),
+		BackendURL:    r.text("backend_url"),
+		MaxConcurrent: int(r.integer("max_concurrent")),
+		QueueLimit:    int(r.integer("queue_limit")),
+		AgeingBound:   r.duration("ageing_bound"),
+		StreamBuffer:  r.duration("stream_buffer"),
+	}
+}
+
+// need reports the settings that are missing although the reason asks for them.
+func (r *reader) need(reason string, keys ...string) {
+	for _, key := range keys {
+		if e, found := r.section.entry(key); !found || e.value == "" {
+			r.fault(key, "is missing: %s", reason)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,140 @@
+package config
+
+import "slices"
+
+// checkReferences reports names that the document does not define, and
+// settings that contradict each other.
+func (p *parser) checkReferences() {
+	for i := range p.document.Models {
+		p.checkModel(&p.document.Models[i])
+	}
+	for i := range p.document.Routes {
+		p.checkRoute(&p.document.Routes[i])
+	}
+	p.checkKeys()
+}
+
+func (p *parser) at(kind, name string) *reader { return p.places[kind+" "+name] }
+
+// checkGroup reports an unknown group or one of another kind. An empty name
+// was reported before.
+func (p *parser) checkGroup(r *reader, name string, wanted GroupKind) {
+	if name == "" {
+		return
+	}
+	group := p.document.Group(name)
+	switch {
+	case group == nil:
+		r.fault("group", "there is no section [group %s]", name)
+	case group.Kind != "" && group.Kind != wanted:
+		r.fault("group", "%s is a group of kind %s, not %s", name, group.Kind, wanted)
+	}
+}
+
+func (p *parser) checkWorkspace(r *reader, name string) {
+	if name != "" && p.document.Workspace(name) == nil {
+		r.fault("workspace", "there is no section [workspace %s]", name)
+	}
+}
+
+func (p *parser) checkModel(model *Model) {
+	p.checkGroup(p.at(kindModel, model.Name), model.Group, GroupEngines)
+}
+
+func (p *parser) checkKeys() {
+	owners := make(map[[32]byte]string)
+	for i := range p.document.Keys {
+		key := &p.document.Keys[i]
+		r := p.at(kindKey, key.ID)
+		p.checkWorkspace(r, key.Workspace)
+		if key.SHA256 == ([32]byte{}) {
+			continue
+		}
+		if first, found := owners[key.SHA256]; found {
+			r.fault("sha256", "is the same as in [key %s]", first)
+			continue
+		}
+		owners[key.SHA256] = key.ID
+	}
+}
+
+func (p *parser) checkRoute(route *Route) {
+	r := p.at(kindRoute, route.Name)
+	p.checkAccess(r, route)
+	if route.Path == "" {
+		return
+	}
+	if IsGenerationPath(route.Path) {
+		checkGeneration(r, route)
+		return
+	}
+	p.checkService(r, route)
+}
+
+func (p *parser) checkAccess(r *reader, route *Route) {
+	_, named := r.section.entry("workspace")
+	switch {
+	case route.Access == AccessOpen && !named:
+		r.fault("workspace", "is missing: an open route names the workspace whose rate and burst limit it")
+	case route.Access == AccessKey && named:
+		r.fault("workspace", "is for open routes only: the key names the workspace")
+	default:
+		p.checkWorkspace(r, route.Workspace)
+	}
+	workspace := p.document.Workspace(route.Workspace)
+	if workspace != nil && workspace.Burst > 0 && route.Cost > workspace.Burst {
+		r.fault("cost", "%d is above the burst of workspace %s, %d", route.Cost, workspace.Name, workspace.Burst)
+	}
+}
+
+// generationMethod is the only method of the generation paths.
+const generationMethod = "POST"
+
+func checkGeneration(r *reader, route *Route) {
+	if route.Method != "" && route.Method != generationMethod {
+		r.fault("method", "a generation path takes %s", generationMethod)
+	}
+	if route.Access == AccessOpen {
+		r.fault("access", "a generation path needs a key")
+	}
+	if route.Once {
+		r.fault("once", "is for routes of plain services: generation may be repeated")
+	}
+	for _, key := range []string{"group", "strip_prefix", "cost"} {
+		if _, found := r.section.entry(key); found {
+			r.fault(key, "is for routes of plain services: the model names the group and the cost")
+		}
+	}
+}
+
+// onceMethods are the methods of calls that can have an effect.
+var onceMethods = []string{"POST", "PUT", "PATCH", "DELETE"}
+
+func (p *parser) checkService(r *reader, route *Route) {
+	if route.Group == "" {
+		r.fault("group", "is missing: only /v1/chat/completions and /v1/completions lead to models")
+	}
+	p.checkGroup(r, route.Group, GroupService)
+	if reserved(route.Path) {
+		r.fault("path", "%s is reserved for the router", route.Path)
+	}
+	if route.Once && !slices.Contains(onceMethods, route.Method) {
+		r.fault("method", "a route with once = yes names POST, PUT, PATCH or DELETE")
+	}
+	if !strips(route.Path, route.StripPrefix) {
+		r.fault("strip_prefix", "%s is not a leading part of the path %s", route.StripPrefix, route.Path)
+	}
+}
+
+// checkOverlaps reports pairs of routes that a request could match both.
+func (p *parser) checkOverlaps() {
+	routes := p.document.Routes
+	for i := range routes {
+		for j := range routes[:i] {
+			if routes[i].overlaps(&routes[j]) {
+				p.at(kindRoute, routes[i].Name).fault("path", "%s overlaps with %s of [route %s]",
+					routes[i].Path, routes[j].Path, routes[j].Name)
+			}
+		}
+	}
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -83,17 +83,19 @@
 // Route is a section [route NAME]: a plain service's path, or one of the two
 // generation paths.
 type Route struct {
-	Name      string
-	Method    string // empty for any
-	Path      string // exact, or a prefix that ends in "/*"
-	Group     string // group of the service; empty for generation
-	Access    Access
-	Workspace string        // for open routes: the workspace whose bucket they use
-	Once      bool          // at most once: needs an idempotency key
-	Class     Class         // default class
-	Cost      int64         // tokens drawn per call of a plain service
-	Patience  time.Duration // longest wait for execution before a refusal
-	Timeout   time.Duration // longest execution of a call
+	Name   string
+	Method string // empty for any
+	Path   string // exact, or a prefix that ends in "/*"
+	Group  string // group of the service; empty for generation
+	// StripPrefix is the leading part of the path that the service does not see.
+	StripPrefix string
+	Access      Access
+	Workspace   string        // for open routes: the workspace whose bucket they use
+	Once        bool          // at most once: needs an idempotency key
+	Class       Class         // default class
+	Cost        int64         // tokens drawn per call of a plain service
+	Patience    time.Duration // longest wait for execution before a refusal
+	Timeout     time.Duration // longest execution of a call
 }
 
 // Generation says whether the route leads to model engines.
--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,133 @@
+package config
+
+import (
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Override replaces a setting of the file. Later overrides win.
+type Override struct {
+	Section string
+	Key     string
+	Value   string
+	Source  string // named in faults, such as "flag --set router.policy"
+}
+
+// environmentPrefix starts the names of environment variables that are
+// overrides: WASABIGATE_ROUTER_POLICY.
+const environmentPrefix = "WASABIGATE_"
+
+// EnvironmentOverrides returns the overrides in environment variables of the
+// form WASABIGATE_SECTION_KEY=VALUE.
+func EnvironmentOverrides(environ []string) []Override {
+	var overrides []Override
+	for _, variable := range environ {
+		name, value, _ := strings.Cut(variable, "=")
+		rest, found := strings.CutPrefix(name, environmentPrefix)
+		if !found {
+			continue
+		}
+		sectionName, key, _ := strings.Cut(strings.ToLower(rest), "_")
+		overrides = append(overrides, Override{sectionName, key, value, "environment variable " + name})
+	}
+	return overrides
+}
+
+// ParseOverride reads an override of the form SECTION.KEY=VALUE, as flags have
+// it.
+func ParseOverride(text string) (Override, error) {
+	name, value, hasValue := strings.Cut(text, "=")
+	sectionName, key, hasKey := strings.Cut(name, ".")
+	if !hasValue || !hasKey {
+		return Override{}, errors.Errorf("%q is not an override: write SECTION.KEY=VALUE", text)
+	}
+	return Override{sectionName, key, value, "flag --set " + name}, nil
+}
+
+// LoadSettings reads a daemon's settings from the file at path, replaces what
+// overrides name, and checks the result. An error is of type Faults and lists
+// all of them. An empty path means that there is no file.
+func LoadSettings(path string, overrides []Override) (*Settings, error) {
+	var text []byte
+	if path != "" {
+		var err error
+		text, err = os.ReadFile(path)
+		if err != nil {
+			return nil, Faults{{Source: path, Message: err.Error()}}
+		}
+	}
+	return parseSettings(text, path, overrides)
+}
+
+func parseSettings(text []byte, source string, overrides []Override) (*Settings, error) {
+	l := &loader{source: source, sections: make(map[string]*section)}
+	for _, s := range readINI(text, source, &l.faults) {
+		l.accept(s)
+	}
+	for _, o := range overrides {
+		l.override(o)
+	}
+	settings := l.build()
+	if err := l.faults.err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+type loader struct {
+	source   string
+	sections map[string]*section
+	faults   Faults
+}
+
+const knownSections = "daemon, platform, tls, log, router and sidecar"
+
+func (l *loader) accept(s *section) {
+	first := l.sections[s.name()]
+	switch {
+	case s.kind == invalidKind:
+	case !daemonTable.hasSection(s.name()):
+		l.faults.add(s.place(), "", "unknown section: known are %s", knownSections)
+	case first != nil:
+		l.faults.add(s.place(), "", "stands already in line %d", first.line)
+	default:
+		l.sections[s.kind] = s
+	}
+}
+
+func (l *loader) override(o Override) {
+	at := place{source: o.Source, section: o.Section}
+	if !daemonTable.hasSection(o.Section) {
+		l.faults.add(at, "", "unknown section: known are %s", knownSections)
+		return
+	}
+	if daemonTable.find(o.Section, o.Key) == nil {
+		l.faults.add(at, o.Key, "unknown setting%s", daemonTable.suggest(o.Section, o.Key))
+		return
+	}
+	l.section(o.Section).set(entry{key: o.Key, value: o.Value, source: o.Source})
+}
+
+func (l *loader) section(name string) *section {
+	if l.sections[name] == nil {
+		l.sections[name] = &section{kind: name, source: l.source}
+	}
+	return l.sections[name]
+}
+
+// set replaces or adds an entry.
+func (s *section) set(e entry) {
+	for i := range s.entries {
+		if s.entries[i].key == e.key {
+			s.entries[i] = e
+			return
+		}
+	}
+	s.entries = append(s.entries, e)
+}
+
+func (l *loader) reader(name string) *reader {
+	return newReader(daemonTable, l.section(name), &l.faults)
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"slices"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+// MaxDocumentBytes is the largest document.
+const MaxDocumentBytes = platform.MaxValueSize
+
+// titled are the kinds of the document's sections that carry a name.
+var titled = []string{kindModel, kindGroup, kindWorkspace, kindKey, kindRoute}
+
+// Parse reads a document and checks it as a whole. An error is of type Faults
+// and lists all of them.
+func Parse(text []byte) (*Document, error) {
+	p := &parser{document: &Document{}, places: make(map[string]*reader)}
+	if len(text) > MaxDocumentBytes {
+		p.faults.add(place{}, "", "the document has %d bytes; the largest has %d", len(text), MaxDocumentBytes)
+		return nil, p.faults.err()
+	}
+	for _, s := range readINI(text, "", &p.faults) {
+		p.section(s)
+	}
+	if _, found := p.places[kindEnvironment]; !found {
+		p.faults.add(place{}, "", "section [%s] is missing", kindEnvironment)
+	}
+	p.document.BuildIndex()
+	p.checkReferences()
+	p.checkOverlaps()
+	if err := p.faults.err(); err != nil {
+		return nil, err
+	}
+	return p.document, nil
+}
+
+// parser collects the document, its faults, and where each section stands.
+type parser struct {
+	document *Document
+	faults   Faults
+	places   map[string]*reader // by the section's name
+}
+
+func (p *parser) section(s *section) {
+	if !p.acceptHeader(s) {
+		return
+	}
+	r := newReader(documentTable, s, &p.faults)
+	p.places[s.name()] = r
+	d := p.document
+	switch s.kind {
+	case kindEnvironment:
+		d.Environment = Environment{Name: r.text("name")}
+	case kindModel:
+		d.Models = append(d.Models, parseModel(r))
+	case kindGroup:
+		d.Groups = append(d.Groups, parseGroup(r))
+	case kindWorkspace:
+		d.Workspaces = append(d.Workspaces, parseWorkspace(r))
+	case kindKey:
+		d.Keys = append(d.Keys, parseKey(r))
+	case kindRoute:
+		d.Routes = append(d.Routes, parseRoute(r))
+	}
+}
+
+// acceptHeader reports an unknown, misnamed or doubled section.
+func (p *parser) acceptHeader(s *section) bool {
+	switch {
+	case s.kind == invalidKind:
+		return false
+	case !documentTable.hasSection(s.kind):
+		p.faults.add(s.place(), "", "unknown section: known are environment, model, group, workspace, key and route")
+		return false
+	case slices.Contains(titled, s.kind) && checkName(s.title) != nil:
+		p.faults.add(s.place(), "", "%v", checkName(s.title))
+		return false
+	case s.kind == kindEnvironment && s.title != "":
+		p.faults.add(s.place(), "", "takes no name: write [environment]")
+		return false
+	}
+	if first, found := p.places[s.name()]; found {
+		p.faults.add(s.place(), "", "stands already in line %d", first.section.line)
+		return false
+	}
+	return true
+}
+
+func parseModel(r *reader) Model {
+	model := Model{
+		Name:             r.section.title,
+		Adapter:          r.text("adapter"),
+		Group:            r.text("group"),
+		WeightsVersion:   r.text("weights_version"),
+		ContextTokens:    int(r.integer("context_tokens")),
+		DefaultMaxTokens: int(r.integer("default_max_tokens")),
+	}
+	if model.ContextTokens > 0 && model.DefaultMaxTokens >= model.ContextTokens {
+		r.fault("default_max_tokens", "%d must be less than context_tokens, %d", model.DefaultMaxTokens, model.ContextTokens)
+	}
+	return model
+}
+
+func parseGroup(r *reader) Group {
+	return Group{
+		Name:         r.section.title,
+		Kind:         GroupKind(r.text("kind")),
+		ChecksOrders: r.boolean("checks_orders"),
+	}
+}
+
+func parseWorkspace(r *reader) Workspace {
+	return Workspace{
+		Name:     r.section.title,
+		Rate:     r.integer("rate"),
+		Burst:    r.integer("burst"),
+		MaxClass: Class(r.text("max_class")),
+	}
+}
+
+func parseKey(r *reader) Key {
+	return Key{
+		ID:        r.section.title,
+		Workspace: r.text("workspace"),
+		SHA256:    r.sha256("sha256"),
+	}
+}
+
+func parseRoute(r *reader) Route {
+	return Route{
+		Name:        r.section.title,
+		Method:      r.text("method"),
+		Path:        r.text("path"),
+		Group:       r.text("group"),
+		StripPrefix: r.text("strip_prefix"),
+		Access:      Access(r.text("access")),
+		Workspace:   r.text("workspace"),
+		Once:        r.boolean("once"),
+		Class:       Class(r.text("class")),
+		Cost:        r.integer("cost"),
+		Patience:    r.duration("patience"),
+		Timeout:     r.duration("timeout"),
+	}
+}
--- /dev/null
+++ b/internal/config/reader.go
@@ -0,0 +1,261 @@
+package config
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"path"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+)
+
+const maxNameLength = 63
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+	sizePattern = regexp.MustCompile(`^([0-9]+)(B|KiB|MiB|GiB)$`)
+	formats     = validator.New()
+)
+
+var sizeUnits = map[string]int64{"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
+
+// reader gives the typed values of one section and reports what is wrong.
+type reader struct {
+	table   table
+	section *section
+	faults  *Faults
+}
+
+// newReader reports settings that the table does not have.
+func newReader(t table, s *section, faults *Faults) *reader {
+	for _, e := range s.entries {
+		if t.find(s.kind, e.key) == nil {
+			faults.add(s.at(e), e.key, "unknown setting%s", t.suggest(s.kind, e.key))
+		}
+	}
+	return &reader{table: t, section: s, faults: faults}
+}
+
+// raw returns the text of a setting, or its default. The second result is
+// false if there is neither.
+func (r *reader) raw(key string) (string, *Setting, bool) {
+	setting := r.table.find(r.section.kind, key)
+	if setting == nil {
+		panic("no setting " + r.section.kind + "." + key)
+	}
+	e, found := r.section.entry(key)
+	if found && e.value != "" {
+		return e.value, setting, true
+	}
+	if found && setting.Required {
+		r.faults.add(r.section.at(e), key, "is empty")
+		return "", setting, false
+	}
+	if !found && setting.Required {
+		r.faults.add(r.section.place(), key, "is missing")
+		return "", setting, false
+	}
+	return setting.Default, setting, setting.Default != ""
+}
+
+func (r *reader) place(key string) place {
+	if e, found := r.section.entry(key); found {
+		return r.section.at(e)
+	}
+	return r.section.place()
+}
+
+func (r *reader) fault(key, format string, args ...any) {
+	r.faults.add(r.place(key), key, format, args...)
+}
+
+// text returns a value that stays a text, checked by its type.
+func (r *reader) text(key string) string {
+	value, setting, found := r.raw(key)
+	if !found {
+		return ""
+	}
+	if err := checkText(setting, value); err != nil {
+		r.fault(key, "%v", err)
+		return ""
+	}
+	return value
+}
+
+func checkText(setting *Setting, value string) error {
+	switch setting.Type {
+	case TypeName:
+		return checkName(value)
+	case TypeChoice:
+		return checkChoice(setting.Choices, value)
+	case TypeAddress:
+		return checkFormat(value, "hostname_port", "host:port")
+	case TypeIPPort:
+		return checkIPPort(value)
+	case TypeURL:
+		return checkFormat(value, "http_url", "http:// or https:// URL")
+	case TypePath:
+		return checkPath(value)
+	}
+	return nil
+}
+
+func checkName(value string) error {
+	if len(value) > maxNameLength || !namePattern.MatchString(value) {
+		return errors.Errorf("%q is not a name: up to %d of a-z, 0-9, \".\", \"_\" and \"-\"", value, maxNameLength)
+	}
+	return nil
+}
+
+func checkChoice(choices []string, value string) error {
+	if !slices.Contains(choices, value) {
+		return errors.Errorf("%q is not one of %s", value, strings.Join(choices, ", "))
+	}
+	return nil
+}
+
+func checkFormat(value, tag, wanted string) error {
+	if formats.Var(value, tag) != nil {
+		return errors.Errorf("%q is not a %s", value, wanted)
+	}
+	return nil
+}
+
+func checkIPPort(value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 {
+		return errors.Errorf("%q is not an IP number with a port, such as 10.0.0.7:7400", value)
+	}
+	return nil
+}
+
+func checkPath(value string) error {
+	bare := strings.TrimSuffix(value, "/*")
+	if strings.ContainsAny(bare, "*?# \\%") || !strings.HasPrefix(value, "/") || (bare != "" && path.Clean(bare) != bare) {
+		return errors.Errorf("%q is not a path: write /a/b or /a/b/*", value)
+	}
+	return nil
+}
+
+func (r *reader) integer(key string) int64 {
+	return number(r, key, parseInteger)
+}
+
+func (r *reader) size(key string) int64 {
+	return number(r, key, parseSize)
+}
+
+func (r *reader) duration(key string) time.Duration {
+	return number(r, key, parseDuration)
+}
+
+// number parses a value and checks its range.
+func number[T int64 | time.Duration](r *reader, key string, parse func(string) (T, error)) T {
+	value, setting, found := r.raw(key)
+	if !found {
+		return 0
+	}
+	parsed, err := parse(value)
+	if err != nil {
+		r.fault(key, "%v", err)
+		return 0
+	}
+	least, _ := parse(setting.Min)
+	most, _ := parse(setting.Max)
+	if parsed < least || parsed > most {
+		r.fault(key, "%s is out of range: %s to %s", value, setting.Min, setting.Max)
+		return 0
+	}
+	return parsed
+}
+
+func parseInteger(value string) (int64, error) {
+	parsed, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
+		return 0, errors.Errorf("%q is not a whole number without unit", value)
+	}
+	return parsed, nil
+}
+
+func parseSize(value string) (int64, error) {
+	match := sizePattern.FindStringSubmatch(value)
+	if match == nil {
+		return 0, errors.Errorf("%q is not a size: a whole number with B, KiB, MiB or GiB", value)
+	}
+	count, err := strconv.ParseInt(match[1], 10, 32)
+	if err != nil {
+		return 0, errors.Errorf("%q is too large", value)
+	}
+	return count * sizeUnits[match[2]], nil
+}
+
+func parseDuration(value string) (time.Duration, error) {
+	parsed, err := time.ParseDuration(value)
+	if err != nil {
+		return 0, errors.Errorf("%q is not a duration: a number with ms, s, m or h", value)
+	}
+	return parsed, nil
+}
+
+func (r *reader) boolean(key string) bool {
+	value, _, _ := r.raw(key)
+	switch value {
+	case "yes", "true":
+		return true
+	case "no", "false":
+		return false
+	}
+	r.fault(key, "%q is not yes or no", value)
+	return false
+}
+
+func (r *reader) ipPorts(key string) []string {
+	value, _, found := r.raw(key)
+	if !found {
+		return nil
+	}
+	var addresses []string
+	for _, part := range strings.Split(value, ",") {
+		address := strings.TrimSpace(part)
+		if err := checkIPPort(address); err != nil {
+			r.fault(key, "%v", err)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+func (r *reader) sha256(key string) [32]byte {
+	var sum [32]byte
+	value, _, found := r.raw(key)
+	if !found {
+		return sum
+	}
+	decoded, err := hex.DecodeString(value)
+	if err != nil || len(decoded) != len(sum) {
+		r.fault(key, "is not a SHA-256: 64 hexadecimal digits")
+		return sum
+	}
+	copy(sum[:], decoded)
+	return sum
+}
+
+// suggest returns a hint with the settings of the section.
+func (t table) suggest(kind, key string) string {
+	var known []string
+	for i := range t {
+		if t[i].Section == kind {
+			known = append(known, t[i].Key)
+		}
+	}
+	if slices.Contains(known, strings.ReplaceAll(strings.ToLower(key), "-", "_")) {
+		return ": did you mean " + strings.ReplaceAll(strings.ToLower(key), "-", "_") + "?"
+	}
+	return ": known are " + strings.Join(known, ", ")
+}
--- /dev/null
+++ b/internal/config/setting.go
@@ -0,0 +1,61 @@
+package config
+
+// Type is the type of a setting's value.
+type Type string
+
+// The types of settings.
+const (
+	TypeText     Type = "text"
+	TypeName     Type = "name"     // lower-case letters, digits, ".", "_", "-"
+	TypeInteger  Type = "integer"  // a plain number
+	TypeBoolean  Type = "boolean"  // yes or no
+	TypeDuration Type = "duration" // number with unit: 300ms, 5s, 2m
+	TypeSize     Type = "size"     // number with unit: 64KiB, 8MiB
+	TypeChoice   Type = "choice"   // one of Choices
+	TypeAddress  Type = "address"  // host:port
+	TypeIPPort   Type = "ip:port"  // an IP number with a port
+	TypeIPPorts  Type = "list of ip:port"
+	TypeURL      Type = "url"
+	TypePath     Type = "path"   // of an HTTP route
+	TypeSHA256   Type = "sha256" // 64 hexadecimal digits
+)
+
+// Setting describes one setting of a document or of a daemon.
+type Setting struct {
+	Section  string // kind of the section
+	Key      string
+	Type     Type
+	Unit     string
+	Default  string // empty: none
+	Required bool
+	Min, Max string // in the notation of the type
+	Choices  []string
+	Doc      string
+}
+
+// table is a list of settings with lookups.
+type table []Setting
+
+func (t table) find(sectionKind, key string) *Setting {
+	for i := range t {
+		if t[i].Section == sectionKind && t[i].Key == key {
+			return &t[i]
+		}
+	}
+	return nil
+}
+
+func (t table) hasSection(kind string) bool {
+	for i := range t {
+		if t[i].Section == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// DocumentSettings returns the settings of a document.
+func DocumentSettings() []Setting { return append([]Setting(nil), documentTable...) }
+
+// DaemonSettingsTable returns the settings of a daemon.
+func DaemonSettingsTable() []Setting { return append([]Setting(nil), daemonTable...) }
