Serve the stand-ins over HTTP and call them from clients

Cause: the daemons reach the platform's services over the network, and a test has to tell a write without effect from one whose outcome is unknown.

Ruled out: taking every failed write as unsure (a refused connection is then never safe to repeat), and redirects (a write must reach the service itself).

Change: platform/httpapi fixes paths, messages and error codes; platform/client and the stand-ins' handlers share it. A write is unsure as soon as it had a connection. A watch on which the service falls silent for three heartbeats is broken. Faults are switched at /admin/faults. PieceStore.Put gives ErrConflict rather than replace a piece of another salt.

--- /dev/null
+++ b/internal/platform/client/kv.go
@@ -0,0 +1,91 @@
+package client
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
+)
+
+// KV calls the key-value service. It implements platform.KV.
+type KV struct {
+	caller
+	watchSilence time.Duration
+}
+
+var _ platform.KV = (*KV)(nil)
+
+// NewKV returns a client whose calls take at most timeout.
+func NewKV(baseURL string, timeout time.Duration) *KV {
+	return &KV{
+		caller:       newCaller(baseURL, timeout),
+		watchSilence: maxWatchSilence,
+	}
+}
+
+// Get implements platform.KV.
+func (k *KV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	var entry httpapi.Entry
+	query := url.Values{httpapi.QueryKey: {key}}
+	if err := k.read(ctx, httpapi.PathEntry, query, &entry); err != nil {
+		return platform.Entry{}, err
+	}
+	return platform.Entry(entry), nil
+}
+
+// List implements platform.KV.
+func (k *KV) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	var answer httpapi.Entries
+	query := url.Values{httpapi.QueryPrefix: {prefix}}
+	if err := k.read(ctx, httpapi.PathEntries, query, &answer); err != nil {
+		return nil, err
+	}
+	entries := make([]platform.Entry, len(answer.Entries))
+	for i, entry := range answer.Entries {
+		entries[i] = platform.Entry(entry)
+	}
+	return entries, nil
+}
+
+// CompareAndSwap implements platform.KV.
+func (k *KV) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	if len(value) > platform.MaxValueSize {
+		return 0, errors.Wrapf(platform.ErrTooLarge, "key %q: %d bytes", key, len(value))
+	}
+	question := httpapi.SwapRequest{Key: key, Value: value, Expected: expected, Lease: lease}
+	var answer httpapi.SwapAnswer
+	if err := k.write(ctx, httpapi.PathSwap, question, &answer); err != nil {
+		return 0, err
+	}
+	return answer.Version, nil
+}
+
+// Delete implements platform.KV.
+func (k *KV) Delete(ctx context.Context, key string, expected platform.Version) error {
+	question := httpapi.DeleteRequest{Key: key, Expected: expected}
+	return k.write(ctx, httpapi.PathDelete, question, &httpapi.Done{})
+}
+
+// GrantLease implements platform.KV.
+func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	question := httpapi.LeaseRequest{TTLMilliseconds: ttl.Milliseconds()}
+	var answer httpapi.LeaseAnswer
+	if err := k.write(ctx, httpapi.PathLeaseGrant, question, &answer); err != nil {
+		return 0, err
+	}
+	return answer.ID, nil
+}
+
+// RenewLease implements platform.KV.
+func (k *KV) RenewLease(ctx context.Context, id platform.LeaseID) error {
+	return k.write(ctx, httpapi.PathLeaseRenew, httpapi.LeaseRequest{ID: id}, &httpapi.Done{})
+}
+
+// RevokeLease implements platform.KV.
+func (k *KV) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	return k.write(ctx, httpapi.PathLeaseRevoke, httpapi.LeaseRequest{ID: id}, &httpapi.Done{})
+}
--- /dev/null
+++ b/internal/platform/client/watch.go
@@ -0,0 +1,86 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
+)
+
+// maxWatchSilence is the silence after which a watch counts as broken.
+const maxWatchSilence = 3 * httpapi.WatchHeartbeat
+
+// watch is an open watch over HTTP.
+type watch struct {
+	body    io.ReadCloser
+	timer   *time.Timer // cancels the call
+	silence time.Duration
+	events  chan platform.Event
+}
+
+// Watch implements platform.KV. A watch on which the service falls silent is
+// broken.
+func (k *KV) Watch(ctx context.Context, prefix string, after platform.Version) (<-chan platform.Event, error) {
+	query := url.Values{
+		httpapi.QueryPrefix: {prefix},
+		httpapi.QueryAfter:  {strconv.FormatUint(uint64(after), 10)},
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(k.timeout, cancel)
+	body, err := k.open(ctx, httpapi.PathWatch, query)
+	if err != nil {
+		timer.Stop()
+		cancel()
+		return nil, err
+	}
+	opened := &watch{
+		body:    body,
+		timer:   timer,
+		silence: k.watchSilence,
+		events:  make(chan platform.Event),
+	}
+	go func() {
+		defer cancel()
+		opened.run(ctx)
+	}()
+	return opened.events, nil
+}
+
+// run passes events on until the watch breaks or ctx ends.
+func (w *watch) run(ctx context.Context) {
+	defer close(w.events)
+	defer func() { _ = w.body.Close() }()
+	lines := json.NewDecoder(w.body)
+	for {
+		line, err := w.next(lines)
+		if err != nil {
+			return
+		}
+		if line.Event == nil {
+			continue
+		}
+		event := platform.Event{Entry: platform.Entry(*line.Event), Deleted: line.Deleted}
+		select {
+		case w.events <- event:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// next reads a line, which must come before the silence is over. The time that
+// the reader of the events takes doesn't count.
+func (w *watch) next(lines *json.Decoder) (httpapi.WatchLine, error) {
+	var line httpapi.WatchLine
+	w.timer.Reset(w.silence)
+	defer w.timer.Stop()
+	err := lines.Decode(&line)
+	return line, errors.Wrap(err, "watch")
+}
--- /dev/null
+++ b/internal/platform/httpapi/messages.go
@@ -0,0 +1,99 @@
+// Package httpapi defines the HTTP/JSON protocol of the platform's services:
+// the paths, messages and error codes that clients and stand-ins share.
+package httpapi
+
+import "github.com/wasabigate/wasabigate/internal/platform"
+
+// Paths of the key-value service.
+const (
+	PathEntry       = "/v1/kv/entry"         // GET, query: QueryKey
+	PathEntries     = "/v1/kv/entries"       // GET, query: QueryPrefix
+	PathWatch       = "/v1/kv/watch"         // GET, query: QueryPrefix, QueryAfter
+	PathSwap        = "/v1/kv/swap"          // POST SwapRequest
+	PathDelete      = "/v1/kv/delete"        // POST DeleteRequest
+	PathLeaseGrant  = "/v1/kv/leases/grant"  // POST LeaseRequest
+	PathLeaseRenew  = "/v1/kv/leases/renew"  // POST LeaseRequest
+	PathLeaseRevoke = "/v1/kv/leases/revoke" // POST LeaseRequest
+)
+
+// Paths of the other services.
+const (
+	PathVMs     = "/v1/vms"     // GET
+	PathWeights = "/v1/weights" // GET, query: QueryModel
+	PathPiece   = "/v1/piece"   // GET, query: QueryID; POST Piece
+)
+
+// Names of query parameters.
+const (
+	QueryKey    = "key"
+	QueryPrefix = "prefix"
+	QueryAfter  = "after"
+	QueryModel  = "model"
+	QueryID     = "id"
+)
+
+// MaxBodyBytes bounds a request to the key-value service: the largest value in
+// base64, and room for the rest.
+const MaxBodyBytes = platform.MaxValueSize*4/3 + 64<<10
+
+// Entry is a key with its value.
+type Entry struct {
+	Key     string           `json:"key"`
+	Value   []byte           `json:"value"`
+	Version platform.Version `json:"version"`
+}
+
+// Entries answers a list.
+type Entries struct {
+	Entries []Entry `json:"entries"`
+}
+
+// SwapRequest asks for a compare-and-swap.
+type SwapRequest struct {
+	Key      string           `json:"key"`
+	Value    []byte           `json:"value"`
+	Expected platform.Version `json:"expected"`
+	Lease    platform.LeaseID `json:"lease,omitempty"`
+}
+
+// SwapAnswer answers a compare-and-swap.
+type SwapAnswer struct {
+	Version platform.Version `json:"version"`
+}
+
+// DeleteRequest asks for a deletion.
+type DeleteRequest struct {
+	Key      string           `json:"key"`
+	Expected platform.Version `json:"expected"`
+}
+
+// LeaseRequest asks for a lease, its renewal or its end.
+type LeaseRequest struct {
+	ID              platform.LeaseID `json:"id,omitempty"`
+	TTLMilliseconds int64            `json:"ttl_ms,omitempty"`
+}
+
+// LeaseAnswer answers a grant.
+type LeaseAnswer struct {
+	ID platform.LeaseID `json:"id"`
+}
+
+// Done answers a call that has no result.
+type Done struct{}
+
+// WatchLine is one line of a watch: a change, or a heartbeat if both fields
+// are empty.
+type WatchLine struct {
+	Event   *Entry `json:"event,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// VMs answers the VM list.
+type VMs struct {
+	VMs []platform.VM `json:"vms"`
+}
+
+// Versions answers the weight store.
+type Versions struct {
+	Weights []platform.Weights `json:"weights"`
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -134,6 +134,7 @@
 type PieceStore interface {
 	// Get returns the piece, or ErrNotFound or ErrCorrupt.
 	Get(ctx context.Context, id string) (Piece, error)
-	// Put stores a piece. It is idempotent.
+	// Put stores a piece. It is idempotent; a piece never replaces one of another
+	// salt, which gives ErrConflict.
 	Put(ctx context.Context, piece Piece) error
 }
--- /dev/null
+++ b/internal/standin/fault/fault.go
@@ -0,0 +1,169 @@
+// Package fault holds the faults that the simpler stand-ins share.
+package fault
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/web"
+)
+
+// Faults are a service's faults on order. The zero value is a healthy service
+// without a rate.
+type Faults struct {
+	Down        bool          `json:"down"`         // refuses all calls with ErrUnavailable
+	Delay       time.Duration `json:"-"`            // passes before each call takes effect
+	LoseAnswers float64       `json:"lose_answers"` // share of writes that take effect but give ErrUnsure
+	Corrupt     float64       `json:"corrupt"`      // share of reads that give damaged data
+	PerSecond   int           `json:"per_second"`   // rate above which calls give ErrThrottled; 0: unlimited
+}
+
+// plainFaults is Faults without its methods.
+type plainFaults Faults
+
+// faultsMessage is the JSON form of Faults.
+type faultsMessage struct {
+	*plainFaults
+	Delay web.Duration `json:"delay"`
+}
+
+// MarshalJSON writes the delay as text.
+func (f Faults) MarshalJSON() ([]byte, error) {
+	plain := plainFaults(f)
+	return json.Marshal(faultsMessage{&plain, web.Duration(f.Delay)})
+}
+
+// UnmarshalJSON reads the delay from text such as "200ms".
+func (f *Faults) UnmarshalJSON(text []byte) error {
+	message := faultsMessage{plainFaults: &plainFaults{}}
+	if err := web.DecodeStrict(text, &message); err != nil {
+		return err
+	}
+	*f = Faults(*message.plainFaults)
+	f.Delay = time.Duration(message.Delay)
+	return nil
+}
+
+// Counts are the calls that a service has met.
+type Counts struct {
+	Calls     uint64 `json:"calls"`
+	Throttled uint64 `json:"throttled"`
+}
+
+// Gate lets calls into a service, as its faults allow.
+type Gate struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	limit  *rate.Limiter
+	faults Faults
+	counts Counts
+}
+
+// NewGate returns a Gate whose faults are drawn from seed.
+func NewGate(seed uint64) *Gate {
+	return &Gate{
+		random: rand.New(rand.NewPCG(seed, seed)),
+		limit:  Limiter(0),
+	}
+}
+
+// Limiter allows perSecond calls a second, with one second's worth at once; 0
+// means unlimited.
+func Limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
+// SetFaults replaces the faults.
+func (g *Gate) SetFaults(faults Faults) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if faults.PerSecond != g.faults.PerSecond {
+		g.limit = Limiter(faults.PerSecond)
+	}
+	g.faults = faults
+}
+
+// Faults returns the faults in force.
+func (g *Gate) Faults() Faults {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.faults
+}
+
+// Counts returns the calls counted so far.
+func (g *Gate) Counts() Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.counts
+}
+
+// Enter lets a call in, after its delay, or refuses it without effect.
+func (g *Gate) Enter(ctx context.Context) error {
+	delay, err := g.admit()
+	if err != nil {
+		return err
+	}
+	if _, err := Wait(ctx, delay); err != nil {
+		return errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	return nil
+}
+
+func (g *Gate) admit() (time.Duration, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counts.Calls++
+	if g.faults.Down {
+		return 0, errors.Wrap(platform.ErrUnavailable, "service down")
+	}
+	if !g.limit.Allow() {
+		g.counts.Throttled++
+		return 0, errors.WithStack(platform.ErrThrottled)
+	}
+	return g.faults.Delay, nil
+}
+
+// AnswerLost says whether the answer of a write gets lost.
+func (g *Gate) AnswerLost() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Draw(g.random, g.faults.LoseAnswers)
+}
+
+// Corrupted says whether the data of a read get damaged.
+func (g *Gate) Corrupted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Draw(g.random, g.faults.Corrupt)
+}
+
+// Draw says whether a fault of the given share happens now.
+func Draw(random *rand.Rand, share float64) bool {
+	return share > 0 && random.Float64() < share
+}
+
+// Wait lets a delay pass. If ctx ends before, it returns the rest of the delay.
+func Wait(ctx context.Context, delay time.Duration) (time.Duration, error) {
+	if delay <= 0 {
+		return 0, ctx.Err()
+	}
+	start := time.Now()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return 0, nil
+	case <-ctx.Done():
+		return delay - time.Since(start), ctx.Err()
+	}
+}
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -2,34 +2,37 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/fault"
+	"github.com/wasabigate/wasabigate/internal/standin/web"
 )
 
 // Faults are the service's faults on order. The zero value is a healthy
 // service without a rate.
 type Faults struct {
 	// Down refuses all calls with ErrUnavailable and breaks the watches.
-	Down bool
+	Down bool `json:"down"`
 	// Delay passes before each call takes effect. A write whose caller gives up
 	// meanwhile still takes effect at the end of the delay.
-	Delay time.Duration
+	Delay time.Duration `json:"-"`
 	// LoseAnswers is the share of writes that take effect but give ErrUnsure.
-	LoseAnswers float64
+	LoseAnswers float64 `json:"lose_answers"`
 	// CutAnswers is like LoseAnswers; over HTTP the connection breaks in the
 	// middle of the answer.
-	CutAnswers float64
+	CutAnswers float64 `json:"cut_answers"`
 	// StaleReads is the share of reads that show each key as it was before its
 	// last change.
-	StaleReads float64
+	StaleReads float64 `json:"stale_reads"`
 	// WritesPerSecond and ReadsPerSecond are the rates above which calls give
 	// ErrThrottled; 0 means unlimited. A waiting watch takes one read a second.
-	WritesPerSecond int
-	ReadsPerSecond  int
+	WritesPerSecond int `json:"writes_per_second"`
+	ReadsPerSecond  int `json:"reads_per_second"`
 }
 
 // Counts are the calls that the service has met.
@@ -41,21 +44,41 @@
 	Waiting   int    `json:"waiting"`   // watches that wait now
 }
 
-// cutError is ErrUnsure for an answer that breaks in the middle.
-type cutError struct{}
+// plainFaults is Faults without its methods.
+type plainFaults Faults
 
-func (cutError) Error() string { return "answer cut: " + platform.ErrUnsure.Error() }
-func (cutError) Unwrap() error { return platform.ErrUnsure }
+// faultsMessage is the JSON form of Faults.
+type faultsMessage struct {
+	*plainFaults
+	Delay web.Duration `json:"delay"`
+}
+
+// MarshalJSON writes the delay as text.
+func (f Faults) MarshalJSON() ([]byte, error) {
+	plain := plainFaults(f)
+	return json.Marshal(faultsMessage{&plain, web.Duration(f.Delay)})
+}
+
+// UnmarshalJSON reads the delay from text such as "200ms".
+func (f *Faults) UnmarshalJSON(text []byte) error {
+	message := faultsMessage{plainFaults: &plainFaults{}}
+	if err := web.DecodeStrict(text, &message); err != nil {
+		return err
+	}
+	*f = Faults(*message.plainFaults)
+	f.Delay = time.Duration(message.Delay)
+	return nil
+}
 
 // SetFaults replaces the faults.
 func (s *Store) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if faults.WritesPerSecond != s.faults.WritesPerSecond {
-		s.writes = limiter(faults.WritesPerSecond)
+		s.writes = fault.Limiter(faults.WritesPerSecond)
 	}
 	if faults.ReadsPerSecond != s.faults.ReadsPerSecond {
-		s.reads = limiter(faults.ReadsPerSecond)
+		s.reads = fault.Limiter(faults.ReadsPerSecond)
 	}
 	s.faults = faults
 	if faults.Down {
@@ -80,14 +103,6 @@
 	return counts
 }
 
-// limiter allows perSecond calls a second, with one second's worth at once.
-func limiter(perSecond int) *rate.Limiter {
-	if perSecond == 0 {
-		return rate.NewLimiter(rate.Inf, 0)
-	}
-	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
-}
-
 // reserveWatches takes the waiting watches off the rate of reads.
 func (s *Store) reserveWatches() {
 	if s.faults.ReadsPerSecond == 0 {
@@ -104,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := wait(ctx, delay); err != nil {
+	if _, err := fault.Wait(ctx, delay); err != nil {
 		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
 	return s.run(func() error { return do(s.draw(s.faults.StaleReads)) })
@@ -116,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	rest, err := wait(ctx, delay)
+	rest, err := fault.Wait(ctx, delay)
 	if err != nil {
 		time.AfterFunc(rest, func() { _ = s.run(do) })
 		return errors.Wrap(platform.ErrUnsure, err.Error())
@@ -127,7 +142,7 @@
 			return errors.Wrap(platform.ErrUnsure, "answer lost")
 		}
 		if s.draw(s.faults.CutAnswers) {
-			return errors.WithStack(cutError{})
+			return errors.WithStack(web.CutError{})
 		}
 		return err
 	})
@@ -163,23 +178,4 @@
 	return do()
 }
 
-// draw says whether a fault of the given share happens now.
-func (s *Store) draw(share float64) bool {
-	return share > 0 && s.random.Float64() < share
-}
-
-// wait lets a delay pass. If ctx ends before, it returns the rest of the delay.
-func wait(ctx context.Context, delay time.Duration) (time.Duration, error) {
-	if delay <= 0 {
-		return 0, nil
-	}
-	start := time.Now()
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return 0, nil
-	case <-ctx.Done():
-		return delay - time.Since(start), ctx.Err()
-	}
-}
+func (s *Store) draw(share float64) bool { return fault.Draw(s.random, share) }
--- /dev/null
+++ b/internal/standin/kv/http.go
@@ -0,0 +1,128 @@
+package kv
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
+	"github.com/wasabigate/wasabigate/internal/standin/web"
+)
+
+// PathBreakWatches is the admin path that breaks all watches.
+const PathBreakWatches = "/admin/watches/break" // POST {}
+
+// handler serves a Store over HTTP.
+type handler struct {
+	store *Store
+}
+
+// Handler serves s over HTTP, with its admin endpoint.
+func Handler(s *Store) http.Handler {
+	h := handler{s}
+	e := web.New()
+	e.GET(httpapi.PathEntry, h.get)
+	e.GET(httpapi.PathEntries, h.list)
+	e.GET(httpapi.PathWatch, h.watch)
+	e.POST(httpapi.PathSwap, web.PostUpTo(httpapi.MaxBodyBytes, h.swap))
+	e.POST(httpapi.PathDelete, web.Post(h.delete))
+	e.POST(httpapi.PathLeaseGrant, web.Post(h.grant))
+	e.POST(httpapi.PathLeaseRenew, web.Post(h.renew))
+	e.POST(httpapi.PathLeaseRevoke, web.Post(h.revoke))
+	e.POST(PathBreakWatches, web.Post(h.breakWatches))
+	web.AddAdmin(e, s)
+	return e
+}
+
+func (h handler) get(c echo.Context) error {
+	entry, err := h.store.Get(c.Request().Context(), c.QueryParam(httpapi.QueryKey))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, httpapi.Entry(entry))
+}
+
+func (h handler) list(c echo.Context) error {
+	entries, err := h.store.List(c.Request().Context(), c.QueryParam(httpapi.QueryPrefix))
+	if err != nil {
+		return err
+	}
+	answer := httpapi.Entries{Entries: make([]httpapi.Entry, len(entries))}
+	for i, entry := range entries {
+		answer.Entries[i] = httpapi.Entry(entry)
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (h handler) swap(c echo.Context, q httpapi.SwapRequest) (httpapi.SwapAnswer, error) {
+	version, err := h.store.CompareAndSwap(c.Request().Context(), q.Key, q.Value, q.Expected, q.Lease)
+	return httpapi.SwapAnswer{Version: version}, err
+}
+
+func (h handler) delete(c echo.Context, q httpapi.DeleteRequest) (httpapi.Done, error) {
+	return web.Finished(h.store.Delete(c.Request().Context(), q.Key, q.Expected))
+}
+
+func (h handler) grant(c echo.Context, q httpapi.LeaseRequest) (httpapi.LeaseAnswer, error) {
+	ttl := time.Duration(q.TTLMilliseconds) * time.Millisecond
+	id, err := h.store.GrantLease(c.Request().Context(), ttl)
+	return httpapi.LeaseAnswer{ID: id}, err
+}
+
+func (h handler) renew(c echo.Context, q httpapi.LeaseRequest) (httpapi.Done, error) {
+	return web.Finished(h.store.RenewLease(c.Request().Context(), q.ID))
+}
+
+func (h handler) revoke(c echo.Context, q httpapi.LeaseRequest) (httpapi.Done, error) {
+	return web.Finished(h.store.RevokeLease(c.Request().Context(), q.ID))
+}
+
+func (h handler) breakWatches(echo.Context, httpapi.Done) (httpapi.Done, error) {
+	h.store.BreakWatches()
+	return httpapi.Done{}, nil
+}
+
+// watch answers with a line per change until the watch breaks, and with
+// heartbeats while nothing changes.
+func (h handler) watch(c echo.Context) error {
+	after, err := strconv.ParseUint(c.QueryParam(httpapi.QueryAfter), 10, 64)
+	if err != nil {
+		return errors.Wrap(err, httpapi.QueryAfter)
+	}
+	ctx := c.Request().Context()
+	events, err := h.store.Watch(ctx, c.QueryParam(httpapi.QueryPrefix), platform.Version(after))
+	if err != nil {
+		return err
+	}
+	c.Response().WriteHeader(http.StatusOK)
+	c.Response().Flush()
+	return stream(c.Response(), events)
+}
+
+// stream writes the lines of a watch.
+func stream(out *echo.Response, events <-chan platform.Event) error {
+	heartbeat := time.NewTicker(httpapi.WatchHeartbeat)
+	defer heartbeat.Stop()
+	lines := json.NewEncoder(out)
+	for {
+		var line httpapi.WatchLine
+		select {
+		case event, open := <-events:
+			if !open {
+				return nil
+			}
+			entry := httpapi.Entry(event.Entry)
+			line = httpapi.WatchLine{Event: &entry, Deleted: event.Deleted}
+		case <-heartbeat.C:
+		}
+		if err := lines.Encode(line); err != nil {
+			return errors.Wrap(err, "watch")
+		}
+		out.Flush()
+	}
+}
--- a/internal/standin/kv/watch.go
+++ b/internal/standin/kv/watch.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/fault"
 )
 
 // watchBuffer is the number of events that a watch holds for a slow reader
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := wait(ctx, delay); err != nil {
+	if _, err := fault.Wait(ctx, delay); err != nil {
 		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
 	var opened *watcher
--- /dev/null
+++ b/internal/standin/pieces/store.go
@@ -0,0 +1,111 @@
+// Package pieces is a stand-in for the platform's store of kept KV cache
+// pieces.
+package pieces
+
+import (
+	"context"
+	"crypto/sha256"
+	"slices"
+	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
+	"github.com/wasabigate/wasabigate/internal/standin/fault"
+)
+
+// DefaultCapacity is the number of pieces that a Store holds by default.
+const DefaultCapacity = 4096
+
+// Store is a piece store in memory that drops the pieces used longest ago. It
+// implements platform.PieceStore.
+type Store struct {
+	*fault.Gate
+	mu   sync.Mutex
+	held *lru.Cache[string, httpapi.Piece]
+}
+
+var _ platform.PieceStore = (*Store)(nil)
+
+// New returns an empty Store of capacity pieces whose faults are drawn from
+// seed.
+func New(seed uint64, capacity int) (*Store, error) {
+	held, err := lru.New[string, httpapi.Piece](capacity)
+	if err != nil {
+		return nil, errors.Wrapf(err, "capacity of %d pieces", capacity)
+	}
+	return &Store{Gate: fault.NewGate(seed), held: held}, nil
+}
+
+// Get implements platform.PieceStore.
+func (s *Store) Get(ctx context.Context, id string) (platform.Piece, error) {
+	held, err := s.load(ctx, id)
+	if err != nil {
+		return platform.Piece{}, err
+	}
+	return held.Open()
+}
+
+// Put implements platform.PieceStore. A piece never replaces one of another
+// salt: that gives ErrConflict.
+func (s *Store) Put(ctx context.Context, piece platform.Piece) error {
+	return s.store(ctx, httpapi.SealPiece(piece))
+}
+
+// load returns a piece as it is sent, which may have been damaged.
+func (s *Store) load(ctx context.Context, id string) (httpapi.Piece, error) {
+	if err := s.Enter(ctx); err != nil {
+		return httpapi.Piece{}, errors.Wrap(err, "piece store")
+	}
+	damaged := s.Corrupted()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.held.Get(id)
+	if !ok {
+		return httpapi.Piece{}, errors.Wrapf(platform.ErrNotFound, "piece %q", id)
+	}
+	held.Data = slices.Clone(held.Data)
+	if damaged {
+		damage(&held)
+	}
+	return held, nil
+}
+
+// store holds a piece that is whole.
+func (s *Store) store(ctx context.Context, piece httpapi.Piece) error {
+	if err := s.Enter(ctx); err != nil {
+		return errors.Wrap(err, "piece store")
+	}
+	if _, err := piece.Open(); err != nil {
+		return err
+	}
+	if err := s.add(piece); err != nil {
+		return err
+	}
+	if s.AnswerLost() {
+		return errors.Wrap(platform.ErrUnsure, "answer lost")
+	}
+	return nil
+}
+
+func (s *Store) add(piece httpapi.Piece) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held, ok := s.held.Peek(piece.ID); ok && held.Salt != piece.Salt {
+		return errors.Wrapf(platform.ErrConflict, "piece %q: held with another salt", piece.ID)
+	}
+	piece.Data = slices.Clone(piece.Data)
+	s.held.Add(piece.ID, piece)
+	return nil
+}
+
+// damage flips a bit of the data, or of the checksum if there are none.
+func damage(piece *httpapi.Piece) {
+	if len(piece.Data) > 0 {
+		piece.Data[len(piece.Data)/2] ^= 1
+		return
+	}
+	piece.SHA256 = make([]byte, sha256.Size)
+}
--- a/internal/standin/vmlist/list.go
+++ b/internal/standin/vmlist/list.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/fault"
 )
 
 // change is an entry's new state, visible from a time on.
@@ -24,20 +25,21 @@
 
 // List is a VM list in memory. It implements platform.VMList.
 type List struct {
+	*fault.Gate
 	mu      sync.Mutex
 	listed  map[string]platform.VM
 	pending []change // in the order in which they were made
 	lag     time.Duration
-	delay   time.Duration
-	down    bool
-	calls   uint64
 }
 
 var _ platform.VMList = (*List)(nil)
 
 // New returns an empty List without a lag.
 func New() *List {
-	return &List{listed: make(map[string]platform.VM)}
+	return &List{
+		Gate:   fault.NewGate(0),
+		listed: make(map[string]platform.VM),
+	}
 }
 
 // Set adds or replaces a VM.
@@ -57,61 +59,25 @@
 	l.lag = lag
 }
 
-// SetDelay sets the time that each call takes.
-func (l *List) SetDelay(delay time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.delay = delay
-}
-
 // SetDown makes all calls fail with ErrUnavailable.
 func (l *List) SetDown(down bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.down = down
-}
-
-// Calls returns the number of calls so far.
-func (l *List) Calls() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.calls
+	faults := l.Faults()
+	faults.Down = down
+	l.SetFaults(faults)
 }
 
 // VMs implements platform.VMList. The VMs are ordered by name.
 func (l *List) VMs(ctx context.Context) ([]platform.VM, error) {
-	if err := l.wait(ctx); err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+	if err := l.Enter(ctx); err != nil {
+		return nil, errors.Wrap(err, "VM list")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.down {
-		return nil, errors.Wrap(platform.ErrUnavailable, "VM list down")
-	}
 	l.settle(time.Now())
 	byName := func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) }
 	return slices.SortedFunc(maps.Values(l.listed), byName), nil
 }
 
-// wait counts a call and lets its delay pass.
-func (l *List) wait(ctx context.Context) error {
-	l.mu.Lock()
-	l.calls++
-	delay := l.delay
-	l.mu.Unlock()
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // add makes a change that becomes visible after the lag, and not before the
 // changes made earlier.
 func (l *List) add(made change) {
