Add a stand-in of a model engine

Tests and demos need a model engine that batches, caches prefixes in limited memory and fails on order. A recording of fixed answers was ruled out: it can't show that a generation resumed elsewhere continues byte for byte. Tokens are a hash of the whole text before them, so that they can.

--- /dev/null
+++ b/internal/standin/model/engine.go
@@ -0,0 +1,182 @@
+// Package model is a stand-in of a model engine for tests and demos. It
+// batches continuously, caches prompt prefixes in limited memory, reports with
+// a lag, and fails on order.
+package model
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+)
+
+// Engine implements engine.Engine in process.
+type Engine struct {
+	opts   Options
+	faults faultBox
+
+	mu      sync.Mutex
+	current *life         // nil while down
+	up      chan struct{} // closed at the next start, nil while up
+	starts  uint64
+	restart *time.Timer
+	closed  bool
+}
+
+// New returns a running Engine. Close stops it.
+func New(opts Options) *Engine {
+	e := &Engine{opts: opts.withDefaults()}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startLocked()
+	return e
+}
+
+func (e *Engine) startLocked() {
+	e.current = newLife(&e.opts, &e.faults, e.opts.FirstIncarnation+e.starts)
+	e.starts++
+	if e.up != nil {
+		close(e.up)
+		e.up = nil
+	}
+}
+
+// Crash breaks all streams and forgets everything. The engine starts again
+// after the given time.
+func (e *Engine) Crash(down time.Duration) {
+	e.mu.Lock()
+	l := e.stopLocked()
+	if l != nil && !e.closed {
+		e.restart = time.AfterFunc(down, e.start)
+	}
+	e.mu.Unlock()
+	if l != nil {
+		l.work.Wait()
+	}
+}
+
+// Close stops the engine for good.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.closed = true
+	l := e.stopLocked()
+	if e.restart != nil {
+		e.restart.Stop()
+	}
+	e.mu.Unlock()
+	if l != nil {
+		l.work.Wait()
+	}
+}
+
+func (e *Engine) stopLocked() *life {
+	l := e.current
+	if l == nil {
+		return nil
+	}
+	e.current = nil
+	e.up = make(chan struct{})
+	l.stop()
+	return l
+}
+
+func (e *Engine) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.closed && e.current == nil {
+		e.startLocked()
+	}
+}
+
+// running returns the current life, or a channel that is closed at the next
+// start.
+func (e *Engine) running() (*life, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current, e.up
+}
+
+// reach returns the current life after the end of a freeze.
+func (e *Engine) reach(ctx context.Context) (*life, error) {
+	l, _ := e.running()
+	if l == nil {
+		return nil, errors.Wrap(engine.ErrUnreachable, "engine is down")
+	}
+	if !l.pause(ctx, 0) {
+		return nil, errors.Wrap(engine.ErrBroken, "no answer")
+	}
+	return l, nil
+}
+
+// Freeze stops all work for d.
+func (e *Engine) Freeze(d time.Duration) { e.faults.freeze(d) }
+
+// SetFaults replaces the faults of streams.
+func (e *Engine) SetFaults(faults Faults) { e.faults.set(faults) }
+
+// LoseEvents loses the next n cache events, and each later one with the given
+// probability.
+func (e *Engine) LoseEvents(n int, rate float64) {
+	if l, _ := e.running(); l != nil {
+		l.events.setLoss(n, rate)
+	}
+}
+
+// Generate implements engine.Engine.
+func (e *Engine) Generate(ctx context.Context, req engine.GenerateRequest) (engine.ChunkStream, error) {
+	l, err := e.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if req.RequestID == "" || req.MaxTokens <= 0 {
+		return nil, refused("request id and max_tokens are required")
+	}
+	s := newStream(ctx, l.ctx.Done(), e.faults.take())
+	if err := l.start(req, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Cancel implements engine.Engine.
+func (e *Engine) Cancel(ctx context.Context, requestID string) error {
+	l, err := e.reach(ctx)
+	if err != nil {
+		return err
+	}
+	l.cancel(requestID)
+	return nil
+}
+
+// State implements engine.Engine.
+func (e *Engine) State(ctx context.Context) (engine.State, error) {
+	l, err := e.reach(ctx)
+	if err != nil {
+		return engine.State{}, err
+	}
+	return l.state(), nil
+}
+
+// Events implements engine.Engine.
+func (e *Engine) Events(ctx context.Context, after uint64) (<-chan engine.CacheEvent, error) {
+	l, err := e.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(l.ctx, cancel)
+	out := make(chan engine.CacheEvent)
+	go func() {
+		defer cancel()
+		defer stop()
+		l.events.follow(ctx, after, out)
+	}()
+	return out, nil
+}
+
+func refused(format string, args ...any) error {
+	return errors.Wrapf(engine.ErrRefused, format, args...)
+}
--- /dev/null
+++ b/internal/standin/model/engine_test.go
@@ -0,0 +1,196 @@
+package model
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/prefix"
+	"github.com/wasabigate/wasabigate/internal/tokens"
+)
+
+func request(id, prompt string, maxTokens int) engine.GenerateRequest {
+	return engine.GenerateRequest{
+		RequestID: id, Model: defaultModel, WeightsVersion: defaultWeightVersion,
+		Prompt: prompt, MaxTokens: maxTokens, CacheSalt: "salt",
+	}
+}
+
+// read returns the chunks of a stream until its end or an error.
+func read(s engine.ChunkStream) ([]engine.Chunk, error) {
+	var chunks []engine.Chunk
+	for {
+		chunk, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return chunks, nil
+		}
+		if err != nil {
+			return chunks, err
+		}
+		chunks = append(chunks, chunk)
+	}
+}
+
+func generate(t *testing.T, e *Engine, req engine.GenerateRequest) []engine.Chunk {
+	t.Helper()
+	s, err := e.Generate(t.Context(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	chunks, err := read(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return chunks
+}
+
+func textOf(chunks []engine.Chunk) string {
+	var text strings.Builder
+	for _, chunk := range chunks {
+		text.WriteString(chunk.Text)
+	}
+	return text.String()
+}
+
+// A generation that is resumed at any chunk, on another engine, ends with the
+// same text, reason and count, also within a stop string.
+func TestResumeContinuesByteForByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := New(Options{Seed: 1}), New(Options{Seed: 2})
+		defer first.Close()
+		defer second.Close()
+		plain := textOf(generate(t, first, request("plain", "prompt", 12)))
+		for name, stop := range map[string]string{"length": "", "stop within a token": plain[21:26], "stop over tokens": plain[20:30]} {
+			req := request("whole", "prompt", 12)
+			if stop != "" {
+				req.Stop = []string{stop}
+			}
+			whole := generate(t, first, req)
+			last := whole[len(whole)-1]
+			want := plain
+			if stop != "" {
+				want, _, _ = strings.Cut(plain, stop)
+			}
+			if textOf(whole) != want {
+				t.Fatalf("%s: text %q, want %q", name, textOf(whole), want)
+			}
+			for cut := range len(whole) + 1 {
+				resumed := req
+				for _, chunk := range whole[:cut] {
+					resumed.Resume += chunk.Text
+					resumed.ResumeTokens += chunk.Tokens
+				}
+				rest := generate(t, second, resumed)
+				if got := resumed.Resume + textOf(rest); got != textOf(whole) {
+					t.Errorf("%s: cut at %d gives %q, want %q", name, cut, got, textOf(whole))
+				}
+				end := rest[len(rest)-1]
+				if end.Finish != last.Finish || end.Usage.CompletionTokens != last.Usage.CompletionTokens {
+					t.Errorf("%s: cut at %d ends with %v %+v, want %v %+v", name, cut, end.Finish, end.Usage, last.Finish, last.Usage)
+				}
+				if rest[0].Index != resumed.ResumeTokens {
+					t.Errorf("%s: cut at %d starts at index %d, want %d", name, cut, rest[0].Index, resumed.ResumeTokens)
+				}
+			}
+		}
+	})
+}
+
+func TestCacheShortensPrefillUntilEvicted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{PrefillRate: 1000, DecodeStep: time.Millisecond, CacheBlocks: 10})
+		defer e.Close()
+		shared := strings.Repeat("p", 8*prefix.BlockBytes)
+		steps := []struct {
+			prompt string
+			salt   string
+			cached int
+			time   time.Duration
+		}{
+			{shared, "a", 0, 128 * time.Millisecond},
+			{shared, "a", 128, time.Millisecond},
+			{shared, "b", 0, 128 * time.Millisecond}, // another salt shares nothing
+			{shared, "a", 2 * 16, 96 * time.Millisecond},
+		}
+		for i, step := range steps {
+			req := request("r", step.prompt, 1)
+			req.CacheSalt = step.salt
+			start := time.Now()
+			chunks := generate(t, e, req)
+			if got := chunks[0].Usage.CachedTokens; got != step.cached {
+				t.Errorf("step %d: %d cached tokens, want %d", i, got, step.cached)
+			}
+			if got := time.Since(start) - time.Millisecond; got != step.time {
+				t.Errorf("step %d: prefill took %v, want %v", i, got, step.time)
+			}
+			synctest.Wait()
+		}
+	})
+}
+
+func TestUrgentPrefillGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{PrefillRate: 100, DecodeStep: time.Millisecond})
+		defer e.Close()
+		var order []string
+		done := make(chan string)
+		start := func(id string, priority engine.Priority) {
+			req := request(id, strings.Repeat(id, 100*tokens.BytesPerToken), 1)
+			req.Priority = priority
+			s, err := e.Generate(t.Context(), req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				_, _ = read(s)
+				done <- id
+			}()
+			synctest.Wait()
+		}
+		start("a", engine.PriorityDeferrable)
+		start("b", engine.PriorityDeferrable)
+		start("c", engine.PriorityUrgent)
+		for range 3 {
+			order = append(order, <-done)
+		}
+		if got := strings.Join(order, ""); got != "acb" {
+			t.Errorf("order %s, want acb", got)
+		}
+	})
+}
+
+func TestCrashBreaksStreamsAndComesBackEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{FirstIncarnation: 7})
+		defer e.Close()
+		prompt := strings.Repeat("p", 4*prefix.BlockBytes)
+		generate(t, e, request("warm", prompt, 1))
+		s, err := e.Generate(t.Context(), request("cut", prompt, 1000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		e.Crash(time.Second)
+		if _, err := read(s); !errors.Is(err, engine.ErrBroken) {
+			t.Errorf("stream ended with %v, want ErrBroken", err)
+		}
+		if _, err := e.Generate(t.Context(), request("down", prompt, 1)); !errors.Is(err, engine.ErrUnreachable) {
+			t.Errorf("generate while down gave %v, want ErrUnreachable", err)
+		}
+		time.Sleep(2 * time.Second)
+		chunks := generate(t, e, request("again", prompt, 1))
+		if chunks[0].Incarnation != 8 || chunks[0].Usage.CachedTokens != 0 {
+			t.Errorf("after the crash: %+v %+v", chunks[0], chunks[0].Usage)
+		}
+		state, err := e.State(context.Background())
+		if err != nil || state.Incarnation != 8 {
+			t.Errorf("state %+v, %v", state, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/model/events.go
@@ -0,0 +1,133 @@
+package model
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+)
+
+// eventLog keeps the latest cache events of one incarnation.
+type eventLog struct {
+	incarnation uint64
+	size        int
+	delay       time.Duration
+
+	mu      sync.Mutex
+	last    uint64
+	lose    int     // number of next events to lose
+	rate    float64 // probability that a later event is lost
+	random  *rand.Rand
+	kept    []loggedEvent
+	changed chan struct{} // closed at the next append
+}
+
+type loggedEvent struct {
+	event engine.CacheEvent
+	due   time.Time
+}
+
+func newEventLog(incarnation uint64, opts *Options) *eventLog {
+	return &eventLog{
+		incarnation: incarnation,
+		size:        opts.EventLogSize,
+		delay:       opts.scaled(opts.EventDelay),
+		random:      rand.New(rand.NewPCG(opts.Seed, incarnation)),
+		changed:     make(chan struct{}),
+	}
+}
+
+func (l *eventLog) append(stored, evicted []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last++
+	if l.lost() {
+		return
+	}
+	event := engine.CacheEvent{Sequence: l.last, Incarnation: l.incarnation, Stored: stored, Evicted: evicted}
+	if len(l.kept) == l.size {
+		l.kept = append(l.kept[:0], l.kept[l.size/2:]...)
+	}
+	l.kept = append(l.kept, loggedEvent{event: event, due: time.Now().Add(l.delay)})
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// lost says whether the current event is to be lost.
+func (l *eventLog) lost() bool {
+	if l.lose > 0 {
+		l.lose--
+		return true
+	}
+	return l.random.Float64() < l.rate
+}
+
+func (l *eventLog) setLoss(n int, rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lose += n
+	l.rate = rate
+}
+
+// next returns the first event after the given sequence number, or a channel
+// that is closed when there may be one.
+func (l *eventLog) next(after uint64) (*loggedEvent, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := sort.Search(len(l.kept), func(i int) bool { return l.kept[i].event.Sequence > after })
+	if at == len(l.kept) {
+		return nil, l.changed
+	}
+	found := l.kept[at]
+	return &found, nil
+}
+
+// follow sends the events after the given sequence number until ctx ends. A
+// number that this incarnation has not reached is one of an earlier
+// incarnation and means all events.
+func (l *eventLog) follow(ctx context.Context, after uint64, out chan<- engine.CacheEvent) {
+	defer close(out)
+	l.mu.Lock()
+	if after > l.last {
+		after = 0
+	}
+	l.mu.Unlock()
+	for {
+		logged, changed := l.next(after)
+		if logged == nil {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if !sleep(ctx, time.Until(logged.due)) {
+			return
+		}
+		select {
+		case out <- logged.event:
+			after = logged.event.Sequence
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sleep waits for d and says whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
