Add the token limiter and the shard table's manager

Cause: the promise of rate and burst over all routers needs buckets that no two routers own at once, and tokens that are never counted twice on the way.

Ruled out: a lease on the shards (it lapses while its holder is paused), and a time limit on tokens under way (it needs clocks of two machines to agree).

--- /dev/null
+++ b/internal/limit/fakes_test.go
@@ -0,0 +1,114 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/shard"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var errUnreachable = errors.New("peer unreachable")
+
+// network connects Locals in process.
+type network map[string]*Local
+
+func (n network) Addresses() []string { return nil }
+
+func (n network) Debit(ctx context.Context, address string, req *wire.DebitRequest) (*wire.DebitReply, error) {
+	if n[address] == nil {
+		return nil, errUnreachable
+	}
+	return n[address].Debit(ctx, req)
+}
+
+func (n network) Credit(ctx context.Context, address string, req *wire.CreditRequest) (*wire.CreditReply, error) {
+	if n[address] == nil {
+		return nil, errUnreachable
+	}
+	return n[address].Credit(ctx, req)
+}
+
+func (n network) Levels(ctx context.Context, address string, req *wire.LevelsRequest) (*wire.LevelsReply, error) {
+	if n[address] == nil {
+		return nil, errUnreachable
+	}
+	return n[address].Levels(ctx, req)
+}
+
+// tableOf gives the shards to the owners in turn.
+func tableOf(epoch uint64, owners ...string) *shard.Table {
+	t := &shard.Table{Epoch: epoch}
+	for i := range t.Owners {
+		t.Owners[i] = shard.Owner{Address: owners[i%len(owners)], SinceEpoch: epoch}
+	}
+	return t
+}
+
+func revisionOf(workspaces ...config.Workspace) *config.Revision {
+	document := &config.Document{Workspaces: workspaces}
+	document.BuildIndex()
+	return &config.Revision{Number: 1, Document: document}
+}
+
+func snapshotOf(table *shard.Table, workspaces ...config.Workspace) *control.Snapshot {
+	return &control.Snapshot{
+		Config: revisionOf(workspaces...),
+		Shards: table,
+		View:   membership.NewView(nil),
+		Listed: true,
+	}
+}
+
+// tester is a clock that tests move, with Locals that read it.
+type tester struct {
+	now   time.Time
+	peers network
+	cells map[string]*control.Cell
+}
+
+func newTester(addresses []string, snapshot *control.Snapshot) *tester {
+	x := &tester{now: time.Unix(1_000_000, 0), peers: network{}, cells: map[string]*control.Cell{}}
+	for _, address := range addresses {
+		x.start(address, snapshot)
+	}
+	return x
+}
+
+func (x *tester) start(address string, snapshot *control.Snapshot) {
+	x.cells[address] = control.NewCell(snapshot)
+	x.peers[address] = New(Options{
+		Self:   address,
+		Source: x.cells[address],
+		Peers:  x.peers,
+		clock:  func() time.Time { return x.now },
+	})
+	x.peers[address].current()
+}
+
+// advance moves the clock while all processes run.
+func (x *tester) advance(d time.Duration) {
+	for d > 0 {
+		step := min(d, beatInterval)
+		d -= step
+		x.now = x.now.Add(step)
+		for _, l := range x.peers {
+			l.guard.tick()
+		}
+	}
+}
+
+func wantCode(t *testing.T, err error, code verdict.Code) {
+	t.Helper()
+	e := verdict.From(err)
+	if e == nil || e.Code != code || e.Verdict != verdict.NotRun {
+		t.Fatalf("got error %v, want code %s, not run", err, code)
+	}
+}
--- /dev/null
+++ b/internal/shard/plan.go
@@ -0,0 +1,189 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/membership"
+)
+
+const (
+	// maxOwners is the number of routers that own shards.
+	maxOwners = 8
+	// levelCarriers is the number of freed shards that the levels are split over.
+	levelCarriers = 4
+)
+
+// plan is a change of the table.
+type plan struct {
+	revoke  []int
+	release []int
+	claim   []int
+	levels  map[string]int64 // go with the released shards
+}
+
+func (p *plan) empty() bool {
+	return len(p.revoke)+len(p.release)+len(p.claim) == 0
+}
+
+// apply returns the next table.
+func (p *plan) apply(t *Table, self string) *Table {
+	next := *t
+	next.Epoch++
+	for _, i := range p.revoke {
+		next.Owners[i] = Owner{SinceEpoch: next.Epoch, Revoked: true}
+	}
+	carriers := min(len(p.release), levelCarriers)
+	for n, i := range p.release {
+		next.Owners[i] = Owner{SinceEpoch: next.Epoch}
+		if n < carriers {
+			next.Owners[i].Levels = fraction(p.levels, int64(n), int64(carriers))
+		}
+	}
+	for _, i := range p.claim {
+		next.Owners[i] = Owner{Address: self, SinceEpoch: next.Epoch, Levels: next.Owners[i].Levels}
+	}
+	return &next
+}
+
+// fraction returns the n-th of equal parts of the levels.
+func fraction(levels map[string]int64, n, parts int64) map[string]int64 {
+	split := make(map[string]int64, len(levels))
+	for workspace, tokens := range levels {
+		if part := tokens*(n+1)/parts - tokens*n/parts; part > 0 {
+			split[workspace] = part
+		}
+	}
+	return split
+}
+
+func (p *plan) log(log logging.Prefixed, epoch uint64) {
+	if p.empty() {
+		return
+	}
+	log.Info(logging.Fields{
+		"epoch": epoch, "revoked": len(p.revoke), "released": len(p.release), "claimed": len(p.claim),
+	}, "The shard table was changed.")
+}
+
+// plan compares the known table with the view.
+func (m *Manager) plan(view *membership.View, viewRead time.Time, chosen []string) plan {
+	m.observe(view, viewRead)
+	var p plan
+	if !view.HasRouter(m.self) || m.leaving {
+		return p
+	}
+	p.revoke = m.revocable(viewRead)
+	held := m.base().Held(m.self)
+	target := targetOf(chosen, m.self)
+	if len(held) > target {
+		p.release = excess(held, target)
+		p.levels = m.withdraw(p.release)
+		return p
+	}
+	free := m.claimable()
+	p.claim = free[:min(len(free), target-len(held))]
+	return p
+}
+
+// withdraw takes shards out of use and returns the tokens that go with them.
+func (m *Manager) withdraw(list []int) map[string]int64 {
+	m.released = append(m.released, list...)
+	if m.levels == nil {
+		m.levels = make(map[string]int64)
+	}
+	for workspace, tokens := range m.ledger.Release(m.known.Epoch, list) {
+		m.levels[workspace] += tokens
+	}
+	return m.levels
+}
+
+// excess returns the highest shards above target, highest first.
+func excess(held []int, target int) []int {
+	released := slices.Clone(held[target:])
+	slices.Reverse(released)
+	return released
+}
+
+// observe notes since when owners are not listed and shards are revoked.
+func (m *Manager) observe(view *membership.View, viewRead time.Time) {
+	now := m.clock()
+	present := make(map[string]struct{})
+	for i := range m.base().Owners {
+		o := &m.base().Owners[i]
+		present[o.Address] = struct{}{}
+		if !o.Revoked {
+			delete(m.resting, i)
+		} else if m.resting[i].epoch != o.SinceEpoch {
+			m.resting[i] = rest{epoch: o.SinceEpoch, since: now}
+		}
+		if _, ok := m.missing[o.Address]; !ok && o.Address != "" && !view.HasRouter(o.Address) {
+			m.missing[o.Address] = viewRead
+		}
+	}
+	for address := range m.missing {
+		if _, ok := present[address]; !ok || view.HasRouter(address) {
+			delete(m.missing, address)
+		}
+	}
+}
+
+// revocable returns the shards of owners that were unlisted for long enough.
+func (m *Manager) revocable(viewRead time.Time) []int {
+	var list []int
+	for i := range m.base().Owners {
+		since, ok := m.missing[m.base().Owners[i].Address]
+		if ok && viewRead.Sub(since) >= m.wait {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// claimable returns the free shards, those that rested included.
+func (m *Manager) claimable() []int {
+	var list []int
+	now := m.clock()
+	for i := range m.base().Owners {
+		o := &m.base().Owners[i]
+		rested := !o.Revoked || now.Sub(m.resting[i].since) >= restTime
+		if o.Address == "" && rested {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// owners returns the routers that own shards, by a hash of their addresses, so
+// that few shards move when a router comes or goes.
+func owners(view *membership.View) []string {
+	var live []string
+	for i := range view.Routers {
+		if !view.Routers[i].Leaving {
+			live = append(live, view.Routers[i].Address)
+		}
+	}
+	slices.SortFunc(live, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return live[:min(len(live), maxOwners)]
+}
+
+func position(chosen []string, address string) int { return slices.Index(chosen, address) }
+
+// targetOf returns how many shards the router at address is to own.
+func targetOf(chosen []string, address string) int {
+	i := position(chosen, address)
+	if i < 0 {
+		return 0
+	}
+	target := Count / len(chosen)
+	if i < Count%len(chosen) {
+		target++
+	}
+	return target
+}
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -14,9 +14,14 @@
 
 // Owner is the owner of a shard.
 type Owner struct {
-	Address    string           // rpc address of the router; empty: free
-	SinceEpoch uint64           // epoch in which the owner got the shard
-	Levels     map[string]int64 // tokens by workspace, handed over with the shard
+	Address    string // rpc address of the router; empty: free
+	SinceEpoch uint64 // epoch in which the owner got the shard, or it became free
+	// Levels are tokens by workspace that go with a free shard. An owned shard has
+	// them only in the process that claimed it; they are never encoded.
+	Levels map[string]int64
+	// Revoked marks a free shard that was taken from an unlisted owner. It must
+	// rest before it is claimed.
+	Revoked bool
 }
 
 // Held returns the shards owned by address, in order.
@@ -42,3 +47,14 @@
 	current := &t.Owners[shard]
 	return current.Address == owner && current.SinceEpoch <= epoch
 }
+
+// Holds says whether tokens drawn by owner under epoch may be spent according
+// to this table, whichever shards they came from.
+func (t *Table) Holds(owner string, epoch uint64) bool {
+	for i := range t.Owners {
+		if t.Valid(i, owner, epoch) {
+			return true
+		}
+	}
+	return false
+}
