Serve the sidecar's rpc through its chain

Cause: routers need something to send requests to: the last check, the queue, the record of calls that run at most once, and the buffers of streams.

Job, Handler, Filter and Executor move to internal/sidecar/job, because the filters import them and sidecar.New imports the filters; internal/sidecar keeps aliases.

Ruled out: running a job under its connection's context. A cut connection would end the generation, and Resume would have nothing to give. Also ruled out: deleting an intent whose write may still be on its way. The late write would bring it back after the refusal, and the call could never run; it is replaced by a released one, with which the late write conflicts.

--- /dev/null
+++ b/internal/sidecar/buffer/buffer.go
@@ -0,0 +1,185 @@
+package buffer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// Key names an attempt of a request.
+type Key struct {
+	RequestID string
+	Attempt   uint32
+}
+
+// Buffer holds the frames of one attempt. It is safe for concurrent use.
+type Buffer struct {
+	key       Key
+	workspace string
+	keyID     string
+	table     *Table
+
+	mu      sync.Mutex
+	frames  []*wire.Frame
+	bytes   int
+	ended   bool          // the last frame is in frames
+	readers int           // streams that read now
+	read    bool          // some reader got the last frame
+	changed chan struct{} // closed and replaced when a frame is added
+	abandon *time.Timer   // runs while nobody reads an attempt that has not ended
+	cancel  context.CancelCauseFunc
+}
+
+// Key returns the attempt's name.
+func (b *Buffer) Key() Key { return b.key }
+
+// Workspace returns the workspace that the attempt runs for.
+func (b *Buffer) Workspace() string { return b.workspace }
+
+// KeyID returns the id of the key that the attempt was sent with.
+func (b *Buffer) KeyID() string { return b.keyID }
+
+// Append numbers a frame and adds it. It drops frames after the last one and
+// frames of another request.
+func (b *Buffer) Append(frame *wire.Frame) { b.add(frame, false) }
+
+// Finish adds the last frame. Only the first call has an effect.
+func (b *Buffer) Finish(frame *wire.Frame) {
+	if b.add(frame, true) {
+		b.table.finished(b)
+	}
+}
+
+// Ended says whether the last frame was added.
+func (b *Buffer) Ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
+// Cancel ends the attempt: cause becomes the cause of the job's context, and
+// its failure the last frame.
+func (b *Buffer) Cancel(cause *verdict.Error) {
+	b.cancel(cause)
+}
+
+func (b *Buffer) add(frame *wire.Frame, last bool) bool {
+	if b.foreign(frame) {
+		return false
+	}
+	frame.RequestId = b.key.RequestID
+	frame.Attempt = b.key.Attempt
+	frame.Revisions = b.table.revisions()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return false
+	}
+	frame.Sequence = uint64(len(b.frames)) + 1
+	b.frames = append(b.frames, frame)
+	size := proto.Size(frame)
+	b.bytes += size
+	b.table.metrics.addBytes(size)
+	if last {
+		b.ended = true
+		b.stopAbandonLocked()
+	}
+	close(b.changed)
+	b.changed = make(chan struct{})
+	return true
+}
+
+// foreign says whether the frame answers another request: an answer that came
+// late or crossed.
+func (b *Buffer) foreign(frame *wire.Frame) bool {
+	return frame.RequestId != "" && frame.RequestId != b.key.RequestID
+}
+
+// Read sends the frames after a sequence number, each as soon as it exists,
+// until the last one was sent, send fails or ctx ends.
+func (b *Buffer) Read(ctx context.Context, after uint64, send func(*wire.Frame) error) error {
+	b.attach()
+	defer b.detach()
+	for {
+		frames, ended, changed := b.after(after)
+		for _, frame := range frames {
+			if err := send(frame); err != nil {
+				return err
+			}
+			after = frame.Sequence
+		}
+		if ended {
+			b.markRead()
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// Length returns the sequence number of the newest frame.
+func (b *Buffer) Length() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return uint64(len(b.frames))
+}
+
+func (b *Buffer) after(sequence uint64) ([]*wire.Frame, bool, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if sequence >= uint64(len(b.frames)) {
+		return nil, b.ended, b.changed
+	}
+	return b.frames[sequence:], b.ended, b.changed
+}
+
+func (b *Buffer) attach() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers++
+	b.stopAbandonLocked()
+}
+
+func (b *Buffer) detach() {
+	b.mu.Lock()
+	b.readers--
+	if b.readers == 0 && !b.ended {
+		b.abandon = time.AfterFunc(b.table.retention, b.cancelAbandoned)
+	}
+	b.mu.Unlock()
+	b.table.notify()
+}
+
+func (b *Buffer) cancelAbandoned() {
+	b.Cancel(verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "nobody read the answer any more"))
+}
+
+func (b *Buffer) stopAbandonLocked() {
+	if b.abandon != nil {
+		b.abandon.Stop()
+		b.abandon = nil
+	}
+}
+
+func (b *Buffer) markRead() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.read = true
+}
+
+// settled says whether the attempt has ended, was read to its end and is read
+// by nobody now.
+func (b *Buffer) settled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended && b.read && b.readers == 0
+}
--- /dev/null
+++ b/internal/sidecar/buffer/setup.go
@@ -0,0 +1,42 @@
+// Package buffer keeps the frames of running and finished attempts, so that a
+// router whose connection broke, or another router, can read them again. It
+// stands in front of the chain: a job goes on when its reader is gone.
+package buffer
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+const (
+	defaultRetention = 30 * time.Second
+	// maxFinishedBytes bounds the frames of finished attempts.
+	maxFinishedBytes = 48 << 20
+	// maxTombstones bounds the attempts that were cancelled before they arrived.
+	maxTombstones = 4096
+)
+
+// Options configure a Table.
+type Options struct {
+	Settings  *config.SidecarSettings
+	Revisions func() *wire.Revisions // stamped on every frame
+}
+
+// New returns an empty Table.
+func New(opts Options) *Table {
+	retention := opts.Settings.StreamBuffer
+	if retention <= 0 {
+		retention = defaultRetention
+	}
+	return &Table{
+		retention: retention,
+		maxBytes:  maxFinishedBytes,
+		revisions: opts.Revisions,
+		metrics:   newMetrics(),
+		attempts:  make(map[Key]*Buffer),
+		cancelled: make(map[Key]struct{}),
+		changed:   make(chan struct{}),
+	}
+}
--- a/internal/sidecar/job.go
+++ b/internal/sidecar/job.go
@@ -3,37 +3,18 @@
 // calls that must not be repeated, and the buffers of running streams.
 package sidecar
 
-import (
-	"context"
-	"time"
+import "github.com/wasabigate/wasabigate/internal/sidecar/job"
 
-	"github.com/wasabigate/wasabigate/internal/control"
-	"github.com/wasabigate/wasabigate/internal/pipeline"
-	"github.com/wasabigate/wasabigate/internal/rpc/wire"
-)
-
-// Job is a request on its way through the sidecar's chain.
-type Job struct {
-	Request  *wire.ExecuteRequest
-	Received time.Time
-	Snapshot *control.Snapshot
-	Queued   time.Duration // set by queue: time spent waiting
-	// Emit passes a frame to the job's buffer, which numbers it. Only the
-	// goroutine that runs the chain calls it.
-	Emit func(*wire.Frame)
-}
-
-// Outcome is the last frame of a job: a tail, a reply or a failure.
-type Outcome = *wire.Frame
-
-// Handler and Filter are the sidecar's instances of the pipeline's types. An
-// error is a *verdict.Error.
+// The types of the chain are defined in package job, which the filters import.
 type (
-	Handler = pipeline.Handler[*Job, Outcome]
-	Filter  = pipeline.Filter[*Job, Outcome]
+	// Job is a request on its way through the chain.
+	Job = job.Job
+	// Outcome is the last frame of a job.
+	Outcome = job.Outcome
+	// Handler is the next step of the chain.
+	Handler = job.Handler
+	// Filter is one step of the chain.
+	Filter = job.Filter
+	// Executor runs a job on the backend server.
+	Executor = job.Executor
 )
-
-// Executor runs a job on the backend server: the last handler of the chain.
-type Executor interface {
-	Handle(ctx context.Context, job *Job) (Outcome, error)
-}
--- /dev/null
+++ b/internal/sidecar/once/once.go
@@ -0,0 +1,195 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var logger = logging.For("once")
+
+// Once is the filter. It is safe for concurrent use.
+type Once struct {
+	store      store
+	metrics    metrics
+	background sync.WaitGroup // records that are still being written
+}
+
+// Name implements job.Filter.
+func (o *Once) Name() string { return "once" }
+
+// Handle implements job.Filter.
+func (o *Once) Handle(ctx context.Context, j *job.Job, next job.Handler) (job.Outcome, error) {
+	if !j.Once() {
+		return next.Handle(ctx, j)
+	}
+	if j.Request.Call.IdempotencyKey == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "route %q needs an idempotency key", j.Route.Name)
+	}
+	outcome, err := o.handle(ctx, j, next)
+	if err != nil {
+		return nil, err
+	}
+	return outcome, nil
+}
+
+// Wait waits until no reply is being recorded in the background.
+func (o *Once) Wait() { o.background.Wait() }
+
+func (o *Once) handle(ctx context.Context, j *job.Job, next job.Handler) (job.Outcome, *verdict.Error) {
+	r := newRecord(o.store.prefix, j)
+	other, err := o.create(ctx, j, r)
+	if errors.Is(err, errTaken) {
+		return o.answerKnown(j, r, other)
+	}
+	if err != nil {
+		o.discard(r)
+		o.metrics.count(resultUnavailable)
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeStoreUnavailable,
+			"the record of calls can't be reached").WithRetryAfter(time.Second)
+	}
+	if refusal := mayBegin(ctx, j); refusal != nil {
+		o.discard(r)
+		o.metrics.count(resultRefused)
+		return nil, refusal
+	}
+	return o.execute(ctx, j, r, next)
+}
+
+// create bounds the creation of the intent by the caller's patience.
+func (o *Once) create(ctx context.Context, j *job.Job, r *record) (*wire.Intent, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if deadline := j.Deadline(); !deadline.IsZero() {
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	return o.store.create(ctx, r)
+}
+
+func (o *Once) answerKnown(j *job.Job, r *record, other *wire.Intent) (job.Outcome, *verdict.Error) {
+	outcome, err := judge(other, r.intent, timeoutOf(j))
+	result := resultReplayed
+	if err != nil {
+		result = resultUnknown
+	}
+	o.metrics.count(result)
+	logger.Info(logging.Fields{
+		"request_id":       j.Request.RequestId,
+		"workspace":        j.Request.Workspace,
+		"earlier_request":  other.RequestId,
+		"earlier_recorded": other.Reply != nil,
+	}, "call was started before")
+	return outcome, err
+}
+
+// mayBegin refuses when the caller left or its patience ended while the intent
+// was written.
+func mayBegin(ctx context.Context, j *job.Job) *verdict.Error {
+	if ctx.Err() != nil {
+		return verdict.Wrap(context.Cause(ctx), verdict.NotRun, verdict.CodeCancelled, "cancelled before execution")
+	}
+	if j.Expired(time.Now()) {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the record of calls was too slow").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// execute runs the call and records its reply. From here on neither the
+// caller's leaving nor a withdrawal stops the call, since a call that was cut
+// would have an unknown outcome.
+func (o *Once) execute(ctx context.Context, j *job.Job, r *record, next job.Handler) (job.Outcome, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeoutOf(j))
+	defer cancel()
+	outcome, err := next.Handle(ctx, j)
+	if err != nil {
+		return nil, o.failed(r, verdict.From(err))
+	}
+	if outcome == nil || outcome.Reply == nil || crossed(outcome, j) {
+		o.metrics.count(resultUnknown)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the service gave no answer to this call")
+	}
+	o.metrics.count(resultExecuted)
+	o.record(j, r.withReply(outcome.Reply))
+	return outcome, nil
+}
+
+// crossed says whether an answer belongs to another request.
+func crossed(outcome job.Outcome, j *job.Job) bool {
+	return outcome.RequestId != "" && outcome.RequestId != j.Request.RequestId
+}
+
+// failed removes the intent of a call that surely did not run.
+func (o *Once) failed(r *record, err *verdict.Error) *verdict.Error {
+	if err.Verdict == verdict.NotRun {
+		o.discard(r)
+		o.metrics.count(resultRefused)
+		return err
+	}
+	o.metrics.count(resultUnknown)
+	return err
+}
+
+// discard removes the intent of a call that did not run and never will. It
+// returns after recordWait at the latest and goes on in the background.
+func (o *Once) discard(r *record) {
+	if !r.mayExist() {
+		return
+	}
+	o.inBackground(func(ctx context.Context) {
+		if err := o.store.remove(ctx, r); err != nil {
+			logger.Warn(logging.Fields{"request_id": r.intent.RequestId, "error": err.Error()},
+				"intent of a call that did not run could not be removed")
+		}
+	})
+}
+
+// record writes the reply. An answer waits for it for recordWait at most; then
+// it goes on in the background.
+func (o *Once) record(j *job.Job, r *record) {
+	started := time.Now()
+	o.inBackground(func(ctx context.Context) {
+		if err := o.store.record(ctx, r); err != nil {
+			o.metrics.count(resultUnrecorded)
+			logger.Error(logging.Fields{
+				"request_id": j.Request.RequestId,
+				"workspace":  j.Request.Workspace,
+				"error":      err.Error(),
+			}, "reply could not be recorded")
+			return
+		}
+		if time.Since(started) > recordWait {
+			o.metrics.count(resultLateRecord)
+		}
+	})
+}
+
+func (o *Once) inBackground(work func(context.Context)) {
+	done := make(chan struct{})
+	o.background.Go(func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		defer cancel()
+		work(ctx)
+	})
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+func timeoutOf(j *job.Job) time.Duration {
+	if j.Route != nil && j.Route.Timeout > 0 {
+		return j.Route.Timeout
+	}
+	return defaultTimeout
+}
--- /dev/null
+++ b/internal/sidecar/once/setup.go
@@ -0,0 +1,37 @@
+// Package once runs calls of routes marked once at most once. An intent is
+// created in the key-value service before execution, and the reply is recorded
+// in it afterwards. A call whose intent exists is never executed again.
+package once
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+const (
+	// storeTimeout bounds the creation of an intent.
+	storeTimeout = 2 * time.Second
+	// recordWait is how long an answer waits for its record.
+	recordWait = time.Second
+	// recordTimeout bounds the attempts to record a reply in the background.
+	recordTimeout = 2 * time.Minute
+	// defaultTimeout bounds an execution when the route names no timeout.
+	defaultTimeout = 30 * time.Second
+	retryMin       = 20 * time.Millisecond
+	retryMax       = time.Second
+)
+
+// Options configure the filter.
+type Options struct {
+	KV          platform.KV
+	Environment string
+}
+
+// New returns the filter.
+func New(opts Options) *Once {
+	return &Once{
+		store:   store{kv: opts.KV, prefix: "once/" + opts.Environment + "/"},
+		metrics: newMetrics(),
+	}
+}
--- /dev/null
+++ b/internal/sidecar/orders.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcerr"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// The codes of errors that Order returns.
+const (
+	OrderStaleFence  = 101 // the order's fencing number is old
+	OrderUnsupported = 102 // there is no engine that takes orders
+	OrderFailed      = 103 // the engine did not carry out the order
+)
+
+// orders passes orders to the engine, one at a time, and refuses those of an
+// earlier controller also if the engine ignores fencing numbers.
+type orders struct {
+	engine engine.Engine
+	turn   chan struct{} // holds one token; guards fence
+	fence  uint64        // highest fencing number seen
+}
+
+func newOrders(e engine.Engine) *orders {
+	o := &orders{engine: e, turn: make(chan struct{}, 1)}
+	o.turn <- struct{}{}
+	return o
+}
+
+// Order implements wire.DRPCBackendServer.
+func (s *Sidecar) Order(ctx context.Context, req *wire.OrderRequest) (*wire.OrderReply, error) {
+	s.verify.Noted(req.Revisions)
+	if s.orders.engine == nil {
+		return nil, drpcerr.WithCode(errors.New("the backend server takes no orders"), OrderUnsupported)
+	}
+	err := s.orders.apply(ctx, orderOf(req))
+	logger.Info(logging.Fields{"fence": req.Fence, "accepted": err == nil}, "order received")
+	if err != nil {
+		return nil, err
+	}
+	s.engine.refresh(ctx)
+	return &wire.OrderReply{Load: s.Load()}, nil
+}
+
+func orderOf(req *wire.OrderRequest) engine.Order {
+	return engine.Order{
+		Fence:  req.Fence,
+		Load:   weightsOf(req.Load),
+		Unload: weightsOf(req.Unload),
+		Role:   req.Role,
+	}
+}
+
+func weightsOf(w *wire.Weights) *engine.LoadedWeights {
+	if w == nil {
+		return nil
+	}
+	return &engine.LoadedWeights{Model: w.Model, Adapter: w.Adapter, Version: w.Version}
+}
+
+// apply holds its turn until the engine has answered, so that an old order
+// can't reach the engine after a newer one.
+func (o *orders) apply(ctx context.Context, order engine.Order) error {
+	select {
+	case <-o.turn:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	defer func() { o.turn <- struct{}{} }()
+	if order.Fence < o.fence {
+		err := errors.Wrapf(engine.ErrStaleFence, "order %d after %d", order.Fence, o.fence)
+		return drpcerr.WithCode(err, OrderStaleFence)
+	}
+	o.fence = order.Fence
+	err := o.engine.Apply(ctx, order)
+	if errors.Is(err, engine.ErrStaleFence) {
+		return drpcerr.WithCode(err, OrderStaleFence)
+	}
+	return drpcerr.WithCode(err, OrderFailed)
+}
--- /dev/null
+++ b/internal/sidecar/queue/lane.go
@@ -0,0 +1,196 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// lanes are indexed by class.
+const (
+	laneUrgent = iota
+	laneDeferrable
+	laneCount
+)
+
+func laneOf(priority wire.Priority) int {
+	if priority == wire.Priority_PRIORITY_DEFERRABLE {
+		return laneDeferrable
+	}
+	return laneUrgent
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	flow     *flow
+	lane     int
+	prompt   int64 // tokens of the prompt
+	enqueued time.Time
+	ready    chan struct{} // closed when granted or evicted
+	evicted  bool
+	granted  bool
+}
+
+// flow is a workspace's share of a lane.
+type flow struct {
+	workspace string
+	weight    float64 // the workspace's rate, in tokens per second
+	counter   float64 // tokens served, divided by weight
+	waiting   []*waiter
+	running   int
+}
+
+func (f *flow) head() *waiter { return f.waiting[0] }
+
+func (f *flow) charge(tokens int64) { f.counter += float64(tokens) / f.weight }
+
+func (f *flow) pop() *waiter {
+	first := f.waiting[0]
+	f.waiting[0] = nil
+	f.waiting = f.waiting[1:]
+	if len(f.waiting) == 0 {
+		f.waiting = nil
+	}
+	return first
+}
+
+// remove takes w out and says whether it was there.
+func (f *flow) remove(w *waiter) bool {
+	for i, candidate := range f.waiting {
+		if candidate == w {
+			f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// lane holds the flows of one class.
+type lane struct {
+	flows   map[string]*flow
+	backlog []*flow // flows with waiting requests, in no order
+	floor   float64 // counter of the flow served last; only grows
+	waiting int
+	service average // time that a request occupies a slot
+}
+
+// flow returns the workspace's flow. A flow that was idle starts at the counter
+// of those that are served now, so that idle time can't be saved up.
+func (l *lane) flow(workspace string, weight int64) *flow {
+	f, ok := l.flows[workspace]
+	if !ok {
+		f = &flow{workspace: workspace, counter: l.floor}
+		l.flows[workspace] = f
+	}
+	f.weight = float64(max(weight, 1))
+	return f
+}
+
+func (l *lane) push(w *waiter) {
+	f := w.flow
+	if len(f.waiting) == 0 {
+		f.counter = max(f.counter, l.floor)
+		l.backlog = append(l.backlog, f)
+	}
+	f.waiting = append(f.waiting, w)
+	l.waiting++
+}
+
+// fairest returns the flow that was served least among those whose first request
+// was enqueued before a time, or nil.
+func (l *lane) fairest(before time.Time) *flow {
+	var best *flow
+	for _, f := range l.backlog {
+		if !f.head().enqueued.Before(before) {
+			continue
+		}
+		if best == nil || f.counter < best.counter {
+			best = f
+		}
+	}
+	return best
+}
+
+// take removes the first request of a flow.
+func (l *lane) take(f *flow) *waiter {
+	w := f.pop()
+	l.floor = max(l.floor, f.counter)
+	l.taken(f)
+	return w
+}
+
+// drop removes a request that won't run.
+func (l *lane) drop(w *waiter) bool {
+	if !w.flow.remove(w) {
+		return false
+	}
+	l.taken(w.flow)
+	return true
+}
+
+func (l *lane) taken(f *flow) {
+	l.waiting--
+	if len(f.waiting) > 0 {
+		return
+	}
+	for i, candidate := range l.backlog {
+		if candidate == f {
+			last := len(l.backlog) - 1
+			l.backlog[i] = l.backlog[last]
+			l.backlog[last] = nil
+			l.backlog = l.backlog[:last]
+			return
+		}
+	}
+}
+
+// release forgets a flow that is idle and owes nothing.
+func (l *lane) release(f *flow) {
+	if f.running > 0 || len(f.waiting) > 0 {
+		return
+	}
+	if f.counter <= l.floor || l.idle() {
+		delete(l.flows, f.workspace)
+	}
+}
+
+// idle says whether nothing waits in the lane: then nobody is owed anything.
+func (l *lane) idle() bool { return l.waiting == 0 }
+
+// ahead returns how many requests of the lane are served before a new one of
+// the flow: from each other flow at most as many, by weight, as from its own.
+func (l *lane) ahead(own *flow) float64 {
+	position := float64(len(own.waiting) + 1)
+	total := float64(len(own.waiting))
+	for _, f := range l.backlog {
+		if f != own {
+			total += min(float64(len(f.waiting)), position*f.weight/own.weight)
+		}
+	}
+	return total
+}
+
+// largest returns the flow with the most waiting requests for its weight.
+func (l *lane) largest() *flow {
+	var worst *flow
+	for _, f := range l.backlog {
+		if worst == nil || f.share() > worst.share() {
+			worst = f
+		}
+	}
+	return worst
+}
+
+// share is the number of waiting requests for the flow's weight.
+func (f *flow) share() float64 { return float64(len(f.waiting)) / f.weight }
+
+// oldest returns the time at which the oldest request was enqueued.
+func (l *lane) oldest() (time.Time, bool) {
+	var first time.Time
+	for _, f := range l.backlog {
+		if enqueued := f.head().enqueued; first.IsZero() || enqueued.Before(first) {
+			first = enqueued
+		}
+	}
+	return first, !first.IsZero()
+}
--- /dev/null
+++ b/internal/sidecar/queue/setup.go
@@ -0,0 +1,40 @@
+// Package queue orders the requests of all routers before one backend server:
+// urgent before deferrable, fair between workspaces by tokens served, and
+// bounded by the expected wait.
+package queue
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+)
+
+const (
+	defaultMaxConcurrent = 64
+	defaultQueueLimit    = 1024
+	defaultAgeingBound   = 10 * time.Minute
+)
+
+// New returns the filter. Settings that are zero get a default.
+func New(settings *config.SidecarSettings) *Queue {
+	q := &Queue{
+		slots:  positive(settings.MaxConcurrent, defaultMaxConcurrent),
+		limit:  positive(settings.QueueLimit, defaultQueueLimit),
+		ageing: settings.AgeingBound,
+	}
+	if q.ageing <= 0 {
+		q.ageing = defaultAgeingBound
+	}
+	for i := range q.lanes {
+		q.lanes[i].flows = make(map[string]*flow)
+	}
+	q.metrics = newMetrics(q)
+	return q
+}
+
+func positive(value, fallback int) int {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/sidecar/queue/state.go
@@ -0,0 +1,80 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// Load fills in the queue's part of a load report.
+func (q *Queue) Load(load *wire.Load) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	load.Queued = uint32(q.waitingLocked())
+	load.Running = uint32(q.running)
+	load.BacklogTokens = q.backlogTokens
+	load.OldestWaitMs = q.oldestLocked(now).Milliseconds()
+	load.DrainMs = q.drainLocked().Milliseconds()
+}
+
+// Status returns the state of the queue for operators.
+func (q *Queue) Status() *wire.QueueStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return &wire.QueueStatus{
+		Urgent:     uint32(q.lanes[laneUrgent].waiting),
+		Deferrable: uint32(q.lanes[laneDeferrable].waiting),
+		OldestMs:   q.oldestLocked(time.Now()).Milliseconds(),
+		DrainMs:    q.drainLocked().Milliseconds(),
+		PileUp:     q.watch.piledUp,
+	}
+}
+
+// Slots returns the number of requests that run at once.
+func (q *Queue) Slots() int { return q.slots }
+
+func (q *Queue) waitingLocked() int {
+	return q.lanes[laneUrgent].waiting + q.lanes[laneDeferrable].waiting
+}
+
+func (q *Queue) oldestLocked(now time.Time) time.Duration {
+	var age time.Duration
+	for i := range q.lanes {
+		age = max(age, q.lanes[i].age(now))
+	}
+	return age
+}
+
+// age returns how long the oldest request of the lane has waited.
+func (l *lane) age(now time.Time) time.Duration {
+	first, ok := l.oldest()
+	if !ok {
+		return 0
+	}
+	return now.Sub(first)
+}
+
+// drainLocked projects the time until all that waits now has started.
+func (q *Queue) drainLocked() time.Duration {
+	var work time.Duration
+	for i := range q.lanes {
+		l := &q.lanes[i]
+		work += l.service.times(float64(l.waiting))
+	}
+	return work / time.Duration(q.slots)
+}
+
+// expectedLocked estimates the wait of a new request of a flow.
+func (q *Queue) expectedLocked(own *flow, laneIndex int) time.Duration {
+	if q.running < q.slots {
+		return 0
+	}
+	l := &q.lanes[laneIndex]
+	work := l.service.times(l.ahead(own) + 1)
+	if laneIndex == laneDeferrable {
+		urgent := &q.lanes[laneUrgent]
+		work += urgent.service.times(float64(urgent.waiting))
+	}
+	return work / time.Duration(q.slots)
+}
--- /dev/null
+++ b/internal/sidecar/setup.go
@@ -0,0 +1,56 @@
+package sidecar
+
+import (
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar/buffer"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/sidecar/once"
+	"github.com/wasabigate/wasabigate/internal/sidecar/queue"
+	"github.com/wasabigate/wasabigate/internal/sidecar/verify"
+)
+
+// BlockSource knows the blocks that the engine holds.
+type BlockSource interface {
+	// Digest returns the engine's incarnation and at most maxBlocks block hashes,
+	// most recently used first.
+	Digest(maxBlocks int) *wire.DigestReply
+}
+
+// Options configure a Sidecar.
+type Options struct {
+	Settings    *config.SidecarSettings
+	Source      control.Source
+	Executor    Executor
+	KV          platform.KV   // for calls that run at most once
+	Engine      engine.Engine // nil beside plain services
+	Environment string
+	Blocks      BlockSource // nil beside plain services
+	// OnRevisions is told of revisions on messages that are newer than the
+	// snapshot's, so that the control loop fetches them. May be nil.
+	OnRevisions func(*wire.Revisions)
+}
+
+// New returns a Sidecar. This is where its chain is declared.
+func New(opts Options) *Sidecar {
+	s := &Sidecar{source: opts.Source, executor: opts.Executor, blocks: opts.Blocks, jobs: newGroup()}
+	s.engine = newEngineState(opts.Engine)
+	s.orders = newOrders(opts.Engine)
+	s.buffers = buffer.New(buffer.Options{Settings: opts.Settings, Revisions: s.revisions})
+	s.queue = queue.New(opts.Settings)
+	s.once = once.New(once.Options{KV: opts.KV, Environment: opts.Environment})
+	s.verify = verify.New(verify.Options{
+		Settings:    opts.Settings,
+		Source:      opts.Source,
+		OnRevisions: opts.OnRevisions,
+		Draining:    s.leaving,
+		Loaded:      s.engine.loaded,
+	})
+	last := pipeline.HandlerFunc[*job.Job, job.Outcome](s.execute)
+	s.chain = pipeline.Chain(last, job.Filter(s.verify), job.Filter(s.queue), job.Filter(s.once))
+	return s
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,249 @@
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar/buffer"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/sidecar/once"
+	"github.com/wasabigate/wasabigate/internal/sidecar/queue"
+	"github.com/wasabigate/wasabigate/internal/sidecar/verify"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var logger = logging.For("sidecar")
+
+// Sidecar serves the Backend rpc beside one backend server. It is safe for
+// concurrent use.
+type Sidecar struct {
+	source   control.Source
+	executor Executor
+	blocks   BlockSource // nil beside plain services
+	chain    Handler
+	verify   *verify.Verify
+	queue    *queue.Queue
+	once     *once.Once
+	buffers  *buffer.Table
+	engine   *engineState
+	orders   *orders
+	jobs     *group
+	draining atomic.Bool
+}
+
+var _ wire.DRPCBackendServer = (*Sidecar)(nil)
+
+// Execute implements wire.DRPCBackendServer. An attempt that is known already is
+// read again instead of run again.
+func (s *Sidecar) Execute(req *wire.ExecuteRequest, stream wire.DRPCBackend_ExecuteStream) error {
+	opened := s.buffers.Open(req)
+	if opened.Context != nil {
+		s.start(opened, req)
+	}
+	if req.Workspace != opened.Buffer.Workspace() || req.KeyId != opened.Buffer.KeyID() {
+		return stream.Send(s.refusal(opened.Buffer.Key(), 0, verdict.New(verdict.NotRun, verdict.CodeForbidden, "the request id is in use")))
+	}
+	return opened.Buffer.Read(stream.Context(), 0, stream.Send)
+}
+
+// start runs the chain for a new attempt. The job goes on when the connection
+// that brought it breaks.
+func (s *Sidecar) start(opened buffer.Opened, req *wire.ExecuteRequest) {
+	j := &Job{Request: req, Received: time.Now(), Snapshot: s.source.Snapshot()}
+	j.Emit = s.emitter(opened.Buffer)
+	s.jobs.add()
+	stop := context.AfterFunc(opened.Context, func() { s.endEarly(opened, j) })
+	go func() {
+		defer s.jobs.done()
+		outcome, err := s.run(opened, j)
+		stop()
+		opened.Buffer.Finish(s.lastFrame(opened, outcome, err))
+	}()
+}
+
+func (s *Sidecar) run(opened buffer.Opened, j *job.Job) (job.Outcome, error) {
+	if opened.Cancelled {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "cancelled before it arrived")
+	}
+	return s.chain.Handle(opened.Context, j)
+}
+
+// emitter returns an Emit that adds the load to heads.
+func (s *Sidecar) emitter(b *buffer.Buffer) func(*wire.Frame) {
+	return func(frame *wire.Frame) {
+		if frame.Head != nil {
+			frame.Head.Load = s.loadAfter(frame.Head.Load)
+		}
+		b.Append(frame)
+	}
+}
+
+// execute is the last handler. It judges the key once more, because time has
+// passed in the queue, and marks the job as begun.
+func (s *Sidecar) execute(ctx context.Context, j *job.Job) (job.Outcome, error) {
+	revision := s.source.Snapshot().Config
+	if j.Request.KeyId != "" && revision != nil && revision.KeyWithdrawn(j.Request.KeyId) {
+		return nil, withdrawn(verdict.NotRun, j.Request.KeyId)
+	}
+	if !j.Begin() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "cancelled before execution")
+	}
+	return s.executor.Handle(ctx, j)
+}
+
+// endEarly ends the stream of a job whose context was cancelled, without
+// waiting for the backend server.
+func (s *Sidecar) endEarly(opened buffer.Opened, j *job.Job) {
+	cause := verdict.From(context.Cause(opened.Context))
+	opened.Buffer.Finish(s.failureFrame(atMost(cause, j)))
+}
+
+// atMost returns the error with verdict NotRun if the job has not begun and now
+// never will.
+func atMost(err *verdict.Error, j *job.Job) *verdict.Error {
+	ended := *err
+	ended.Verdict = verdict.MayHaveRun
+	if j.Forbid() {
+		ended.Verdict = verdict.NotRun
+	}
+	return &ended
+}
+
+// lastFrame makes the last frame of an outcome or error.
+func (s *Sidecar) lastFrame(opened buffer.Opened, outcome job.Outcome, err error) *wire.Frame {
+	key := opened.Buffer.Key()
+	switch {
+	case err != nil:
+		return s.failureFrame(verdict.From(err))
+	case outcome == nil:
+		return s.failureFrame(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "no outcome"))
+	case outcome.RequestId != "" && outcome.RequestId != key.RequestID:
+		return s.failureFrame(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer belongs to another request"))
+	}
+	if outcome.Tail != nil {
+		outcome.Tail.Load = s.loadAfter(outcome.Tail.Load)
+	}
+	if outcome.Failure != nil {
+		outcome.Failure.Load = s.Load()
+	}
+	return outcome
+}
+
+func (s *Sidecar) failureFrame(err *verdict.Error) *wire.Frame {
+	return &wire.Frame{Revisions: s.revisions(), Failure: &wire.Failure{
+		Verdict:      uint32(err.Verdict),
+		Code:         string(err.Code),
+		Message:      err.Message,
+		RetryAfterMs: err.RetryAfter.Milliseconds(),
+		Load:         s.Load(),
+	}}
+}
+
+// refusal makes a failure frame that doesn't go through a buffer.
+func (s *Sidecar) refusal(key buffer.Key, after uint64, err *verdict.Error) *wire.Frame {
+	frame := s.failureFrame(err)
+	frame.RequestId = key.RequestID
+	frame.Attempt = key.Attempt
+	frame.Sequence = after + 1
+	return frame
+}
+
+func (s *Sidecar) revisions() *wire.Revisions { return s.source.Snapshot().Revisions() }
+
+// Resume implements wire.DRPCBackendServer. Its refusals don't say that the
+// attempt has not run.
+func (s *Sidecar) Resume(req *wire.ResumeRequest, stream wire.DRPCBackend_ResumeStream) error {
+	found, err := s.resumable(stream.Context(), req)
+	if err != nil {
+		key := buffer.Key{RequestID: req.RequestId, Attempt: req.Attempt}
+		return stream.Send(s.refusal(key, req.AfterSequence, err))
+	}
+	s.buffers.CountResume()
+	return found.Read(stream.Context(), req.AfterSequence, stream.Send)
+}
+
+func (s *Sidecar) resumable(ctx context.Context, req *wire.ResumeRequest) (*buffer.Buffer, *verdict.Error) {
+	if err := s.verify.CheckCaller(ctx, req.Revisions, req.Workspace, req.KeyId); err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, err.Code, "%s", err.Message)
+	}
+	found := s.buffers.Find(buffer.Key{RequestID: req.RequestId, Attempt: req.Attempt})
+	if found == nil || found.Workspace() != req.Workspace || (found.KeyID() == "") != (req.KeyId == "") {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, "the stream is not known here")
+	}
+	if req.AfterSequence > found.Length() {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, "the stream has no frame %d", req.AfterSequence)
+	}
+	return found, nil
+}
+
+// Cancel implements wire.DRPCBackendServer. An attempt that is not known is
+// refused should it arrive later.
+func (s *Sidecar) Cancel(_ context.Context, req *wire.CancelRequest) (*wire.CancelReply, error) {
+	key := buffer.Key{RequestID: req.RequestId, Attempt: req.Attempt}
+	found := s.buffers.FindOrForbid(key)
+	if found == nil || found.Workspace() != req.Workspace {
+		return &wire.CancelReply{}, nil
+	}
+	found.Cancel(verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "cancelled by the caller"))
+	return &wire.CancelReply{Found: true}, nil
+}
+
+// GetLoad implements wire.DRPCBackendServer.
+func (s *Sidecar) GetLoad(_ context.Context, req *wire.LoadRequest) (*wire.Load, error) {
+	s.verify.Noted(req.Revisions)
+	return s.Load(), nil
+}
+
+// Digest implements wire.DRPCBackendServer.
+func (s *Sidecar) Digest(_ context.Context, req *wire.DigestRequest) (*wire.DigestReply, error) {
+	reply := &wire.DigestReply{}
+	if s.blocks != nil {
+		reply = s.blocks.Digest(int(req.MaxBlocks))
+	}
+	reply.Load = s.Load()
+	return reply, nil
+}
+
+// Load returns the load report that goes with each answer.
+func (s *Sidecar) Load() *wire.Load {
+	load := &wire.Load{MaxRunning: uint32(s.queue.Slots())}
+	s.engine.fill(load)
+	s.queue.Load(load)
+	load.Draining = s.leaving()
+	return load
+}
+
+// loadAfter returns the load report for a frame. The incarnation that the
+// executor saw in the engine's answer is newer than the engine's report.
+func (s *Sidecar) loadAfter(seen *wire.Load) *wire.Load {
+	s.engine.observe(seen.GetIncarnation())
+	return s.Load()
+}
+
+// QueueStatus returns the state of the queue for operators.
+func (s *Sidecar) QueueStatus() *wire.QueueStatus { return s.queue.Status() }
+
+// SnapshotChanged ends the running attempts of withdrawn keys. The control loop
+// calls it after it has published a snapshot.
+func (s *Sidecar) SnapshotChanged() {
+	revision := s.source.Snapshot().Config
+	if revision == nil {
+		return
+	}
+	for _, running := range s.buffers.Running() {
+		if !revision.KeyWithdrawn(running.KeyID()) {
+			continue
+		}
+		logger.Info(logging.Fields{"request_id": running.Key().RequestID, "key_id": running.KeyID()},
+			"stream of a withdrawn key ended")
+		running.Cancel(withdrawn(verdict.MayHaveRun, running.KeyID()))
+	}
+}
+
+func withdrawn(v verdict.Verdict, keyID string) *verdict.Error {
+	return verdict.New(v, verdict.CodeKeyWithdrawn, "key %q is withdrawn", keyID)
+}
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,56 @@
+package sidecar
+
+import (
+	"context"
+	"testing"
+
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+)
+
+func TestExecuteOverTheNetwork(t *testing.T) {
+	s := New(Options{Settings: engineSettings(), Source: control.NewCell(snapshot(3)), Executor: executorFunc(generate)})
+	client := dial(t, serve(t, s))
+	stream, err := client.Execute(context.Background(), generation("r1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	frames := receive(t, stream, 0)
+	if len(frames) != 5 || frames[4].Tail == nil {
+		t.Fatalf("got %d frames, last %v", len(frames), frames[len(frames)-1])
+	}
+	for i, frame := range frames {
+		if frame.Sequence != uint64(i+1) || frame.RequestId != "r1" || frame.Attempt != 1 || frame.Revisions.Document != 3 {
+			t.Errorf("frame %d: %v", i, frame)
+		}
+	}
+}
+
+func badge(id, key string) *wire.ExecuteRequest {
+	return &wire.ExecuteRequest{
+		RequestId: id, Attempt: 1, Workspace: "north", KeyId: "k1", Route: "badge", PatienceMs: 5000,
+		Call: &wire.Call{Method: "POST", Path: "/badges/ann", Body: []byte("ann"), Once: true, IdempotencyKey: key},
+	}
+}
+
+func TestOrderSentTwiceRunsOnce(t *testing.T) {
+	printer := &counter{run: func(_ context.Context, j *Job) (Outcome, error) {
+		return &wire.Frame{RequestId: j.Request.RequestId, Reply: &wire.Reply{Status: 201, Body: []byte("printed")}}, nil
+	}}
+	store := kv.New(1)
+	for i, id := range []string{"r1", "r2"} {
+		s := New(Options{Settings: serviceSettings(), Source: control.NewCell(snapshot(1)), Executor: printer, KV: store, Environment: "test"})
+		stream, err := dial(t, serve(t, s)).Execute(context.Background(), badge(id, "order-1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply := receive(t, stream, 0)[0].Reply
+		if string(reply.GetBody()) != "printed" || reply.GetReplayed() != (i == 1) {
+			t.Errorf("%s: %v", id, reply)
+		}
+	}
+	if calls := printer.calls.Load(); calls != 1 {
+		t.Errorf("%d calls", calls)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/verify/setup.go
@@ -0,0 +1,42 @@
+// Package verify is the sidecar's last check before a request may run: the
+// daemon's state, the key, the route, the tokens drawn and the weights.
+package verify
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+const (
+	// catchUpWait bounds the wait for a newer document or shard table.
+	catchUpWait = 300 * time.Millisecond
+	// catchUpPoll is the interval at which the snapshot is looked at meanwhile.
+	catchUpPoll = 10 * time.Millisecond
+)
+
+// Options configure the filter.
+type Options struct {
+	Settings *config.SidecarSettings
+	Source   control.Source
+	// OnRevisions is told of revisions newer than the snapshot's. May be nil.
+	OnRevisions func(*wire.Revisions)
+	// Draining says whether the sidecar refuses new work.
+	Draining func() bool
+	// Loaded returns the weights that the engine holds, nil if not known.
+	Loaded func() []*wire.Weights
+}
+
+// New returns the filter.
+func New(opts Options) *Verify {
+	return &Verify{
+		settings:    opts.Settings,
+		source:      opts.Source,
+		onRevisions: opts.OnRevisions,
+		draining:    opts.Draining,
+		loaded:      opts.Loaded,
+		metrics:     newMetrics(),
+	}
+}
