Prove the platform's interfaces by contract tests

Cause: the stand-ins and the clients implement the same interfaces, and nothing held them to the same behaviour under faults.

Change: one table of calls and faults runs against the stores in process and through the clients over HTTP; another holds faults on the wire. The first run of the tables found that an error over HTTP named its kind twice; the client now keeps the service's message.

--- /dev/null
+++ b/internal/platform/client/contract_test.go
@@ -0,0 +1,295 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+)
+
+const (
+	callTimeout = time.Second
+	slowDelay   = 300 * time.Millisecond
+	slowTimeout = 50 * time.Millisecond // below slowDelay
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve runs handler until the test ends, and returns its base URL.
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+// kvUnderTest is a key-value service, in process or behind the client.
+type kvUnderTest struct {
+	platform.KV
+	store *kv.Store
+}
+
+// overKVs runs a test against the store itself and through the client.
+func overKVs(t *testing.T, timeout time.Duration, test func(*testing.T, kvUnderTest)) {
+	t.Run("in process", func(t *testing.T) {
+		store := kv.New(1)
+		test(t, kvUnderTest{store, store})
+	})
+	t.Run("over HTTP", func(t *testing.T) {
+		store := kv.New(1)
+		client := NewKV(serve(t, kv.Handler(store)), timeout)
+		t.Cleanup(client.Close)
+		test(t, kvUnderTest{client, store})
+	})
+}
+
+func swap(ctx context.Context, service platform.KV, value string, expected platform.Version) error {
+	_, err := service.CompareAndSwap(ctx, "k", []byte(value), expected, 0)
+	return err
+}
+
+// kvCase is a call on a service that holds k = "old" at version 1.
+type kvCase struct {
+	name   string
+	faults kv.Faults
+	call   func(context.Context, platform.KV) error
+	want   error  // nil: no error
+	holds  string // value of k afterwards; empty: absent
+}
+
+func swapTo(value string, expected platform.Version) func(context.Context, platform.KV) error {
+	return func(ctx context.Context, s platform.KV) error { return swap(ctx, s, value, expected) }
+}
+
+func get(key, want string) func(context.Context, platform.KV) error {
+	return func(ctx context.Context, s platform.KV) error {
+		entry, err := s.Get(ctx, key)
+		if err == nil && (entry.Key != key || string(entry.Value) != want || entry.Version == 0) {
+			return errors.Errorf("entry %+v, want %q", entry, want)
+		}
+		return err
+	}
+}
+
+func remove(key string, expected platform.Version) func(context.Context, platform.KV) error {
+	return func(ctx context.Context, s platform.KV) error { return s.Delete(ctx, key, expected) }
+}
+
+func list(ctx context.Context, s platform.KV) error {
+	for _, key := range []string{"x/b", "x/a", "y"} {
+		if _, err := s.CompareAndSwap(ctx, key, nil, 0, 0); err != nil {
+			return err
+		}
+	}
+	entries, err := s.List(ctx, "x/")
+	if err == nil && (len(entries) != 2 || entries[0].Key != "x/a" || entries[1].Key != "x/b") {
+		return errors.Errorf("entries %+v, want x/a and x/b", entries)
+	}
+	return err
+}
+
+func throttledRead(ctx context.Context, s platform.KV) error {
+	if _, err := s.Get(ctx, "k"); err != nil {
+		return errors.Errorf("first read: %v", err)
+	}
+	_, err := s.List(ctx, "")
+	return err
+}
+
+func throttledWrite(ctx context.Context, s platform.KV) error {
+	if err := swap(ctx, s, "new", 1); err != nil {
+		return errors.Errorf("first write: %v", err)
+	}
+	return swap(ctx, s, "newer", 2)
+}
+
+func revoke(ctx context.Context, s platform.KV) error {
+	id, err := s.GrantLease(ctx, time.Hour)
+	if err != nil {
+		return err
+	}
+	if _, err := s.CompareAndSwap(ctx, "k", []byte("leased"), 1, id); err != nil {
+		return err
+	}
+	if err := s.RenewLease(ctx, id); err != nil {
+		return err
+	}
+	return s.RevokeLease(ctx, id)
+}
+
+var kvCases = []kvCase{
+	{"get", kv.Faults{}, get("k", "old"), nil, "old"},
+	{"get absent", kv.Faults{}, get("absent", ""), platform.ErrNotFound, "old"},
+	{"list", kv.Faults{}, list, nil, "old"},
+	{"swap", kv.Faults{}, swapTo("new", 1), nil, "new"},
+	{"swap at an old version", kv.Faults{}, swapTo("new", 7), platform.ErrConflict, "old"},
+	{"create what exists", kv.Faults{}, swapTo("new", 0), platform.ErrConflict, "old"},
+	{"delete", kv.Faults{}, remove("k", 1), nil, ""},
+	{"delete at an old version", kv.Faults{}, remove("k", 7), platform.ErrConflict, "old"},
+	{"delete absent", kv.Faults{}, remove("absent", 1), platform.ErrNotFound, "old"},
+	{"largest value", kv.Faults{}, func(ctx context.Context, s platform.KV) error {
+		_, err := s.CompareAndSwap(ctx, "large", make([]byte, platform.MaxValueSize), 0, 0)
+		return err
+	}, nil, "old"},
+	{"oversized value", kv.Faults{}, swapTo(string(make([]byte, platform.MaxValueSize+1)), 1), platform.ErrTooLarge, "old"},
+	{"revoked lease", kv.Faults{}, revoke, nil, ""},
+	{"write under an unknown lease", kv.Faults{}, func(ctx context.Context, s platform.KV) error {
+		_, err := s.CompareAndSwap(ctx, "k", nil, 1, 99)
+		return err
+	}, platform.ErrNotFound, "old"},
+	{"renew an unknown lease", kv.Faults{}, func(ctx context.Context, s platform.KV) error {
+		return s.RenewLease(ctx, 99)
+	}, platform.ErrNotFound, "old"},
+	{"read while down", kv.Faults{Down: true}, get("k", "old"), platform.ErrUnavailable, "old"},
+	{"write while down", kv.Faults{Down: true}, swapTo("new", 1), platform.ErrUnavailable, "old"},
+	{"watch while down", kv.Faults{Down: true}, func(ctx context.Context, s platform.KV) error {
+		_, err := s.Watch(ctx, "", 0)
+		return err
+	}, platform.ErrUnavailable, "old"},
+	{"slow read", kv.Faults{Delay: slowDelay}, get("k", "old"), platform.ErrUnavailable, "old"},
+	{"slow write lands late", kv.Faults{Delay: slowDelay}, swapTo("new", 1), platform.ErrUnsure, "new"},
+	{"answer of a write lost", kv.Faults{LoseAnswers: 1}, swapTo("new", 1), platform.ErrUnsure, "new"},
+	{"answer of a conflict lost", kv.Faults{LoseAnswers: 1}, swapTo("new", 7), platform.ErrUnsure, "old"},
+	{"answer of a delete lost", kv.Faults{LoseAnswers: 1}, remove("k", 1), platform.ErrUnsure, ""},
+	{"answer of a grant lost", kv.Faults{LoseAnswers: 1}, func(ctx context.Context, s platform.KV) error {
+		_, err := s.GrantLease(ctx, time.Second)
+		return err
+	}, platform.ErrUnsure, "old"},
+	{"answer of a write cut", kv.Faults{CutAnswers: 1}, swapTo("new", 1), platform.ErrUnsure, "new"},
+	{"stale read", kv.Faults{StaleReads: 1}, func(ctx context.Context, s platform.KV) error {
+		if err := swap(ctx, s, "new", 1); err != nil {
+			return err
+		}
+		return get("k", "old")(ctx, s)
+	}, nil, "new"},
+	{"write from a stale read", kv.Faults{StaleReads: 1}, func(ctx context.Context, s platform.KV) error {
+		if err := swap(ctx, s, "new", 1); err != nil {
+			return err
+		}
+		entry, err := s.Get(ctx, "k")
+		if err != nil {
+			return err
+		}
+		return swap(ctx, s, "lost update", entry.Version)
+	}, platform.ErrConflict, "new"},
+	{"read above the rate", kv.Faults{ReadsPerSecond: 1}, throttledRead, platform.ErrThrottled, "old"},
+	{"write above the rate", kv.Faults{WritesPerSecond: 1}, throttledWrite, platform.ErrThrottled, "new"},
+	{"given up before the call", kv.Faults{}, func(ctx context.Context, s platform.KV) error {
+		ctx, cancel := context.WithCancel(ctx)
+		cancel()
+		return swap(ctx, s, "new", 1)
+	}, platform.ErrUnavailable, "old"},
+}
+
+func TestKVContract(t *testing.T) {
+	for _, c := range kvCases {
+		t.Run(c.name, func(t *testing.T) {
+			timeout := callTimeout
+			if c.faults.Delay > 0 {
+				timeout = slowTimeout
+			}
+			overKVs(t, timeout, func(t *testing.T, service kvUnderTest) { c.check(t, service, timeout) })
+		})
+	}
+}
+
+func (c kvCase) check(t *testing.T, service kvUnderTest, timeout time.Duration) {
+	if err := swap(t.Context(), service.store, "old", 0); err != nil {
+		t.Fatal(err)
+	}
+	service.store.SetFaults(c.faults)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	err := c.call(ctx, service)
+	if !errors.Is(err, c.want) {
+		t.Errorf("error %v, want %v", err, c.want)
+	}
+	time.Sleep(c.faults.Delay) // a late write has landed
+	service.store.SetFaults(kv.Faults{})
+	entry, _ := service.store.Get(t.Context(), "k")
+	if string(entry.Value) != c.holds {
+		t.Errorf("k holds %q afterwards, want %q", entry.Value, c.holds)
+	}
+}
+
+func TestBrokenWatchResumesWithoutLoss(t *testing.T) {
+	const writes = 300
+	overKVs(t, callTimeout, func(t *testing.T, service kvUnderTest) {
+		go change(t, service.store, writes)
+		seen := make(map[string][]byte)
+		var last platform.Version
+		breaks := 0
+		for ; last <= writes; breaks++ {
+			events, err := service.Watch(t.Context(), "k", last)
+			if err != nil {
+				t.Fatal(err)
+			}
+			last = follow(t, events, seen, last, writes)
+		}
+		if breaks < 2 {
+			t.Errorf("%d watches opened, so none was broken", breaks)
+		}
+		entries, err := service.List(t.Context(), "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(entries) != len(seen) {
+			t.Errorf("%d keys seen, want %d", len(seen), len(entries))
+		}
+		for _, entry := range entries {
+			if !bytes.Equal(seen[entry.Key], entry.Value) {
+				t.Errorf("%s: saw %q, want %q", entry.Key, seen[entry.Key], entry.Value)
+			}
+		}
+		service.store.BreakWatches()
+	})
+}
+
+// change makes writes, a third of them deletions, and breaks the watches now
+// and then.
+func change(t *testing.T, store *kv.Store, writes int) {
+	for i := range writes {
+		key := string([]rune{'k', rune('a' + i/3%5)})
+		entry, _ := store.Get(t.Context(), key)
+		if i%3 == 2 {
+			_ = store.Delete(t.Context(), key, entry.Version)
+		} else {
+			_, _ = store.CompareAndSwap(t.Context(), key, []byte{byte(i)}, entry.Version, 0)
+		}
+		if i%50 == 25 {
+			store.BreakWatches()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	_, _ = store.CompareAndSwap(t.Context(), "k-end", nil, 0, 0)
+}
+
+// follow applies events until the watch breaks or the end is seen, and returns
+// the last version.
+func follow(t *testing.T, events <-chan platform.Event, seen map[string][]byte, last, end platform.Version) platform.Version {
+	for event := range events {
+		if event.Version <= last {
+			t.Errorf("version %d after %d", event.Version, last)
+		}
+		last = event.Version
+		if event.Deleted {
+			delete(seen, event.Key)
+		} else {
+			seen[event.Key] = event.Value
+		}
+		if last > end {
+			return last
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/platform/client/wire_test.go
@@ -0,0 +1,127 @@
+package client
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+)
+
+// answering returns a handler that reads the request and gives an answer.
+func answering(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func TestFaultsOnTheWire(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		write   error
+	}{
+		{"connection cut before the answer", abort, platform.ErrUnsure},
+		{"no answer", hang, platform.ErrUnsure},
+		{"gateway's 502", answering(http.StatusBadGateway, "bad gateway"), platform.ErrUnsure},
+		{"gateway's 503", answering(http.StatusServiceUnavailable, "<html>"), platform.ErrUnsure},
+		{"unknown code", answering(http.StatusConflict, `{"code":"new"}`), platform.ErrUnsure},
+		{"garbled answer", answering(http.StatusOK, `{"version":`), platform.ErrUnsure},
+		{"redirect", http.RedirectHandler("/elsewhere", http.StatusTemporaryRedirect).ServeHTTP, platform.ErrUnsure},
+		{"service's own 503", answering(http.StatusServiceUnavailable, `{"code":"unavailable"}`), platform.ErrUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := NewKV(serve(t, c.handler), slowTimeout)
+			t.Cleanup(client.Close)
+			if err := swap(t.Context(), client, "new", 1); !errors.Is(err, c.write) {
+				t.Errorf("write: %v, want %v", err, c.write)
+			}
+			if _, err := client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+				t.Errorf("read: %v, want ErrUnavailable", err)
+			}
+			if _, err := client.Watch(t.Context(), "k", 0); c.name != "garbled answer" && !errors.Is(err, platform.ErrUnavailable) {
+				t.Errorf("watch: %v, want ErrUnavailable", err)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionHasNoEffect(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	client := NewKV(server.URL, callTimeout)
+	if err := swap(t.Context(), client, "new", 0); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("write: %v, want ErrUnavailable", err)
+	}
+	if _, err := client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("read: %v, want ErrUnavailable", err)
+	}
+}
+
+func TestServiceRefusesOversizedValues(t *testing.T) {
+	for name, size := range map[string]int{"value": platform.MaxValueSize + 1, "body": 2 * platform.MaxValueSize} {
+		t.Run(name, func(t *testing.T) {
+			client := newCaller(serve(t, kv.Handler(kv.New(1))), callTimeout)
+			t.Cleanup(client.Close)
+			question := map[string]any{"key": "k", "value": make([]byte, size), "expected": 0}
+			err := client.write(t.Context(), "/v1/kv/swap", question, &struct{}{})
+			if !errors.Is(err, platform.ErrTooLarge) {
+				t.Errorf("error %v, want ErrTooLarge", err)
+			}
+		})
+	}
+}
+
+func TestSilentWatchBreaks(t *testing.T) {
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	client := NewKV(serve(t, http.HandlerFunc(silent)), callTimeout)
+	t.Cleanup(client.Close)
+	client.watchSilence = 20 * time.Millisecond
+	events, err := client.Watch(t.Context(), "", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case _, open := <-events:
+		if open {
+			t.Error("an event came from a silent service")
+		}
+	case <-time.After(callTimeout):
+		t.Error("the watch stayed open")
+	}
+}
+
+func TestQuietWatchStaysOpen(t *testing.T) {
+	store := kv.New(1)
+	client := NewKV(serve(t, kv.Handler(store)), slowTimeout)
+	t.Cleanup(client.Close)
+	events, err := client.Watch(t.Context(), "", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(maxWatchSilence + 100*time.Millisecond) // heartbeats alone
+	if err := swap(t.Context(), store, "new", 0); err != nil {
+		t.Fatal(err)
+	}
+	if event, open := <-events; !open || string(event.Value) != "new" {
+		t.Errorf("event %+v, open %t", event, open)
+	}
+}
--- a/internal/platform/httpapi/errors.go
+++ b/internal/platform/httpapi/errors.go
@@ -24,6 +24,15 @@
 	Message string `json:"message"`
 }
 
+// remoteError is one of the platform's errors with the service's own message.
+type remoteError struct {
+	message string
+	kind    error
+}
+
+func (e remoteError) Error() string { return e.message }
+func (e remoteError) Unwrap() error { return e.kind }
+
 // known are the errors that an answer can carry. Each means that the call had
 // no effect; an unsure outcome has no answer.
 var known = []struct {
@@ -54,7 +63,7 @@
 func (f Failure) Err() error {
 	for _, k := range known {
 		if f.Code == k.code {
-			return errors.WithMessage(k.err, f.Message)
+			return remoteError{message: f.Message, kind: k.err}
 		}
 	}
 	if f.Code == CodeInvalid {
