Add the engine client and a stand-in of a plain service

A caller of a backend server must know whether its request may have run. The client says 'unreachable' only when no connection was made, and breaks a stream at a chunk that is not the next one. Kept connections were ruled out for plain services: net/http sends some requests again on them, and a close by the peer can't be told from a call that has run. Stand-ins that crash share one package that refuses connections while they are down.

--- /dev/null
+++ b/internal/engine/client/engine.go
@@ -0,0 +1,112 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/engine/httpapi"
+)
+
+// Engine implements engine.Engine over HTTP.
+type Engine struct {
+	base string
+	http *http.Client
+}
+
+// NewEngine returns a client of the model engine at baseURL.
+func NewEngine(baseURL string) *Engine {
+	return &Engine{base: strings.TrimSuffix(baseURL, "/"), http: newHTTPClient(true)}
+}
+
+// Generate implements engine.Engine. The stream breaks when ctx ends.
+func (e *Engine) Generate(ctx context.Context, req engine.GenerateRequest) (engine.ChunkStream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := e.post(ctx, httpapi.PathCompletions, req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newChunkStream(resp.Body, cancel, req.RequestID, req.ResumeTokens), nil
+}
+
+// Cancel implements engine.Engine.
+func (e *Engine) Cancel(ctx context.Context, requestID string) error {
+	resp, err := e.post(ctx, httpapi.PathCancel, httpapi.CancelBody{RequestID: requestID})
+	if err != nil {
+		return err
+	}
+	closeBody(resp)
+	return nil
+}
+
+// State implements engine.Engine.
+func (e *Engine) State(ctx context.Context) (engine.State, error) {
+	resp, err := e.get(ctx, httpapi.PathState)
+	if err != nil {
+		return engine.State{}, err
+	}
+	var state engine.State
+	err = decode(resp, maxStateBytes, &state)
+	return state, err
+}
+
+// Events implements engine.Engine. A malformed event ends the channel like a
+// broken connection.
+func (e *Engine) Events(ctx context.Context, after uint64) (<-chan engine.CacheEvent, error) {
+	query := url.Values{httpapi.QueryAfter: {strconv.FormatUint(after, 10)}}
+	resp, err := e.get(ctx, httpapi.PathEvents+"?"+query.Encode())
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan engine.CacheEvent)
+	go func() {
+		defer close(out)
+		defer func() { _ = resp.Body.Close() }()
+		readEvents(resp.Body, func(event engine.CacheEvent) bool {
+			select {
+			case out <- event:
+				return true
+			case <-ctx.Done():
+				return false
+			}
+		})
+	}()
+	return out, nil
+}
+
+// Apply implements engine.Engine.
+func (e *Engine) Apply(ctx context.Context, order engine.Order) error {
+	resp, err := e.post(ctx, httpapi.PathOrders, order)
+	if err != nil {
+		return err
+	}
+	closeBody(resp)
+	return nil
+}
+
+// ExportPiece implements engine.Engine.
+func (e *Engine) ExportPiece(ctx context.Context, salt string, blocks []uint64) ([]byte, error) {
+	resp, err := e.post(ctx, httpapi.PathExport, httpapi.PieceBody{Salt: salt, Blocks: blocks})
+	if err != nil {
+		return nil, err
+	}
+	var piece httpapi.PieceBody
+	err = decode(resp, maxPieceBytes, &piece)
+	return piece.Data, err
+}
+
+// ImportPiece implements engine.Engine.
+func (e *Engine) ImportPiece(ctx context.Context, salt string, blocks []uint64, data []byte) error {
+	resp, err := e.post(ctx, httpapi.PathImport, httpapi.PieceBody{Salt: salt, Blocks: blocks, Data: data})
+	if err != nil {
+		return err
+	}
+	closeBody(resp)
+	return nil
+}
+
+var _ engine.Engine = (*Engine)(nil)
--- a/internal/standin/model/command.go
+++ b/internal/standin/model/command.go
@@ -3,88 +3,21 @@
 import (
 	"context"
 	"net"
-	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/standin/outage"
 )
 
 var logger = logging.For("model-engine")
 
-const (
-	listenRetry  = 20 * time.Millisecond
-	shutdownTime = 5 * time.Second
-)
-
-// Serve serves e on listener until ctx ends. While e is down it accepts no
-// connections.
+// Serve serves e on listener until ctx ends. While e is down, its address
+// refuses connections.
 func Serve(ctx context.Context, e *Engine, listener net.Listener) error {
-	address := listener.Addr().String()
-	for ctx.Err() == nil {
-		l, up := e.running()
-		if l == nil {
-			_ = listener.Close()
-			listener = nil
-			wait(ctx, up)
-			continue
-		}
-		if listener == nil {
-			if listener = listenAgain(ctx, address); listener == nil {
-				continue
-			}
-		}
-		if err := serveLife(ctx, e, l, listener); err != nil {
-			return err
-		}
-		listener = nil
-	}
-	if listener != nil {
-		return listener.Close()
-	}
-	return nil
-}
-
-func wait(ctx context.Context, up <-chan struct{}) {
-	select {
-	case <-up:
-	case <-ctx.Done():
-	}
-}
-
-func listenAgain(ctx context.Context, address string) net.Listener {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		sleep(ctx, listenRetry)
-		return nil
-	}
-	return listener
-}
-
-// serveLife serves until the crash of l or the end of ctx.
-func serveLife(ctx context.Context, e *Engine, l *life, listener net.Listener) error {
-	server := &http.Server{Handler: Handler(e)}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case <-l.ctx.Done():
-		_ = server.Close()
-		<-failed
-		return nil
-	case <-ctx.Done():
-		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTime)
-		defer cancel()
-		if server.Shutdown(stop) != nil {
-			_ = server.Close()
-		}
-		<-failed
-		return nil
-	case err := <-failed:
-		return errors.Wrap(err, "serve model engine")
-	}
+	return outage.Serve(ctx, &e.power, Handler(e), listener)
 }
 
 // Command returns the command that runs the stand-in.
--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -11,16 +11,17 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/standin/outage"
 )
 
 // Engine implements engine.Engine in process.
 type Engine struct {
 	opts   Options
 	faults faultBox
+	power  outage.Switch
 
 	mu      sync.Mutex
-	current *life         // nil while down
-	up      chan struct{} // closed at the next start, nil while up
+	current *life // nil while down
 	starts  uint64
 	restart *time.Timer
 	closed  bool
@@ -38,10 +39,7 @@
 func (e *Engine) startLocked() {
 	e.current = newLife(&e.opts, &e.faults, e.opts.FirstIncarnation+e.starts)
 	e.starts++
-	if e.up != nil {
-		close(e.up)
-		e.up = nil
-	}
+	e.power.Start()
 }
 
 // Crash breaks all streams and forgets everything. The engine starts again
@@ -78,8 +76,8 @@
 		return nil
 	}
 	e.current = nil
-	e.up = make(chan struct{})
 	l.stop()
+	e.power.Crash()
 	return l
 }
 
@@ -91,17 +89,16 @@
 	}
 }
 
-// running returns the current life, or a channel that is closed at the next
-// start.
-func (e *Engine) running() (*life, <-chan struct{}) {
+// running returns the current life, nil while the engine is down.
+func (e *Engine) running() *life {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.current, e.up
+	return e.current
 }
 
 // reach returns the current life after the end of a freeze.
 func (e *Engine) reach(ctx context.Context) (*life, error) {
-	l, _ := e.running()
+	l := e.running()
 	if l == nil {
 		return nil, errors.Wrap(engine.ErrUnreachable, "engine is down")
 	}
@@ -120,7 +117,7 @@
 // LoseEvents loses the next n cache events, and each later one with the given
 // probability.
 func (e *Engine) LoseEvents(n int, rate float64) {
-	if l, _ := e.running(); l != nil {
+	if l := e.running(); l != nil {
 		l.events.setLoss(n, rate)
 	}
 }
--- /dev/null
+++ b/internal/standin/outage/outage.go
@@ -0,0 +1,143 @@
+// Package outage serves stand-ins that crash and come back: while one is down,
+// its address refuses connections.
+package outage
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	listenRetry  = 20 * time.Millisecond
+	shutdownTime = 5 * time.Second
+)
+
+// Switch says whether a stand-in is up. Its zero value is up.
+type Switch struct {
+	mu      sync.Mutex
+	crashed chan struct{} // closed at the next crash, nil while down
+	up      chan struct{} // closed at the next start, nil while up
+}
+
+// Crash marks the stand-in as down.
+func (s *Switch) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.up != nil {
+		return
+	}
+	s.up = make(chan struct{})
+	if s.crashed != nil {
+		close(s.crashed)
+		s.crashed = nil
+	}
+}
+
+// Start marks the stand-in as up.
+func (s *Switch) Start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.up == nil {
+		return
+	}
+	close(s.up)
+	s.up = nil
+}
+
+// Crashed returns a channel that is closed at the next crash, or nil while the
+// stand-in is down.
+func (s *Switch) Crashed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.up != nil {
+		return nil
+	}
+	if s.crashed == nil {
+		s.crashed = make(chan struct{})
+	}
+	return s.crashed
+}
+
+// Up says whether the stand-in is up.
+func (s *Switch) Up() bool { return s.Crashed() != nil }
+
+// wait waits until the stand-in is up or ctx ends.
+func (s *Switch) wait(ctx context.Context) {
+	s.mu.Lock()
+	up := s.up
+	s.mu.Unlock()
+	if up == nil {
+		return
+	}
+	select {
+	case <-up:
+	case <-ctx.Done():
+	}
+}
+
+// Serve serves handler on listener until ctx ends. It closes the listener and
+// all connections when the stand-in crashes, and listens again at the start.
+func Serve(ctx context.Context, s *Switch, handler http.Handler, listener net.Listener) error {
+	address := listener.Addr().String()
+	defer func() { _ = listener.Close() }()
+	for {
+		crashed := s.Crashed()
+		if crashed != nil {
+			if err := serveUntil(ctx, crashed, handler, listener); err != nil {
+				return err
+			}
+		}
+		_ = listener.Close()
+		s.wait(ctx)
+		again, err := listen(ctx, address)
+		if err != nil {
+			return nil // ctx has ended
+		}
+		listener = again
+	}
+}
+
+// listen tries until ctx ends: the port may be in use for a moment.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	for ctx.Err() == nil {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		select {
+		case <-time.After(listenRetry):
+		case <-ctx.Done():
+		}
+	}
+	return nil, ctx.Err()
+}
+
+// serveUntil serves until the crash or the end of ctx.
+func serveUntil(ctx context.Context, crashed <-chan struct{}, handler http.Handler, listener net.Listener) error {
+	server := &http.Server{Handler: handler}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case <-crashed:
+		_ = server.Close()
+	case <-ctx.Done():
+		stop(server)
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	}
+	<-failed
+	return nil
+}
+
+func stop(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,150 @@
+// Package service is a stand-in of a plain service for tests and demos: a desk
+// server that prints badges and looks up attendees, or a job-record server
+// that lodges certificates and looks up past jobs. It records what it saw and
+// executed, and fails on order.
+package service
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/standin/outage"
+)
+
+// crossedRequestID is the id in a crossed reply.
+const crossedRequestID = "crossed-request"
+
+// Faults are switched on by SetFaults. Numbers count the next calls that a
+// fault meets; the zero value is no fault.
+type Faults struct {
+	Down        bool
+	CrashBefore int           // crash before the effect
+	CrashAfter  int           // crash after the effect
+	DownTime    time.Duration // time until the restart after a crash
+	CutAfter    int           // break the connection after the effect
+	CrossIDs    int           // answer with another request's id
+	Delay       time.Duration // wait between the effect and the answer
+}
+
+// Service implements engine.Service in process.
+type Service struct {
+	name   string
+	power  outage.Switch
+	record record
+
+	mu      sync.Mutex
+	faults  Faults
+	restart *time.Timer
+}
+
+// New returns a running Service. Close stops it.
+func New(name string) *Service {
+	return &Service{name: name}
+}
+
+// Close stops the service for good.
+func (s *Service) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.power.Crash()
+	s.stopRestart()
+}
+
+func (s *Service) stopRestart() {
+	if s.restart != nil {
+		s.restart.Stop()
+		s.restart = nil
+	}
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.stopRestart()
+	if faults.Down {
+		s.power.Crash()
+		return
+	}
+	s.power.Start()
+}
+
+// crash breaks all connections. The records last.
+func (s *Service) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.power.Crash()
+	s.stopRestart()
+	s.restart = time.AfterFunc(s.faults.DownTime, s.power.Start)
+}
+
+// takeFaults returns the faults that the next call meets.
+func (s *Service) takeFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := Faults{Delay: s.faults.Delay}
+	for _, count := range []struct{ left, taken *int }{
+		{&s.faults.CrashBefore, &taken.CrashBefore},
+		{&s.faults.CrashAfter, &taken.CrashAfter},
+		{&s.faults.CutAfter, &taken.CutAfter},
+		{&s.faults.CrossIDs, &taken.CrossIDs},
+	} {
+		if *count.left > 0 {
+			*count.left--
+			*count.taken = 1
+		}
+	}
+	return taken
+}
+
+// Call implements engine.Service.
+func (s *Service) Call(ctx context.Context, call engine.CallRequest) (engine.CallReply, error) {
+	crashed := s.power.Crashed()
+	if crashed == nil {
+		return engine.CallReply{}, errors.Wrap(engine.ErrUnreachable, "service is down")
+	}
+	faults := s.takeFaults()
+	s.record.saw(call)
+	if faults.CrashBefore > 0 {
+		s.crash()
+		return engine.CallReply{}, errors.Wrap(engine.ErrBroken, "crashed before the effect")
+	}
+	reply := s.execute(call)
+	if faults.CrashAfter > 0 {
+		s.crash()
+	}
+	if faults.CutAfter > 0 {
+		return engine.CallReply{}, errors.Wrap(engine.ErrBroken, "cut after the effect")
+	}
+	if faults.CrossIDs > 0 {
+		reply.RequestID = crossedRequestID
+		reply.Header.Set(engine.HeaderRequestID, crossedRequestID)
+	}
+	return reply, await(ctx, crashed, faults.Delay)
+}
+
+// await waits for d and returns an error when the connection breaks before.
+func await(ctx context.Context, crashed <-chan struct{}, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-crashed:
+		return errors.Wrap(engine.ErrBroken, "crashed after the effect")
+	default:
+	}
+	select {
+	case <-timer.C:
+		return nil
+	case <-crashed:
+		return errors.Wrap(engine.ErrBroken, "crashed after the effect")
+	case <-ctx.Done():
+		return errors.Wrap(engine.ErrBroken, ctx.Err().Error())
+	}
+}
+
+var _ engine.Service = (*Service)(nil)
