--- a/internal/engine/client/engine.go
+++ b/internal/engine/client/engine.go
@@ -110,3 +110,7 @@
 }
 
 var _ engine.Engine = (*Engine)(nil)
+
+// CloseIdleConnections closes the connections that are kept for later
+// requests.
+func (e *Engine) CloseIdleConnections() { e.http.CloseIdleConnections() }
--- a/internal/standin/outage/outage.go
+++ b/internal/standin/outage/outage.go
@@ -22,9 +22,11 @@
 	mu      sync.Mutex
 	crashed chan struct{} // closed at the next crash, nil while down
 	up      chan struct{} // closed at the next start, nil while up
+	served  chan struct{} // closed when Serve has closed the listener, nil if not served
 }
 
-// Crash marks the stand-in as down.
+// Crash marks the stand-in as down. It returns when a served address refuses
+// connections.
 func (s *Switch) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -36,6 +38,10 @@
 		close(s.crashed)
 		s.crashed = nil
 	}
+	if s.served != nil {
+		<-s.served
+		s.served = nil
+	}
 }
 
 // Start marks the stand-in as up.
@@ -54,6 +60,10 @@
 func (s *Switch) Crashed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.crashedLocked()
+}
+
+func (s *Switch) crashedLocked() <-chan struct{} {
 	if s.up != nil {
 		return nil
 	}
@@ -63,6 +73,19 @@
 	return s.crashed
 }
 
+// serve returns a channel that is closed at the next crash, and one to close
+// when the listener is closed. Both are nil while the stand-in is down.
+func (s *Switch) serve() (<-chan struct{}, chan<- struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashed := s.crashedLocked()
+	if crashed == nil {
+		return nil, nil
+	}
+	s.served = make(chan struct{})
+	return crashed, s.served
+}
+
 // Up says whether the stand-in is up.
 func (s *Switch) Up() bool { return s.Crashed() != nil }
 
@@ -86,9 +109,11 @@
 	address := listener.Addr().String()
 	defer func() { _ = listener.Close() }()
 	for {
-		crashed := s.Crashed()
+		crashed, served := s.serve()
 		if crashed != nil {
-			if err := serveUntil(ctx, crashed, handler, listener); err != nil {
+			err := serveUntil(ctx, crashed, handler, listener)
+			close(served)
+			if err != nil {
 				return err
 			}
 		}
