Make TLS configurations from files that may change

Cause: daemons talk under an authority of their own with mutual TLS 1.3, and certificates are renewed while the daemons run.

Ruled out: a client configuration that checks the server itself with VerifyConnection, which would follow a changed authority without a new configuration; it can't see an IP number that was dialled, so any daemon's certificate would pass for any other's. Ruled out too: telling a changed file by its time and size alone, as two renewals within one tick of the file system's clock look alike.

Change: internal/tlsconf. Client gives the configuration of one connection and DialContext takes it anew for each. A broken or missing new file keeps the old certificate and is logged. Without a certificate for callers and without plaintext, every handshake of a caller fails. standin/certs writes a test authority and certificates, and renews them on a second run.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,7 +12,9 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/standin/certs"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/standin/model"
 	"github.com/wasabigate/wasabigate/internal/standin/pieces"
 	"github.com/wasabigate/wasabigate/internal/standin/vmlist"
 	"github.com/wasabigate/wasabigate/internal/standin/weights"
@@ -43,6 +45,8 @@
 			vmlist.Command(),
 			weights.Command(),
 			pieces.Command(),
+			model.Command(),
+			certs.Command(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/tlsconf/configs.go
@@ -0,0 +1,81 @@
+package tlsconf
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/pkg/errors"
+)
+
+// Server returns the configuration of the rpc listener, which asks the other
+// daemon for its certificate, or nil for plain text.
+func (f *Files) Server() *tls.Config {
+	if f.daemon == nil {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		GetConfigForClient: f.serverConfig,
+	}
+}
+
+// serverConfig is the configuration of one connection, with the current files.
+// Sessions aren't resumed, so that every connection is checked against them.
+func (f *Files) serverConfig(*tls.ClientHelloInfo) (*tls.Config, error) {
+	files := f.daemon.get()
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{*files.certificate},
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		ClientCAs:              files.authority,
+		SessionTicketsDisabled: true,
+	}, nil
+}
+
+// Client returns the configuration of one connection to another daemon, with
+// the current files, or nil for plain text. It is taken anew for each
+// connection, as the roots in it don't change.
+func (f *Files) Client() *tls.Config {
+	if f.daemon == nil {
+		return nil
+	}
+	files := f.daemon.get()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		RootCAs:    files.authority,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return files.certificate, nil
+		},
+	}
+}
+
+// DialContext connects to another daemon, whose certificate must name the
+// host of address, and ends the handshake.
+func (f *Files) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	client := f.Client()
+	if client == nil {
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	return (&tls.Dialer{Config: client}).DialContext(ctx, network, address)
+}
+
+// Callers returns the configuration of the listener for callers, or nil for
+// plain text. Callers show a workspace's key, not a certificate. Without a
+// certificate every handshake fails, unless plain text is allowed.
+func (f *Files) Callers() *tls.Config {
+	if f.callers == nil && f.plaintext {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: f.callerCertificate,
+	}
+}
+
+func (f *Files) callerCertificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	if f.callers == nil {
+		return nil, errors.Wrap(ErrSettings, "no caller certificate")
+	}
+	return f.callers.get(), nil
+}
--- /dev/null
+++ b/internal/tlsconf/files_test.go
@@ -0,0 +1,188 @@
+package tlsconf
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/standin/certs"
+)
+
+const host = "127.0.0.1"
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func settingsIn(dir string) config.TLSSettings {
+	in := func(name string) string { return filepath.Join(dir, name) }
+	return config.TLSSettings{
+		CA:                in(certs.FileCA),
+		Certificate:       in(certs.FileDaemon),
+		Key:               in(certs.FileDaemonKey),
+		CallerCertificate: in(certs.FileCaller),
+		CallerKey:         in(certs.FileCallerKey),
+	}
+}
+
+// newFiles writes an authority of its own with certificates, and loads them.
+func newFiles(t *testing.T, hosts ...string) (*Files, string) {
+	dir := t.TempDir()
+	if err := certs.Write(dir, hosts); err != nil {
+		t.Fatal(err)
+	}
+	files, err := Load(settingsIn(dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files, dir
+}
+
+// handshake joins two ends over a pipe and returns the certificate that the
+// client saw, and the errors of the server and the client.
+func handshake(t *testing.T, server, client *tls.Config) (serial string, serverErr, clientErr error) {
+	near, far := net.Pipe()
+	defer near.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		defer far.Close()
+		conn := tls.Server(far, server)
+		err := conn.HandshakeContext(ctx)
+		if err == nil {
+			_, err = conn.Write([]byte("x"))
+		}
+		done <- err
+	}()
+	conn := tls.Client(near, client)
+	if clientErr = conn.HandshakeContext(ctx); clientErr == nil {
+		serial = conn.ConnectionState().PeerCertificates[0].SerialNumber.String()
+		_, clientErr = conn.Read(make([]byte, 1)) // a server refuses after the client's part
+	}
+	near.Close()
+	return serial, <-done, clientErr
+}
+
+// to returns a client's configuration for the tests' host.
+func to(client *tls.Config) *tls.Config {
+	client.ServerName = host
+	return client
+}
+
+func TestOnlyDaemonsOfTheAuthorityConnect(t *testing.T) {
+	files, _ := newFiles(t, host)
+	stranger, _ := newFiles(t, host)
+	elsewhere, _ := newFiles(t, "127.0.0.9")
+	without := to(files.Client())
+	without.GetClientCertificate = nil
+	forged := to(files.Client()) // trusts the server, shows a stranger's certificate
+	forged.GetClientCertificate = stranger.Client().GetClientCertificate
+	old := to(files.Client())
+	old.MinVersion, old.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+	cases := []struct {
+		name           string
+		server, client *tls.Config
+		ok             bool
+	}{
+		{"daemon", files.Server(), to(files.Client()), true},
+		{"client without a certificate", files.Server(), without, false},
+		{"client of another authority", files.Server(), forged, false},
+		{"server of another authority", stranger.Server(), to(files.Client()), false},
+		{"server of another address", elsewhere.Server(), to(elsewhere.Client()), false},
+		{"TLS 1.2", files.Server(), old, false},
+		{"caller", files.Callers(), to(files.Client()), true},
+	}
+	for _, c := range cases {
+		_, serverErr, clientErr := handshake(t, c.server, c.client)
+		if ok := serverErr == nil && clientErr == nil; ok != c.ok {
+			t.Errorf("%s: server %v, client %v; want success %t", c.name, serverErr, clientErr, c.ok)
+		}
+	}
+}
+
+func TestChangedFilesComeIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		files, dir := newFiles(t, host)
+		serial := func() string {
+			t.Helper()
+			time.Sleep(checkInterval)
+			daemon, serverErr, clientErr := handshake(t, files.Server(), to(files.Client()))
+			caller, _, _ := handshake(t, files.Callers(), to(files.Client()))
+			if serverErr != nil || clientErr != nil {
+				t.Fatalf("server %v, client %v", serverErr, clientErr)
+			}
+			return daemon + caller
+		}
+		first := serial()
+		if err := certs.Write(dir, []string{host}); err != nil {
+			t.Fatal(err)
+		}
+		second := serial()
+		if second == first {
+			t.Error("renewed certificates are not in force")
+		}
+		for name, text := range map[string]string{certs.FileDaemon: "broken", certs.FileCallerKey: ""} {
+			if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if serial() != second {
+			t.Error("broken files replaced the certificates")
+		}
+		for _, name := range []string{certs.FileCA, certs.FileCAKey} {
+			if err := os.Remove(filepath.Join(dir, name)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if serial() != second {
+			t.Error("missing files replaced the certificates")
+		}
+		if err := certs.Write(dir, []string{host}); err != nil { // under a new authority
+			t.Fatal(err)
+		}
+		if third := serial(); third == second {
+			t.Error("the new authority's certificates are not in force")
+		}
+	})
+}
+
+func TestPlainTextNeedsTheSetting(t *testing.T) {
+	_, dir := newFiles(t, host)
+	whole := settingsIn(dir)
+	daemonOnly := config.TLSSettings{CA: whole.CA, Certificate: whole.Certificate, Key: whole.Key}
+	noKey, missing, swapped := whole, whole, whole
+	noKey.Key = ""
+	missing.CA = filepath.Join(dir, "absent.pem")
+	swapped.Key = whole.CallerKey
+	for name, settings := range map[string]config.TLSSettings{
+		"nothing": {}, "callers alone": {CallerCertificate: whole.CallerCertificate, CallerKey: whole.CallerKey},
+		"no key": noKey, "plain text and no key": {Plaintext: true, CA: whole.CA, Certificate: whole.Certificate},
+		"missing file": missing, "key of another certificate": swapped,
+	} {
+		if _, err := Load(settings); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if _, err := Load(config.TLSSettings{}); !errors.Is(err, ErrSettings) {
+		t.Errorf("nothing: %v, want ErrSettings", err)
+	}
+	files, err := Load(config.TLSSettings{Plaintext: true})
+	if err != nil || files.Server() != nil || files.Client() != nil || files.Callers() != nil {
+		t.Errorf("plain text: %+v, %v", files, err)
+	}
+	files, err = Load(daemonOnly)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := handshake(t, files.Callers(), to(files.Client())); err == nil {
+		t.Error("a listener for callers without a certificate took a connection")
+	}
+}
