Run requests on the backend server and turn errors into verdicts

The sidecar's chain lacked its last handler. It checks the weights version by the engine's own report, asked for each request: a kept report was ruled out, as it can name weights that a restarted engine has lost. A chunk of another incarnation than the one checked breaks the stream. An answer that carries another request's id is dropped, and its call may have run.

--- /dev/null
+++ b/internal/sidecar/execute/call.go
@@ -0,0 +1,93 @@
+package execute
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// credentialHeaders may hold a caller's key. The router removes them; they are
+// removed here once more.
+var credentialHeaders = []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key"}
+
+// hopHeaders belong to one connection.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+const (
+	headerConnection    = "Connection"
+	headerContentLength = "Content-Length"
+)
+
+// call runs a call of a plain service, once.
+func (x *executor) call(ctx context.Context, j *job.Job) (job.Outcome, *verdict.Error) {
+	req := j.Request
+	reply, err := x.service.Call(ctx, callRequest(req))
+	if err != nil {
+		return nil, failure(ctx, err, "call failed")
+	}
+	if reply.RequestID != "" && reply.RequestID != req.RequestId {
+		countCrossed(ctx)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer belongs to another request")
+	}
+	return &wire.Frame{Reply: &wire.Reply{
+		Status:  int32(reply.Status),
+		Headers: replyHeaders(reply.Header),
+		Body:    reply.Body,
+	}}, nil
+}
+
+func callRequest(req *wire.ExecuteRequest) engine.CallRequest {
+	header := make(http.Header, len(req.Call.Headers))
+	for _, h := range req.Call.Headers {
+		header.Add(h.Name, h.Value)
+	}
+	removeHopHeaders(header)
+	for _, name := range credentialHeaders {
+		header.Del(name)
+	}
+	header.Set(engine.HeaderRequestID, req.RequestId)
+	return engine.CallRequest{
+		RequestID: req.RequestId,
+		Method:    req.Call.Method,
+		Path:      req.Call.Path,
+		Header:    header,
+		Body:      req.Call.Body,
+	}
+}
+
+// replyHeaders lists the headers in the order of their names.
+func replyHeaders(header http.Header) []*wire.Header {
+	header = header.Clone()
+	removeHopHeaders(header)
+	header.Del(headerContentLength)
+	var list []*wire.Header
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		for _, value := range header[name] {
+			list = append(list, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return list
+}
+
+// removeHopHeaders removes the headers of one connection and those that its
+// Connection header names.
+func removeHopHeaders(header http.Header) {
+	for _, value := range header[headerConnection] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/execute/execute.go
@@ -0,0 +1,66 @@
+// Package execute is the last handler of the sidecar's chain: it runs a request
+// on the model engine or plain service beside the sidecar, and turns what that
+// answers into frames and verdicts.
+package execute
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var logger = logging.For("execute")
+
+// executor implements job.Executor.
+type executor struct {
+	engine  engine.Engine  // nil beside a plain service
+	service engine.Service // nil beside a model engine
+}
+
+// New returns the Executor beside a model engine or a plain service; the other
+// one is nil.
+func New(e engine.Engine, s engine.Service) job.Executor {
+	return &executor{engine: e, service: s}
+}
+
+// Handle implements job.Executor.
+func (x *executor) Handle(ctx context.Context, j *job.Job) (job.Outcome, error) {
+	outcome, err := x.run(ctx, j)
+	if err != nil {
+		countOutcome(ctx, err.Verdict)
+		logger.Warn(logging.Fields{"request_id": j.Request.RequestId, "attempt": j.Request.Attempt, "error": err.Error()},
+			"request failed")
+		return nil, err
+	}
+	countOutcome(ctx, verdict.Ran)
+	return outcome, nil
+}
+
+func (x *executor) run(ctx context.Context, j *job.Job) (job.Outcome, *verdict.Error) {
+	switch {
+	case j.Request.Generation != nil && x.engine != nil:
+		return x.generate(ctx, j)
+	case j.Request.Call != nil && x.service != nil:
+		return x.call(ctx, j)
+	default:
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of this kind is here")
+	}
+}
+
+// failure returns the verdict for an error of a backend server.
+func failure(ctx context.Context, err error, format string, args ...any) *verdict.Error {
+	v := verdict.MayHaveRun
+	if errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrRefused) {
+		v = verdict.NotRun
+	}
+	code := verdict.CodeBackendFailed
+	if ctx.Err() != nil {
+		code = verdict.CodeCancelled
+	}
+	return verdict.Wrap(err, v, code, format, args...)
+}
--- /dev/null
+++ b/internal/sidecar/execute/generate.go
@@ -0,0 +1,174 @@
+package execute
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/prefix"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// cancelTimeout bounds the attempt to cancel a generation.
+const cancelTimeout = 2 * time.Second
+
+// generate runs a generation and emits a head and the tokens.
+func (x *executor) generate(ctx context.Context, j *job.Job) (job.Outcome, *verdict.Error) {
+	incarnation, failed := x.checkWeights(ctx, j.Request.Generation)
+	if failed != nil {
+		return nil, failed
+	}
+	start := time.Now()
+	req := generateRequest(j.Request)
+	stream, err := x.engine.Generate(ctx, req)
+	if err != nil {
+		x.cancelUnlessNotRun(ctx, req.RequestID, err)
+		return nil, failure(ctx, err, "generation did not start")
+	}
+	defer func() { _ = stream.Close() }()
+	j.Emit(&wire.Frame{Head: head(j, incarnation)})
+	r := reader{stream: stream, incarnation: incarnation, emit: j.Emit, start: start}
+	last, err := r.readAll(ctx)
+	if err != nil {
+		x.cancelUnlessNotRun(ctx, req.RequestID, err)
+		return nil, failure(ctx, err, "generation broke after %d tokens", r.tokens)
+	}
+	return &wire.Frame{Tail: tail(&last)}, nil
+}
+
+// checkWeights returns the incarnation of the engine that holds the weights. A
+// chunk of another one may come from other weights.
+func (x *executor) checkWeights(ctx context.Context, g *wire.Generation) (uint64, *verdict.Error) {
+	state, err := x.engine.State(ctx)
+	if err != nil {
+		unsent := errors.Wrap(engine.ErrUnreachable, err.Error())
+		return 0, failure(ctx, unsent, "engine does not report its state")
+	}
+	want := engine.LoadedWeights{Model: g.Model, Adapter: g.Adapter, Version: g.WeightsVersion}
+	if !slices.Contains(state.Loaded, want) {
+		return 0, verdict.New(verdict.NotRun, verdict.CodeWeightsMismatch,
+			"weights %s %s version %s are not loaded", g.Model, g.Adapter, g.WeightsVersion)
+	}
+	return state.Incarnation, nil
+}
+
+func generateRequest(req *wire.ExecuteRequest) engine.GenerateRequest {
+	g := req.Generation
+	seed := prefix.Seed{Workspace: req.Workspace, Model: g.Model, Adapter: g.Adapter, WeightsVersion: g.WeightsVersion}
+	return engine.GenerateRequest{
+		RequestID:      attemptID(req),
+		Model:          g.Model,
+		Adapter:        g.Adapter,
+		WeightsVersion: g.WeightsVersion,
+		Prompt:         g.Prompt,
+		Resume:         g.Resume,
+		ResumeTokens:   int(g.ResumeTokens),
+		MaxTokens:      int(g.MaxTokens),
+		Seed:           g.Seed,
+		Temperature:    g.Temperature,
+		Stop:           g.Stop,
+		CacheSalt:      seed.Salt(),
+		Priority:       priority(req.Priority),
+	}
+}
+
+// attemptID is the request id given to engines: unique for each attempt, so
+// that the chunks of an earlier one can't be taken for this one's.
+func attemptID(req *wire.ExecuteRequest) string {
+	return req.RequestId + "." + strconv.FormatUint(uint64(req.Attempt), 10)
+}
+
+func priority(p wire.Priority) engine.Priority {
+	if p == wire.Priority_PRIORITY_DEFERRABLE {
+		return engine.PriorityDeferrable
+	}
+	return engine.PriorityUrgent
+}
+
+func head(j *job.Job, incarnation uint64) *wire.Head {
+	g := j.Request.Generation
+	return &wire.Head{
+		Load:           &wire.Load{Incarnation: incarnation},
+		CreatedUnix:    j.Request.CreatedUnix,
+		Chat:           g.Chat,
+		Model:          g.Model,
+		QueuedMs:       j.Queued.Milliseconds(),
+		ResumeTokens:   g.ResumeTokens,
+		WeightsVersion: g.WeightsVersion,
+	}
+}
+
+func tail(last *engine.Chunk) *wire.Tail {
+	return &wire.Tail{
+		FinishReason:     string(last.Finish),
+		PromptTokens:     uint32(last.Usage.PromptTokens),
+		CachedTokens:     uint32(last.Usage.CachedTokens),
+		CompletionTokens: uint32(last.Usage.CompletionTokens),
+		Load:             &wire.Load{Incarnation: last.Incarnation},
+	}
+}
+
+// reader passes the chunks of one stream on as frames.
+type reader struct {
+	stream      engine.ChunkStream
+	incarnation uint64
+	emit        func(*wire.Frame)
+	start       time.Time
+	tokens      int
+}
+
+// readAll returns the last chunk. A stream that ends without a finish reason
+// and usage is broken.
+func (r *reader) readAll(ctx context.Context) (engine.Chunk, error) {
+	var last engine.Chunk
+	for first := true; ; first = false {
+		chunk, err := r.stream.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return last, err
+		}
+		if chunk.Incarnation != r.incarnation {
+			return last, errors.Wrapf(engine.ErrBroken, "engine restarted: incarnation %d after %d", chunk.Incarnation, r.incarnation)
+		}
+		if first {
+			recordFirstToken(ctx, time.Since(r.start))
+		}
+		r.pass(&chunk)
+		last = chunk
+	}
+	if last.Finish == "" || last.Usage == nil {
+		return last, errors.Wrap(engine.ErrBroken, "stream ended without a finish reason")
+	}
+	return last, nil
+}
+
+func (r *reader) pass(chunk *engine.Chunk) {
+	if chunk.Text == "" && chunk.Tokens == 0 {
+		return
+	}
+	r.tokens += chunk.Tokens
+	r.emit(&wire.Frame{Tokens: &wire.Tokens{Text: chunk.Text, Count: uint32(chunk.Tokens)}})
+}
+
+// cancelUnlessNotRun frees the engine from a generation that nobody reads any
+// more.
+func (x *executor) cancelUnlessNotRun(ctx context.Context, id string, cause error) {
+	if errors.Is(cause, engine.ErrUnreachable) || errors.Is(cause, engine.ErrRefused) {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer stop()
+	if err := x.engine.Cancel(ctx, id); err != nil {
+		logger.Debug(logging.Fields{"engine_request_id": id, "error": err.Error()}, "generation not cancelled")
+	}
+}
