Keep the engine's block index beside it

Cache events come late and with gaps. An index that keeps its blocks over a gap was ruled out: the lost event may be an eviction. It is emptied at a gap, at a new incarnation and when the connection breaks, since a restarted engine's sequence numbers can run past the last one known.

--- /dev/null
+++ b/internal/sidecar/cacheindex/follow.go
@@ -0,0 +1,66 @@
+package cacheindex
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/logging"
+)
+
+const (
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 2 * time.Second
+)
+
+var logger = logging.For("cacheindex")
+
+var eventGaps, _ = otel.Meter("wasabigate/cacheindex").Int64Counter("wasabigate.cacheindex.gaps",
+	metric.WithUnit("{gap}"),
+	metric.WithDescription("Times that cache events of the engine were lost and the block index was emptied."))
+
+func countGap() { eventGaps.Add(context.Background(), 1) }
+
+// Run follows the engine's events until ctx ends. When the connection breaks,
+// the index is emptied: the engine may have restarted, and its sequence numbers
+// alone don't tell.
+func (x *Index) Run(ctx context.Context, e engine.Engine) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		if x.follow(ctx, e) {
+			retry = firstRetry
+		}
+		x.Reset()
+		pause(ctx, retry/2+rand.N(retry))
+		retry = min(2*retry, lastRetry)
+	}
+}
+
+// follow takes in events until the connection breaks and says whether there
+// was any.
+func (x *Index) follow(ctx context.Context, e engine.Engine) bool {
+	events, err := e.Events(ctx, 0)
+	if err != nil {
+		logger.Debug(logging.Fields{"error": err.Error()}, "no cache events")
+		return false
+	}
+	received := false
+	for event := range events {
+		x.Apply(event)
+		received = true
+	}
+	return received
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
