Keep documents in the key-value service by compare-and-swap

Cause: operators need one document an environment that races, lost answers, stale reads and outages can't lose or turn back. Ruled out: reading the revision again before each attempt (a change whose answer was lost would then be made twice); concluding from one read after a lost answer (it may be stale); a shared compressor (its channels, made inside one synctest bubble, broke the next one). Change: configstore reads, applies, withdraws, promotes and lists history. All attempts of a change carry the version that the author read, so that at most one takes effect; after a conflict the change id, looked up in a state newer than that version, tells a lost answer from a lost race. Withdrawn key ids only grow. The history drops the oldest texts first. Delta compresses an envelope with its predecessor as the dictionary.

--- /dev/null
+++ b/internal/configstore/delta.go
@@ -0,0 +1,36 @@
+package configstore
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+// Delta returns target compressed with base as its dictionary: what a peer
+// that has base needs to make target. Both are serialized envelopes.
+func Delta(base, target []byte) []byte {
+	return compress(newEncoder(zstd.WithEncoderDictRaw(dictionaryID(base), base)), target)
+}
+
+// ApplyDelta returns the target of a delta. An error wraps
+// platform.ErrCorrupt, as with another base than the delta's own.
+func ApplyDelta(base, delta []byte) ([]byte, error) {
+	d := newDecoder(zstd.WithDecoderDictRaw(dictionaryID(base), base))
+	defer d.Close()
+	target, err := d.DecodeAll(delta, nil)
+	if err != nil {
+		return nil, errors.Wrapf(platform.ErrCorrupt, "apply the delta: %v", err)
+	}
+	return target, nil
+}
+
+// dictionaryID names base in the delta, so that another base is noticed. Zero
+// would mean no dictionary.
+func dictionaryID(base []byte) uint32 {
+	digest := sha256.Sum256(base)
+	return binary.LittleEndian.Uint32(digest[:]) | 1
+}
--- /dev/null
+++ b/internal/configstore/property_test.go
@@ -0,0 +1,154 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+)
+
+// operator is the state machine of an operator who reads, applies, withdraws
+// and promotes under faults that come and go.
+type operator struct {
+	service *kv.Store
+	base    *State // read at some time, perhaps long ago
+	highest uint64
+	seen    map[string]struct{} // keys that were withdrawn
+}
+
+const operatorPatience = 10 * time.Second
+
+func (o *operator) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), operatorPatience)
+}
+
+func (o *operator) store() *Store { return New(o.service, testEnvironment) }
+
+// Read replaces the basis of the next change.
+func (o *operator) Read(t *rapid.T) {
+	ctx, cancel := o.context()
+	defer cancel()
+	state, err := o.store().Read(ctx)
+	if err == nil {
+		o.base = state
+	}
+	checkError(t, err)
+}
+
+// Apply applies a document on the basis, which may be old.
+func (o *operator) Apply(t *rapid.T) {
+	ctx, cancel := o.context()
+	defer cancel()
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	_, err := o.store().Apply(ctx, o.base, document(name), "test")
+	checkError(t, err)
+}
+
+// Withdraw withdraws a key.
+func (o *operator) Withdraw(t *rapid.T) {
+	ctx, cancel := o.context()
+	defer cancel()
+	id := fmt.Sprintf("k%d", rapid.IntRange(0, 5).Draw(t, "key"))
+	result, err := o.store().Withdraw(ctx, "test", id)
+	checkError(t, err)
+	if err == nil && !result.Revision.KeyWithdrawn(id) {
+		t.Errorf("key %s is valid after its withdrawal", id)
+	}
+}
+
+// Promote copies the document of another environment.
+func (o *operator) Promote(t *rapid.T) {
+	ctx, cancel := o.context()
+	defer cancel()
+	_, err := o.store().Promote(ctx, o.base, "source", documentDigest(document("source")), "test")
+	checkError(t, err)
+}
+
+// Fault replaces the faults of the service.
+func (o *operator) Fault(t *rapid.T) {
+	o.service.SetFaults(kv.Faults{
+		Down:        rapid.IntRange(0, 4).Draw(t, "down") == 0,
+		LoseAnswers: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "lose"),
+		StaleReads:  rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "stale"),
+		Delay:       rapid.SampledFrom([]time.Duration{0, time.Second, 15 * time.Second}).Draw(t, "delay"),
+	})
+}
+
+// Check reads the truth: revisions only grow, withdrawn keys stay.
+func (o *operator) Check(t *rapid.T) {
+	faults := o.service.Faults()
+	o.service.SetFaults(kv.Faults{})
+	defer o.service.SetFaults(faults)
+	state, err := o.store().Read(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if state.Number() < o.highest {
+		t.Errorf("revision went from %d back to %d", o.highest, state.Number())
+	}
+	o.highest = state.Number()
+	for id := range o.seen {
+		if !state.Revision.KeyWithdrawn(id) {
+			t.Errorf("withdrawn key %s came back in revision %d", id, state.Number())
+		}
+	}
+	o.seen = state.Revision.Withdrawn
+	checkChain(t, state)
+}
+
+// checkChain checks that each revision follows its predecessor.
+func checkChain(t *rapid.T, state *State) {
+	for i, p := range state.History() {
+		if p.Number != state.Number()-uint64(i) {
+			t.Errorf("history entry %d is revision %d under revision %d", i, p.Number, state.Number())
+		}
+	}
+}
+
+// checkError allows the errors that faults and old bases may give.
+func checkError(t *rapid.T, err error) {
+	var conflict *ConflictError
+	switch {
+	case err == nil, errors.As(err, &conflict), errors.Is(err, ErrUnsettled):
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, ErrNoDocument):
+	default:
+		t.Errorf("unexpected error: %v", err)
+	}
+}
+
+func TestRevisionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := &operator{service: kv.New(rapid.Uint64().Draw(rt, "seed")), base: &State{}}
+		inBubble(t, func() {
+			o.start(rt, testEnvironment, "start")
+			o.start(rt, "source", "source")
+			rt.Repeat(rapid.StateMachineActions(o))
+		})
+	})
+}
+
+func (o *operator) start(t *rapid.T, environment, name string) {
+	if _, err := New(o.service, environment).Apply(context.Background(), &State{}, document(name), "test"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// inBubble runs check under a fake clock. rapid ends a check by a panic, which
+// has to reach it on its own goroutine.
+func inBubble(t *testing.T, check func()) {
+	var caught any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { caught = recover() }()
+		check()
+	})
+	if caught != nil {
+		panic(caught)
+	}
+}
