--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -138,51 +138,21 @@
 
 // Update applies an edit of the current document. When another operator's
 // change comes first, the edit is made again on the newer document.
-func (s *Store) Update(ctx context.Context, author string, edit func(*State) ([]byte, error)) (*Result, error) {
-	return s.update(ctx, author, func(base *State) (*proposal, error) {
-		text, err := edit(base)
-		return &proposal{text: text}, err
-	})
-}
-
-// Withdraw withdraws keys for good: a new revision with the same document.
-func (s *Store) Withdraw(ctx context.Context, author string, keyIDs ...string) (*Result, error) {
-	return s.update(ctx, author, func(base *State) (*proposal, error) {
-		if base.withdrew(keyIDs) {
-			return nil, nil
-		}
-		return &proposal{text: base.Revision.Text, withdraw: keyIDs}, nil
-	})
-}
-
-// withdrew says whether all the keys are withdrawn. That holds for all later
-// revisions too, so that it is true even of a stale state.
-func (s *State) withdrew(keyIDs []string) bool {
-	return !slices.ContainsFunc(keyIDs, func(id string) bool { return !s.Revision.KeyWithdrawn(id) })
-}
-
-// proposal is a change of a state. A nil proposal means that there is nothing
-// to change.
-type proposal struct {
-	text     []byte
-	withdraw []string
-}
-
-func (s *Store) update(ctx context.Context, author string, propose func(*State) (*proposal, error)) (*Result, error) {
+func (s *Store) Update(ctx context.Context, author string, edit func(*State) (*Change, error)) (*Result, error) {
 	var pause backoff
 	for {
 		base, err := s.readPresent(ctx)
 		if err != nil {
 			return nil, err
 		}
-		p, err := propose(base)
+		edited, err := edit(base)
 		if err != nil {
 			return nil, err
 		}
-		if p == nil {
+		if edited == nil {
 			return &Result{Revision: base.Revision, ChangeID: base.envelope.ChangeId, Settlement: SettledUnchanged}, nil
 		}
-		result, err := s.change(ctx, base, p.text, p.withdraw, author)
+		result, err := s.change(ctx, base, edited.Text, edited.Withdraw, author)
 		var conflict *ConflictError
 		if !errors.As(err, &conflict) || pause.wait(ctx) != nil {
 			return result, err
@@ -190,6 +160,29 @@
 	}
 }
 
+// Withdraw withdraws keys for good: a new revision with the same document.
+func (s *Store) Withdraw(ctx context.Context, author string, keyIDs ...string) (*Result, error) {
+	return s.Update(ctx, author, func(base *State) (*Change, error) {
+		if base.withdrew(keyIDs) {
+			return nil, nil
+		}
+		return &Change{Text: base.Revision.Text, Withdraw: keyIDs}, nil
+	})
+}
+
+// withdrew says whether all the keys are withdrawn. That holds for all later
+// revisions too, so that it is true even of a stale state.
+func (s *State) withdrew(keyIDs []string) bool {
+	return !slices.ContainsFunc(keyIDs, func(id string) bool { return !s.Revision.KeyWithdrawn(id) })
+}
+
+// Change is the outcome of an edit. A nil Change means that there is nothing to
+// change.
+type Change struct {
+	Text     []byte
+	Withdraw []string // ids of keys to be withdrawn for good
+}
+
 // absentReads is the number of answers that show that there is no document: a
 // single one may be stale.
 const absentReads = 5
@@ -212,13 +205,13 @@
 // Promote puts the document of the source environment, which must have the
 // expected digest, into this environment, byte for byte. Keys withdrawn there
 // are withdrawn here too.
-func (s *Store) Promote(ctx context.Context, base *State, source string, expected [32]byte, author string) (*Result, error) {
-	from, err := New(s.kv, source).readPresent(ctx)
+func (s *Store) Promote(ctx context.Context, base *State, source *Store, expected [32]byte, author string) (*Result, error) {
+	from, err := source.readPresent(ctx)
 	if err != nil {
 		return nil, err
 	}
 	if from.Revision.Digest != expected {
-		return nil, errors.Wrapf(ErrDigestMismatch, "%s has revision %d with digest %x", source, from.Number(), from.Revision.Digest)
+		return nil, errors.Wrapf(ErrDigestMismatch, "%s has revision %d with digest %x", source.environment, from.Number(), from.Revision.Digest)
 	}
 	return s.change(ctx, base, from.Revision.Text, from.envelope.WithdrawnKeys, author)
 }
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -45,10 +45,10 @@
 	return state
 }
 
-func addLine(id string) func(*State) ([]byte, error) {
-	return func(base *State) ([]byte, error) {
+func addLine(id string) func(*State) (*Change, error) {
+	return func(base *State) (*Change, error) {
 		section := fmt.Sprintf("[workspace %s]\nrate = 1\nburst = 1\n", id)
-		return append([]byte(string(base.Revision.Text)), section...), nil
+		return &Change{Text: append([]byte(string(base.Revision.Text)), section...)}, nil
 	}
 }
 
@@ -274,10 +274,10 @@
 	mustApply(t, production, document("old"))
 	base := mustRead(t, production)
 
-	if _, err := production.Promote(t.Context(), base, testEnvironment, [32]byte{1}, "test"); !errors.Is(err, ErrDigestMismatch) {
+	if _, err := production.Promote(t.Context(), base, trial, [32]byte{1}, "test"); !errors.Is(err, ErrDigestMismatch) {
 		t.Errorf("another digest: error %v", err)
 	}
-	result, err := production.Promote(t.Context(), base, testEnvironment, withdrawn.Revision.Digest, "test")
+	result, err := production.Promote(t.Context(), base, trial, withdrawn.Revision.Digest, "test")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -288,10 +288,10 @@
 		t.Error("the key withdrawn in trial is valid in production")
 	}
 	var conflict *ConflictError
-	if _, err = production.Promote(t.Context(), base, testEnvironment, withdrawn.Revision.Digest, "test"); !errors.As(err, &conflict) {
+	if _, err = production.Promote(t.Context(), base, trial, withdrawn.Revision.Digest, "test"); !errors.As(err, &conflict) {
 		t.Errorf("old base: error %v, want a conflict", err)
 	}
-	if _, err = production.Promote(t.Context(), base, "none", [32]byte{}, "test"); !errors.Is(err, ErrNoDocument) {
+	if _, err = production.Promote(t.Context(), base, New(service, "none"), [32]byte{}, "test"); !errors.Is(err, ErrNoDocument) {
 		t.Errorf("empty source: error %v", err)
 	}
 }
