Remember which backend servers hold which prefixes

Routers need the likely holders of a prompt's prefix without a global index. The index learns from answers, is bounded by least recent use, and drops what an engine held before a restart by a generation number, without a search.

A chain is remembered at about 16 depths an octave, not at each block: entries for one 500-block chain fall from 500 to about 95, and a remembered depth is at most 1/16 short.

--- /dev/null
+++ b/internal/prefix/index.go
@@ -0,0 +1,144 @@
+package prefix
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// heatHalfLife is the time in which the heat of a prefix halves.
+	heatHalfLife = 10 * time.Second
+	// tick is the resolution of ages and heat.
+	tick = 100 * time.Millisecond
+)
+
+// Holder is a backend server that is known to hold a prefix.
+type Holder struct {
+	Address string        // rpc address
+	Blocks  int           // length of the prefix
+	Age     time.Duration // time since it was learned
+}
+
+// Index remembers which backend servers hold which prefixes, as far as answers
+// have taught. It keeps a bounded number of blocks, by least recent use, and
+// remembers a chain at its Levels only. It is safe for concurrent use.
+type Index struct {
+	start time.Time
+
+	mu      sync.RWMutex
+	blocks  blockTable
+	servers serverTable
+}
+
+// NewIndex returns an empty Index of at most the given number of blocks.
+func NewIndex(blocks int) *Index {
+	return &Index{start: time.Now(), blocks: newBlockTable(max(1, blocks)), servers: newServerTable()}
+}
+
+// now returns the number of ticks since the start.
+func (x *Index) now() uint32 { return uint32(time.Since(x.start) / tick) }
+
+// Holders appends to dst the backend servers known to hold a prefix of the
+// chain, each with its longest, the longest first. They are at most maxHolders.
+func (x *Index) Holders(dst []Holder, chain []uint64) []Holder {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	now := x.now()
+	var seen serverSet
+	left := min(x.servers.live, maxHolders)
+	for depth := len(chain); depth > 0 && left > 0; depth = levelBelow(depth) {
+		for h := x.blocks.firstHolder(chain[depth-1]); h != none && left > 0; {
+			held := &x.blocks.holders[h]
+			h = held.next
+			if !x.servers.current(held) || !seen.add(held.server) {
+				continue
+			}
+			left--
+			dst = append(dst, Holder{
+				Address: x.servers.slots[held.server].address,
+				Blocks:  depth,
+				Age:     time.Duration(now-held.learned) * tick,
+			})
+		}
+	}
+	return dst
+}
+
+// Learn notes that the backend server at address has computed the chain, and
+// raises the heat of its prefixes. Another incarnation than before means that
+// all that was known of the backend server is gone. An incarnation of zero is
+// not known; nothing is learned.
+func (x *Index) Learn(chain []uint64, address string, incarnation uint64) {
+	if incarnation == 0 {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	server := x.servers.use(address, incarnation, now)
+	for depth := len(chain); depth > 0; depth = levelBelow(depth) {
+		e := x.blocks.touch(chain[depth-1])
+		x.blocks.heat(e, now)
+		x.hold(e, server, now)
+	}
+}
+
+// Restore notes that the backend server at address holds the given blocks, most
+// recently used first. They need not form a chain.
+func (x *Index) Restore(blocks []uint64, address string, incarnation uint64) {
+	if incarnation == 0 {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	server := x.servers.use(address, incarnation, now)
+	for i := len(blocks) - 1; i >= 0; i-- {
+		x.hold(x.blocks.touch(blocks[i]), server, now)
+	}
+}
+
+// hold notes that the server holds the block of an entry. It takes the place of
+// the holder learned first if there are too many.
+func (x *Index) hold(e, server, now uint32) {
+	kept := 0
+	x.blocks.dropHolders(e, func(h *holder) bool {
+		if h.server == server || !x.servers.current(h) {
+			return true
+		}
+		kept++
+		return kept >= maxHolders
+	})
+	x.blocks.addHolder(e, holder{server: server, generation: x.servers.slots[server].generation, learned: now})
+}
+
+// Forget drops what is known of the backend server at address.
+func (x *Index) Forget(address string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.servers.forget(address)
+}
+
+// Heat returns the number of times that chains with this block were learned,
+// halved for each half-life since. It is known of blocks at Levels.
+func (x *Index) Heat(block uint64) float64 {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	e, ok := x.blocks.find[block]
+	if !ok {
+		return 0
+	}
+	return x.blocks.entries[e].heatAt(x.now())
+}
+
+// Len returns the number of blocks in the index.
+func (x *Index) Len() int {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	return len(x.blocks.find)
+}
+
+func decay(ticks uint32) float64 {
+	return math.Exp2(-float64(ticks) * float64(tick) / float64(heatHalfLife))
+}
