--- a/internal/engine/client/contract_test.go
+++ b/internal/engine/client/contract_test.go
@@ -31,7 +31,7 @@
 var weights = engine.LoadedWeights{Model: "badge", Version: "7"}
 
 // serve runs a stand-in on a loopback address and returns its base URL.
-func serve(t *testing.T, run func(context.Context, net.Listener) error) string {
+func serve(t testing.TB, run func(context.Context, net.Listener) error) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -53,7 +53,7 @@
 
 // awaitAnswer returns when the stand-in has answered, so that a later crash
 // finds it serving.
-func awaitAnswer(t *testing.T, base string) {
+func awaitAnswer(t testing.TB, base string) {
 	t.Helper()
 	probe := &http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := probe.Get(base)
--- a/internal/standin/model/engine_test.go
+++ b/internal/standin/model/engine_test.go
@@ -3,18 +3,23 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/goleak"
 
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/prefix"
 	"github.com/wasabigate/wasabigate/internal/tokens"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func request(id, prompt string, maxTokens int) engine.GenerateRequest {
 	return engine.GenerateRequest{
 		RequestID: id, Model: defaultModel, WeightsVersion: defaultWeightVersion,
@@ -194,3 +199,81 @@
 		}
 	})
 }
+
+func TestOldFenceIsRefusedOnlyIfEnforced(t *testing.T) {
+	for _, enforce := range []bool{true, false} {
+		e := New(Options{EnforceFence: enforce})
+		for _, fence := range []uint64{5, 5, 4} {
+			err := e.Apply(t.Context(), engine.Order{Fence: fence, Role: "decode"})
+			if refused := enforce && fence == 4; refused != errors.Is(err, engine.ErrStaleFence) || !refused && err != nil {
+				t.Errorf("enforce %v, fence %d: %v", enforce, fence, err)
+			}
+		}
+		e.Close()
+	}
+}
+
+// Loading takes its time, a crash loses what orders loaded, and reports lag.
+func TestLoadedWeightsAndLaggingState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{LoadTime: time.Second, StateLag: 300 * time.Millisecond, TimeScale: 2})
+		defer e.Close()
+		held := func() int {
+			state, err := e.State(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			return len(state.Loaded)
+		}
+		before, start := held(), time.Now()
+		if err := e.Apply(t.Context(), engine.Order{Load: &engine.LoadedWeights{Model: "new", Version: "2"}}); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(start); took != 500*time.Millisecond {
+			t.Errorf("loading took %v, want 500ms at twice the speed", took)
+		}
+		late := held()
+		if err := e.Apply(t.Context(), engine.Order{Unload: &engine.LoadedWeights{Model: "new", Version: "2"}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		stale := held()
+		time.Sleep(100 * time.Millisecond)
+		if got := [4]int{before, late, stale, held()}; got != [4]int{1, 2, 2, 1} {
+			t.Errorf("weights reported over time %v, want [1 2 2 1]", got)
+		}
+	})
+}
+
+func TestFaultsAreSwitchedOverHTTP(t *testing.T) {
+	e := New(Options{FirstIncarnation: 3, DecodeStep: time.Millisecond})
+	defer e.Close()
+	handler := Handler(e)
+	post := func(body string) {
+		t.Helper()
+		req := httptest.NewRequest(http.MethodPost, PathFaults, strings.NewReader(body))
+		req.Header.Set("Content-Type", "application/json")
+		answer := httptest.NewRecorder()
+		if handler.ServeHTTP(answer, req); answer.Code != http.StatusNoContent {
+			t.Fatalf("%s: status %d %s", body, answer.Code, answer.Body)
+		}
+	}
+	post(`{"cut_after_chunks": 2, "cut_streams": 1}`)
+	s, err := e.Generate(t.Context(), request("cut", "p", 5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if chunks, err := read(s); len(chunks) != 2 || !errors.Is(err, engine.ErrBroken) {
+		t.Errorf("%d chunks, %v", len(chunks), err)
+	}
+	generate(t, e, request("whole", "p", 5))
+	post(`{"cross_streams": 1, "answer_delay_ms": 30}`)
+	start := time.Now()
+	if chunks := generate(t, e, request("crossed", "p", 1)); chunks[0].RequestID == "crossed" || time.Since(start) < 30*time.Millisecond {
+		t.Errorf("chunks %v after %v", chunks, time.Since(start))
+	}
+	post(`{"crash": true, "down_ms": 0}`)
+	for state, _ := e.State(t.Context()); state.Incarnation != 4; state, _ = e.State(t.Context()) {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/standin/model/generation.go
+++ b/internal/standin/model/generation.go
@@ -42,6 +42,7 @@
 func (g *generation) run() {
 	defer g.cancel()
 	if !g.runAdmitted() {
+		g.life.forget(g.req.RequestID)
 		g.stream.abort()
 	}
 }
@@ -107,7 +108,9 @@
 	return true
 }
 
+// finish emits the last chunk. The request id is free again before it.
 func (g *generation) finish(text string, reason engine.FinishReason) {
+	g.life.forget(g.req.RequestID)
 	g.usage.CompletionTokens = g.completed
 	g.emit(text, reason)
 }
--- a/internal/standin/model/life.go
+++ b/internal/standin/model/life.go
@@ -96,10 +96,7 @@
 	g := newGeneration(l, req, s)
 	l.generations[req.RequestID] = g
 	l.backlog.Add(int64(g.promptTokens()))
-	l.work.Go(func() {
-		g.run()
-		l.forget(req.RequestID)
-	})
+	l.work.Go(g.run)
 	return nil
 }
 
