Notice engines that hang, and bound calls by their route's timeout

A stopped engine kept its streams waiting until the caller left, so that they were not continued elsewhere. A timeout on chunks was ruled out: an engine that computes other prompts may rest for long. After two seconds without a chunk the engine is asked for its state; no answer within two seconds, or another incarnation, breaks the stream. Calls that may be repeated had no timeout; they now end at their route's, as may-have-run. An expired timeout is a failure of the backend server, no longer reported as the caller's cancel.

--- a/internal/sidecar/execute/call.go
+++ b/internal/sidecar/execute/call.go
@@ -28,9 +28,14 @@
 	headerContentLength = "Content-Length"
 )
 
-// call runs a call of a plain service, once.
+// call runs a call of a plain service once, for its route's timeout at most.
 func (x *executor) call(ctx context.Context, j *job.Job) (job.Outcome, *verdict.Error) {
 	req := j.Request
+	if j.Route != nil && j.Route.Timeout > 0 {
+		timed, cancel := context.WithTimeout(ctx, j.Route.Timeout)
+		defer cancel()
+		ctx = timed
+	}
 	reply, err := x.service.Call(ctx, callRequest(req))
 	if err != nil {
 		return nil, failure(ctx, err, "call failed")
--- a/internal/sidecar/execute/execute.go
+++ b/internal/sidecar/execute/execute.go
@@ -59,7 +59,7 @@
 		v = verdict.NotRun
 	}
 	code := verdict.CodeBackendFailed
-	if ctx.Err() != nil {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		code = verdict.CodeCancelled
 	}
 	return verdict.Wrap(err, v, code, format, args...)
--- a/internal/sidecar/execute/execute_test.go
+++ b/internal/sidecar/execute/execute_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/prefix"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
@@ -43,7 +44,8 @@
 
 func run(ctx context.Context, x job.Executor, req *wire.ExecuteRequest) result {
 	var r result
-	j := &job.Job{Request: req, Emit: func(f *wire.Frame) { r.frames = append(r.frames, f) }}
+	route := &config.Route{Timeout: time.Minute}
+	j := &job.Job{Request: req, Route: route, Emit: func(f *wire.Frame) { r.frames = append(r.frames, f) }}
 	outcome, err := x.Handle(ctx, j)
 	r.outcome, r.err = outcome, verdict.From(err)
 	return r
@@ -90,9 +92,10 @@
 		{"engine refuses", nil, generation(0), verdict.NotRun, verdict.CodeBackendFailed},
 		{"cut in mid-stream", func(e *model.Engine) { e.SetFaults(model.Faults{CutAfterChunks: 9}) }, generation(100), verdict.MayHaveRun, verdict.CodeBackendFailed},
 		{"crash in mid-stream", func(e *model.Engine) { time.AfterFunc(50*time.Millisecond, func() { e.Crash(0) }) }, generation(100), verdict.MayHaveRun, verdict.CodeBackendFailed},
-		{"frozen until the caller leaves", func(e *model.Engine) {
+		{"frozen before the start", func(e *model.Engine) { e.Freeze(time.Hour) }, generation(100), verdict.NotRun, verdict.CodeBackendFailed},
+		{"frozen in mid-stream", func(e *model.Engine) {
 			time.AfterFunc(50*time.Millisecond, func() { e.Freeze(time.Hour) })
-		}, generation(100), verdict.MayHaveRun, verdict.CodeCancelled},
+		}, generation(100), verdict.MayHaveRun, verdict.CodeBackendFailed},
 		{"a call beside an engine", nil, &wire.ExecuteRequest{Call: &wire.Call{}}, verdict.NotRun, verdict.CodeNoBackendServer},
 	}
 	for _, c := range cases {
@@ -103,9 +106,11 @@
 				if c.fault != nil {
 					c.fault(e)
 				}
-				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-				defer cancel()
-				got := run(ctx, execute.New(e, nil), c.req)
+				start := time.Now()
+				got := run(t.Context(), execute.New(e, nil), c.req)
+				if took := time.Since(start); took > 10*time.Second {
+					t.Errorf("the failure was seen after %v", took)
+				}
 				if got.err == nil || got.err.Verdict != c.want || got.err.Code != c.code {
 					t.Errorf("got %v, want %v %v", got.err, c.want, c.code)
 				}
@@ -117,11 +122,26 @@
 	}
 }
 
+// An engine that works on a long prompt sends no chunk, but reports its state.
+func TestSlowEngineIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := model.New(model.Options{Loaded: []engine.LoadedWeights{{Model: "badge", Version: "7"}}, PrefillRate: 1})
+		t.Cleanup(e.Close)
+		start := time.Now()
+		if got := run(t.Context(), execute.New(e, nil), generation(3)); got.err != nil || len(got.text()) != 12 {
+			t.Errorf("%v after %v", got.err, time.Since(start))
+		}
+		if took := time.Since(start); took < 30*time.Second {
+			t.Errorf("the prompt took %v only", took)
+		}
+	})
+}
+
 func TestCancelledGenerationFreesTheEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngine(t)
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
 		if got := run(ctx, execute.New(e, nil), generation(100_000)); got.err == nil || got.err.Code != verdict.CodeCancelled {
 			t.Errorf("got %v", got.err)
 		}
@@ -220,7 +240,8 @@
 		{"crash after the effect", service.Faults{CrashAfter: 1}, verdict.MayHaveRun, verdict.CodeBackendFailed},
 		{"cut after the effect", service.Faults{CutAfter: 1}, verdict.MayHaveRun, verdict.CodeBackendFailed},
 		{"crossed answer", service.Faults{CrossIDs: 1}, verdict.MayHaveRun, verdict.CodeBackendFailed},
-		{"late answer", service.Faults{Delay: time.Hour}, verdict.MayHaveRun, verdict.CodeCancelled},
+		{"answer after the timeout", service.Faults{Delay: time.Hour}, verdict.MayHaveRun, verdict.CodeBackendFailed},
+		{"answer after the caller left", service.Faults{Delay: 50 * time.Second}, verdict.MayHaveRun, verdict.CodeCancelled},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -228,8 +249,11 @@
 				s := service.New("desk")
 				t.Cleanup(s.Close)
 				s.SetFaults(c.faults)
-				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
+				if c.code == verdict.CodeCancelled {
+					time.AfterFunc(40*time.Second, cancel)
+				}
 				got := run(ctx, execute.New(nil, s), call())
 				if got.err == nil || got.err.Verdict != c.want || got.err.Code != c.code {
 					t.Errorf("got %v, want %v %v", got.err, c.want, c.code)
--- a/internal/sidecar/execute/generate.go
+++ b/internal/sidecar/execute/generate.go
@@ -18,7 +18,7 @@
 )
 
 // cancelTimeout bounds the attempt to cancel a generation.
-const cancelTimeout = 2 * time.Second
+const cancelTimeout = 500 * time.Millisecond
 
 // generate runs a generation and emits a head and the tokens.
 func (x *executor) generate(ctx context.Context, j *job.Job) (job.Outcome, *verdict.Error) {
@@ -28,18 +28,20 @@
 	}
 	start := time.Now()
 	req := generateRequest(j.Request)
-	stream, err := x.engine.Generate(ctx, req)
+	w := newWatch(ctx, x.engine, incarnation)
+	defer w.stop()
+	stream, err := x.engine.Generate(w.ctx, req)
 	if err != nil {
 		x.cancelUnlessNotRun(ctx, req.RequestID, err)
 		return nil, failure(ctx, err, "generation did not start")
 	}
 	defer func() { _ = stream.Close() }()
 	j.Emit(&wire.Frame{Head: head(j, incarnation)})
-	r := reader{stream: stream, incarnation: incarnation, emit: j.Emit, start: start}
+	r := reader{stream: stream, watch: w, emit: j.Emit, start: start}
 	last, err := r.readAll(ctx)
 	if err != nil {
 		x.cancelUnlessNotRun(ctx, req.RequestID, err)
-		return nil, failure(ctx, err, "generation broke after %d tokens", r.tokens)
+		return nil, failure(ctx, w.explain(err), "generation broke after %d tokens", r.tokens)
 	}
 	return &wire.Frame{Tail: tail(&last)}, nil
 }
@@ -47,7 +49,9 @@
 // checkWeights returns the incarnation of the engine that holds the weights. A
 // chunk of another one may come from other weights.
 func (x *executor) checkWeights(ctx context.Context, g *wire.Generation) (uint64, *verdict.Error) {
-	state, err := x.engine.State(ctx)
+	asked, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, err := x.engine.State(asked)
 	if err != nil {
 		unsent := errors.Wrap(engine.ErrUnreachable, err.Error())
 		return 0, failure(ctx, unsent, "engine does not report its state")
@@ -118,11 +122,11 @@
 
 // reader passes the chunks of one stream on as frames.
 type reader struct {
-	stream      engine.ChunkStream
-	incarnation uint64
-	emit        func(*wire.Frame)
-	start       time.Time
-	tokens      int
+	stream engine.ChunkStream
+	watch  *watch
+	emit   func(*wire.Frame)
+	start  time.Time
+	tokens int
 }
 
 // readAll returns the last chunk. A stream that ends without a finish reason
@@ -137,9 +141,10 @@
 		if err != nil {
 			return last, err
 		}
-		if chunk.Incarnation != r.incarnation {
-			return last, errors.Wrapf(engine.ErrBroken, "engine restarted: incarnation %d after %d", chunk.Incarnation, r.incarnation)
+		if want := r.watch.incarnation; chunk.Incarnation != want {
+			return last, errors.Wrapf(engine.ErrBroken, "engine restarted: incarnation %d after %d", chunk.Incarnation, want)
 		}
+		r.watch.alive()
 		if first {
 			recordFirstToken(ctx, time.Since(r.start))
 		}
