Test that a restart behind a resting stream is noticed

The check of the incarnation in the watch could be removed without a failing test. The new test fails without it.

--- a/internal/sidecar/execute/execute_test.go
+++ b/internal/sidecar/execute/execute_test.go
@@ -183,6 +183,46 @@
 
 func (s *scripted) Close() error { return nil }
 
+// restarting is an engine that restarts after a while; its stream just rests.
+type restarting struct {
+	scripted
+	restart time.Time
+	ctx     context.Context
+}
+
+func (r *restarting) State(ctx context.Context) (engine.State, error) {
+	state, err := r.scripted.State(ctx)
+	if time.Now().After(r.restart) {
+		state.Incarnation++
+	}
+	return state, err
+}
+
+func (r *restarting) Generate(ctx context.Context, _ engine.GenerateRequest) (engine.ChunkStream, error) {
+	r.ctx = ctx
+	return r, nil
+}
+
+func (r *restarting) Next() (engine.Chunk, error) {
+	<-r.ctx.Done()
+	return engine.Chunk{}, engine.ErrBroken
+}
+
+func TestRestartBehindARestingStreamIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &restarting{restart: time.Now().Add(time.Minute)}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		got := run(ctx, execute.New(e, nil), generation(9))
+		if got.err == nil || got.err.Verdict != verdict.MayHaveRun || got.err.Code != verdict.CodeBackendFailed {
+			t.Errorf("got %v", got.err)
+		}
+		if late := time.Since(e.restart); late < 0 || late > 5*time.Second {
+			t.Errorf("noticed %v after the restart", late)
+		}
+	})
+}
+
 // Chunks of another incarnation than the one whose weights were checked never
 // pass, and neither does a stream without an end.
 func TestForeignChunksBreakTheStream(t *testing.T) {
