--- /dev/null
+++ b/internal/classify/classify.go
@@ -0,0 +1,74 @@
+// Package classify is the filter that works out what a request needs: its
+// model, class, patience and cost in tokens.
+package classify
+
+import (
+	"context"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/tokens"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// Filter classifies requests.
+type Filter struct{}
+
+// New returns the filter.
+func New() *Filter { return &Filter{} }
+
+// Name implements pipeline.Filter.
+func (*Filter) Name() string { return "classify" }
+
+// Handle implements pipeline.Filter.
+func (f *Filter) Handle(ctx context.Context, req *request.Request, next request.Handler) (request.Stream, error) {
+	req.Class = class(req)
+	if req.Patience == 0 {
+		req.Patience = req.Route.Patience
+	}
+	if req.Generation == nil {
+		req.Cost = req.Route.Cost
+		return next.Handle(ctx, req)
+	}
+	if err := f.fitModel(req); err != nil {
+		return nil, err
+	}
+	return next.Handle(ctx, req)
+}
+
+// class returns the request's class: what the caller asked for, or else the
+// route's, but not above what the workspace may have.
+func class(req *request.Request) config.Class {
+	wanted := req.Class
+	if wanted == "" {
+		wanted = req.Route.Class
+	}
+	workspace := req.Snapshot.Config.Document.Workspace(req.Workspace)
+	if workspace != nil && workspace.MaxClass == config.ClassDeferrable {
+		return config.ClassDeferrable
+	}
+	return wanted
+}
+
+// fitModel fills in what depends on the model, and checks the request against
+// the model's bounds.
+func (f *Filter) fitModel(req *request.Request) error {
+	generation := req.Generation
+	model := req.Snapshot.Config.Document.Model(generation.ModelName)
+	if model == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeModelNotFound, "the model %q does not exist", generation.ModelName)
+	}
+	generation.Model = model
+	generation.WeightsVersion = model.WeightsVersion
+	prompt := tokens.Count(len(generation.Prompt))
+	if generation.MaxTokens == 0 {
+		generation.MaxTokens = min(model.DefaultMaxTokens, max(1, model.ContextTokens-prompt))
+	}
+	if prompt+generation.MaxTokens > model.ContextTokens {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest,
+			"the prompt's %d tokens and %d tokens of completion are more than the model's context of %d tokens",
+			prompt, generation.MaxTokens, model.ContextTokens)
+	}
+	req.Cost = int64(prompt + generation.MaxTokens)
+	return nil
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,299 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/shard"
+)
+
+var logger = logging.For("control")
+
+// eventQueue is the number of events that may wait for the control goroutine.
+const eventQueue = 256
+
+// ShardManager reads and changes the shard table.
+type ShardManager interface {
+	Step(ctx context.Context, view *membership.View, viewRead time.Time) (*shard.Table, error)
+}
+
+// Peers reaches the Node service of other daemons.
+type Peers interface {
+	Exchange(ctx context.Context, address string, req *wire.ExchangeRequest) (*wire.ExchangeReply, error)
+}
+
+// Codec reads the serialized forms that daemons pass on.
+type Codec struct {
+	OpenEnvelope func(envelope []byte) (*config.Revision, error)
+	EncodeTable  func(table *shard.Table) ([]byte, error)
+	DecodeTable  func(table []byte) (*shard.Table, error)
+}
+
+// Options are the parts that a Loop works with.
+type Options struct {
+	Settings  *config.Settings
+	KV        platform.KV // nil: this daemon never reads the key-value service
+	ConfigKey string      // key of the environment's envelope
+	VMs       platform.VMList
+	Shards    ShardManager // nil: this daemon only learns the table from peers
+	Peers     Peers
+	Codec     Codec
+	// OnChange is called by the control goroutine after each new snapshot. It
+	// must neither block nor call a method of the Loop that sends an event.
+	OnChange func(*Snapshot)
+	// OnViewRead is called by the control goroutine after each successful read
+	// of the VM list, with the time before the read. It may be nil.
+	OnViewRead func(readAt time.Time, snapshot *Snapshot)
+}
+
+// Loop owns the control state. Its Run method is the control goroutine; all
+// other methods are safe for concurrent use and only send it events.
+type Loop struct {
+	options Options
+	cell    *Cell
+	events  chan message
+	pulls   chan string    // addresses that have something newer
+	pushes  chan *Snapshot // snapshots to push to peers
+	viewed  chan time.Time // a view was read; wakes the shard worker
+	ready   chan struct{}  // closed when a document is known
+	changed chan struct{}  // signals a new snapshot to the watch worker
+	stopped chan struct{}  // closed when the control goroutine has ended
+}
+
+// event changes the control state. Only the control goroutine calls apply,
+// which says whether the state has changed.
+type event interface {
+	apply(state *Snapshot) bool
+}
+
+// message is an event on its way to the control goroutine, which closes done
+// once the event is applied and published.
+type message struct {
+	event
+	done chan struct{}
+}
+
+// NewLoop returns a Loop that knows nothing yet.
+func NewLoop(options Options) *Loop {
+	empty := &Snapshot{View: membership.NewView(nil)}
+	return &Loop{
+		options: options,
+		cell:    NewCell(empty),
+		events:  make(chan message, eventQueue),
+		pulls:   make(chan string, eventQueue),
+		pushes:  make(chan *Snapshot, 1),
+		viewed:  make(chan time.Time, 1),
+		ready:   make(chan struct{}),
+		changed: make(chan struct{}, 1),
+		stopped: make(chan struct{}),
+	}
+}
+
+// Snapshot implements Source.
+func (l *Loop) Snapshot() *Snapshot { return l.cell.Snapshot() }
+
+// Ready is closed as soon as a document is known.
+func (l *Loop) Ready() <-chan struct{} { return l.ready }
+
+// Run is the control goroutine. It starts the workers that read the platform
+// and talk to peers, and returns when ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.stopped)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	workers := l.startWorkers(ctx)
+	defer workers.Wait()
+	state := *l.cell.Snapshot()
+	for {
+		select {
+		case <-ctx.Done():
+			cancel()
+			return
+		case m := <-l.events:
+			l.handle(m.event, &state)
+			close(m.done)
+		}
+	}
+}
+
+func (l *Loop) handle(e event, state *Snapshot) {
+	before := *state
+	if !e.apply(state) {
+		return
+	}
+	published := *state
+	l.cell.Publish(&published)
+	l.announce(&before, &published)
+}
+
+// announce tells the other parts what has changed between two snapshots.
+func (l *Loop) announce(before, after *Snapshot) {
+	newConfig := before.Config != after.Config
+	if newConfig {
+		logger.Info(logging.Fields{"revision": after.Config.Number}, "document in force")
+	}
+	if newConfig && before.Config == nil {
+		close(l.ready)
+	}
+	if newConfig || before.Shards != after.Shards {
+		replace(l.pushes, after)
+	}
+	signal(l.changed)
+	if l.options.OnChange != nil {
+		l.options.OnChange(after)
+	}
+}
+
+// replace puts value into a channel of capacity one in place of an older one.
+func replace[T any](ch chan T, value T) {
+	for {
+		select {
+		case ch <- value:
+			return
+		default:
+		}
+		select {
+		case <-ch:
+		default:
+		}
+	}
+}
+
+// signal wakes the reader of a channel of capacity one.
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// send passes an event to the control goroutine and waits until it is applied
+// or the control goroutine has ended. The control goroutine must not call it.
+func (l *Loop) send(e event) {
+	m := message{event: e, done: make(chan struct{})}
+	select {
+	case l.events <- m:
+	case <-l.stopped:
+		return
+	}
+	select {
+	case <-m.done:
+	case <-l.stopped:
+	}
+}
+
+// configSeen offers a document.
+type configSeen struct{ revision *config.Revision }
+
+func (e configSeen) apply(state *Snapshot) bool {
+	if state.Config != nil && e.revision.Number <= state.Config.Number {
+		return false
+	}
+	state.Config = e.revision
+	return true
+}
+
+// tableSeen offers a shard table.
+type tableSeen struct{ table *shard.Table }
+
+func (e tableSeen) apply(state *Snapshot) bool {
+	if state.Shards != nil && e.table.Epoch <= state.Shards.Epoch {
+		return false
+	}
+	state.Shards = e.table
+	return true
+}
+
+// viewSeen brings a read VM list.
+type viewSeen struct {
+	vms    []platform.VM
+	self   string
+	readAt time.Time
+	then   func(readAt time.Time, snapshot *Snapshot)
+}
+
+func (e viewSeen) apply(state *Snapshot) bool {
+	view := membership.NewView(e.vms)
+	listed := false
+	for _, vm := range e.vms {
+		if vm.Address == e.self && vm.State == platform.VMLive {
+			listed = true
+		}
+	}
+	changed := !state.View.Equal(view) || state.Listed != listed
+	if changed {
+		state.View = view
+		state.Listed = listed
+	}
+	if e.then != nil {
+		after := *state
+		e.then(e.readAt, &after)
+	}
+	return changed
+}
+
+// drainSet starts or ends draining.
+type drainSet struct{ draining bool }
+
+func (e drainSet) apply(state *Snapshot) bool {
+	if state.Draining == e.draining {
+		return false
+	}
+	state.Draining = e.draining
+	return true
+}
+
+// SetDraining starts or ends draining of this daemon.
+func (l *Loop) SetDraining(draining bool) { l.send(drainSet{draining}) }
+
+// OfferEnvelope offers a serialized envelope. A broken one is dropped.
+func (l *Loop) OfferEnvelope(envelope []byte) {
+	if len(envelope) == 0 {
+		return
+	}
+	revision, err := l.options.Codec.OpenEnvelope(envelope)
+	if err != nil {
+		logger.Warn(logging.Fields{"error": err.Error()}, "unreadable document dropped")
+		return
+	}
+	current := l.Snapshot().Config
+	if current != nil && revision.Number <= current.Number {
+		return
+	}
+	l.send(configSeen{revision})
+}
+
+// OfferTable offers a serialized shard table. A broken one is dropped.
+func (l *Loop) OfferTable(encoded []byte) {
+	if len(encoded) == 0 {
+		return
+	}
+	table, err := l.options.Codec.DecodeTable(encoded)
+	if err != nil {
+		logger.Warn(logging.Fields{"error": err.Error()}, "unreadable shard table dropped")
+		return
+	}
+	l.send(tableSeen{table})
+}
+
+// SawRevisions tells the loop what the daemon at address has. If that is newer,
+// the loop pulls it.
+func (l *Loop) SawRevisions(address string, seen *wire.Revisions) {
+	if seen == nil || address == "" || !newer(seen, l.Snapshot().Revisions()) {
+		return
+	}
+	select {
+	case l.pulls <- address:
+	default:
+	}
+}
+
+// newer says whether a holds anything newer than b.
+func newer(a, b *wire.Revisions) bool {
+	return a.GetDocument() > b.GetDocument() || a.GetShardEpoch() > b.GetShardEpoch()
+}
--- /dev/null
+++ b/internal/control/workers.go
@@ -0,0 +1,198 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+const (
+	routerViewInterval  = 500 * time.Millisecond
+	sidecarViewInterval = 2 * time.Second
+	shardInterval       = time.Second
+	retryMin            = 100 * time.Millisecond
+	retryMax            = 2 * time.Second
+	// configReadInterval bounds how long a silently broken watch goes unseen.
+	configReadInterval = 5 * time.Second
+	// maxWatchers is the number of routers that watch the key-value service.
+	maxWatchers = 5
+)
+
+// startWorkers starts the goroutines that do the control loop's input and
+// output.
+func (l *Loop) startWorkers(ctx context.Context) *sync.WaitGroup {
+	workers := &sync.WaitGroup{}
+	workers.Go(func() { l.readViews(ctx) })
+	workers.Go(func() { l.gossip(ctx) })
+	workers.Go(func() { l.pullOnDemand(ctx) })
+	workers.Go(func() { l.pushChanges(ctx) })
+	if l.options.KV != nil {
+		workers.Go(func() { l.followConfig(ctx) })
+	}
+	if l.options.Shards != nil {
+		workers.Go(func() { l.stepShards(ctx) })
+	}
+	return workers
+}
+
+// jittered returns d changed by up to a quarter either way, so that daemons
+// started together spread their calls.
+func jittered(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2)
+}
+
+// sleep waits for d or the end of ctx, and says whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// readViews reads the VM list at intervals. While the list can't be read, the
+// last view stays.
+func (l *Loop) readViews(ctx context.Context) {
+	interval := sidecarViewInterval
+	if l.options.Settings.Daemon.Role == config.RoleRouter {
+		interval = routerViewInterval
+	}
+	for {
+		l.readView(ctx)
+		if !sleep(ctx, jittered(interval)) {
+			return
+		}
+	}
+}
+
+func (l *Loop) readView(ctx context.Context) {
+	readAt := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, l.options.Settings.Platform.Timeout)
+	defer cancel()
+	vms, err := l.options.VMs.VMs(callCtx)
+	if err != nil {
+		logger.Debug(logging.Fields{"error": err.Error()}, "VM list not read")
+		return
+	}
+	l.send(viewSeen{vms, l.options.Settings.Daemon.RPCAddress, readAt, l.options.OnViewRead})
+	replace(l.viewed, readAt)
+}
+
+// stepShards lets the shard manager act on each newly read view.
+func (l *Loop) stepShards(ctx context.Context) {
+	for {
+		var readAt time.Time
+		select {
+		case <-ctx.Done():
+			return
+		case readAt = <-l.viewed:
+		}
+		l.stepShardsOnce(ctx, readAt)
+		if !sleep(ctx, jittered(shardInterval)) {
+			return
+		}
+	}
+}
+
+func (l *Loop) stepShardsOnce(ctx context.Context, readAt time.Time) {
+	snapshot := l.Snapshot()
+	if snapshot.Draining {
+		return
+	}
+	table, err := l.options.Shards.Step(ctx, snapshot.View, readAt)
+	if err != nil {
+		logger.Debug(logging.Fields{"error": err.Error()}, "shard table not read")
+		return
+	}
+	if table != nil {
+		l.send(tableSeen{table})
+	}
+}
+
+// followConfig keeps up with the document in the key-value service. Only the
+// routers that Watches names hold a watch; the others learn from peers, and
+// read only until they know a document.
+func (l *Loop) followConfig(ctx context.Context) {
+	retry := retryMin
+	for {
+		if l.hasConfig() && !l.watches() {
+			if !l.waitForChange(ctx) {
+				return
+			}
+			continue
+		}
+		if err := l.watchConfigOnce(ctx); err != nil {
+			logger.Debug(logging.Fields{"error": err.Error()}, "document not read from the key-value service")
+			retry = min(2*retry, retryMax)
+		} else {
+			retry = retryMin
+		}
+		if !sleep(ctx, jittered(retry)) {
+			return
+		}
+	}
+}
+
+func (l *Loop) hasConfig() bool { return l.Snapshot().Config != nil }
+
+func (l *Loop) waitForChange(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-l.changed:
+		return true
+	}
+}
+
+// watches says whether this daemon is one of the few routers that watch.
+func (l *Loop) watches() bool {
+	if l.options.Settings.Daemon.Role != config.RoleRouter {
+		return false
+	}
+	return l.Snapshot().View.RouterRank(l.options.Settings.Daemon.RPCAddress) < maxWatchers
+}
+
+// watchConfigOnce reads the document and then follows its changes until the
+// watch breaks, or it is time to read again.
+func (l *Loop) watchConfigOnce(ctx context.Context) error {
+	entry, err := l.readConfig(ctx)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	if !l.watches() {
+		return nil
+	}
+	watchCtx, cancel := context.WithTimeout(ctx, jittered(configReadInterval))
+	defer cancel()
+	events, err := l.options.KV.Watch(watchCtx, l.options.ConfigKey, entry.Version)
+	if err != nil {
+		return err
+	}
+	for change := range events {
+		if change.Key == l.options.ConfigKey && !change.Deleted {
+			l.OfferEnvelope(change.Value)
+		}
+	}
+	return nil
+}
+
+func (l *Loop) readConfig(ctx context.Context) (platform.Entry, error) {
+	callCtx, cancel := context.WithTimeout(ctx, l.options.Settings.Platform.Timeout)
+	defer cancel()
+	entry, err := l.options.KV.Get(callCtx, l.options.ConfigKey)
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	l.OfferEnvelope(entry.Value)
+	return entry, nil
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,263 @@
+// Package dispatch is the last handler of the router's chain: it gives a
+// request to the sidecar of the chosen backend server and reads the frames of
+// the answer.
+package dispatch
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/rpc"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var logger = logging.For("dispatch")
+
+const (
+	// cancelDelay leaves a caller whose connection broke the time to reconnect
+	// before its generation is cancelled.
+	cancelDelay   = 2 * time.Second
+	cancelTimeout = 2 * time.Second
+)
+
+// Observer learns from what sidecars answer.
+type Observer interface {
+	// Dispatched tells that a request is on its way to the target.
+	Dispatched(req *request.Request)
+	// Received tells of a frame of the target's answer.
+	Received(req *request.Request, frame *wire.Frame)
+	// Finished tells that the attempt at the target has ended.
+	Finished(req *request.Request)
+}
+
+// Revisions learns what other daemons have.
+type Revisions interface {
+	SawRevisions(address string, seen *wire.Revisions)
+}
+
+// Dispatcher sends requests to sidecars.
+type Dispatcher struct {
+	dialer    *rpc.Dialer
+	observer  Observer
+	revisions Revisions
+}
+
+// New returns a Dispatcher.
+func New(dialer *rpc.Dialer, observer Observer, revisions Revisions) *Dispatcher {
+	return &Dispatcher{dialer: dialer, observer: observer, revisions: revisions}
+}
+
+// receiver is the part of drpc's two stream clients that is used.
+type receiver interface {
+	Recv() (*wire.Frame, error)
+}
+
+// Handle implements pipeline.Handler. It returns when the sidecar's first frame
+// is there. A refusal is returned as an error, not as a stream.
+func (d *Dispatcher) Handle(ctx context.Context, req *request.Request) (request.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	d.observer.Dispatched(req)
+	frames, err := d.backend(ctx, req.Target.Address).Execute(ctx, executeRequest(req))
+	if err != nil {
+		cancel()
+		d.observer.Finished(req)
+		return nil, sendError(err, req)
+	}
+	return d.open(ctx, cancel, req, frames, 0)
+}
+
+// Resume asks the request's target for the frames after the given sequence
+// number of an attempt that was dispatched before.
+func (d *Dispatcher) Resume(ctx context.Context, req *request.Request, after uint64) (request.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	d.observer.Dispatched(req)
+	frames, err := d.backend(ctx, req.Target.Address).Resume(ctx, &wire.ResumeRequest{
+		RequestId:     req.ID,
+		Attempt:       req.Attempt,
+		AfterSequence: after,
+		Workspace:     req.Workspace,
+		KeyId:         req.KeyID,
+		Revisions:     req.Snapshot.Revisions(),
+	})
+	if err != nil {
+		cancel()
+		d.observer.Finished(req)
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeStreamLost, "the stream can't be resumed")
+	}
+	return d.open(ctx, cancel, req, frames, after)
+}
+
+func (d *Dispatcher) backend(ctx context.Context, address string) wire.DRPCBackendClient {
+	return wire.NewDRPCBackendClient(d.dialer.Conn(ctx, address))
+}
+
+// open waits for the first frame.
+func (d *Dispatcher) open(ctx context.Context, cancel context.CancelFunc, req *request.Request, frames receiver, after uint64) (request.Stream, error) {
+	s := &stream{dispatcher: d, req: req, target: req.Target, attempt: req.Attempt, frames: frames, cancel: cancel, last: after}
+	first, err := s.Next(ctx)
+	if err != nil {
+		s.Close(false)
+		return nil, err
+	}
+	if failure := first.GetFailure(); failure != nil {
+		s.Close(false)
+		return nil, FailureError(failure)
+	}
+	s.first = first
+	return s, nil
+}
+
+// sendError judges an error of sending a request.
+func sendError(err error, req *request.Request) error {
+	if errors.Is(err, rpc.ErrDial) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeBackendFailed, "backend server %s can't be reached", req.Target.Name)
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "the connection to backend server %s broke", req.Target.Name)
+}
+
+// FailureError returns the error that a failure frame stands for.
+func FailureError(failure *wire.Failure) *verdict.Error {
+	return verdict.New(verdict.Verdict(failure.GetVerdict()), verdict.Code(failure.GetCode()), "%s", failure.GetMessage()).
+		WithRetryAfter(time.Duration(failure.GetRetryAfterMs()) * time.Millisecond)
+}
+
+// stream reads the frames of one attempt.
+type stream struct {
+	dispatcher *Dispatcher
+	req        *request.Request
+	target     request.Target
+	attempt    uint32
+	frames     receiver
+	cancel     context.CancelFunc
+	first      *wire.Frame // read ahead
+	last       uint64      // sequence number of the last frame delivered
+	ended      bool
+	closed     bool
+}
+
+// Next implements request.Stream. A frame of another request or out of order is
+// never delivered.
+func (s *stream) Next(context.Context) (*wire.Frame, error) {
+	if first := s.first; first != nil {
+		s.first = nil
+		return first, nil
+	}
+	if s.ended {
+		return nil, io.EOF
+	}
+	for {
+		frame, err := s.frames.Recv()
+		if err != nil {
+			return nil, s.receiveError(err)
+		}
+		if !s.belongs(frame) {
+			logger.Warn(logging.Fields{"request": s.req.ID, "frame_request": frame.GetRequestId()}, "frame of another request dropped")
+			continue
+		}
+		if frame.GetSequence() <= s.last {
+			continue
+		}
+		if frame.GetSequence() != s.last+1 {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, "frames %d to %d are missing", s.last+1, frame.GetSequence()-1)
+		}
+		s.accept(frame)
+		return frame, nil
+	}
+}
+
+func (s *stream) belongs(frame *wire.Frame) bool {
+	return frame.GetRequestId() == s.req.ID && frame.GetAttempt() == s.attempt
+}
+
+func (s *stream) accept(frame *wire.Frame) {
+	s.last = frame.GetSequence()
+	s.ended = frame.GetTail() != nil || frame.GetReply() != nil || frame.GetFailure() != nil
+	s.dispatcher.revisions.SawRevisions(s.target.Address, frame.GetRevisions())
+	s.dispatcher.observer.Received(s.req, frame)
+}
+
+func (s *stream) receiveError(err error) error {
+	if errors.Is(err, rpc.ErrDial) {
+		return sendError(err, s.req)
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "the stream from backend server %s broke", s.target.Name)
+}
+
+// Close implements request.Stream.
+func (s *stream) Close(cancel bool) {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.cancel()
+	s.dispatcher.observer.Finished(s.req)
+	if cancel && !s.ended {
+		go s.dispatcher.cancelLater(s.target, &wire.CancelRequest{
+			RequestId: s.req.ID,
+			Attempt:   s.attempt,
+			Workspace: s.req.Workspace,
+		})
+	}
+}
+
+// cancelLater cancels an attempt that nobody has resumed in the meantime.
+func (d *Dispatcher) cancelLater(target request.Target, req *wire.CancelRequest) {
+	time.Sleep(cancelDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if _, err := d.backend(ctx, target.Address).Cancel(ctx, req); err != nil {
+		logger.Warn(logging.Fields{"request": req.GetRequestId(), "error": err.Error()}, "cancel failed")
+	}
+}
+
+// executeRequest returns the message for the request's current attempt.
+func executeRequest(req *request.Request) *wire.ExecuteRequest {
+	message := &wire.ExecuteRequest{
+		RequestId:   req.ID,
+		Attempt:     req.Attempt,
+		Workspace:   req.Workspace,
+		KeyId:       req.KeyID,
+		Route:       req.Route.Name,
+		Priority:    priority(req.Class),
+		Revisions:   req.Snapshot.Revisions(),
+		Draws:       req.Draws,
+		PatienceMs:  req.Patience.Milliseconds(),
+		CreatedUnix: req.Received.Unix(),
+		Call:        req.Call,
+	}
+	if req.Generation != nil {
+		message.Generation = generation(req.Generation)
+	}
+	return message
+}
+
+func priority(class config.Class) wire.Priority {
+	if class == config.ClassDeferrable {
+		return wire.Priority_PRIORITY_DEFERRABLE
+	}
+	return wire.Priority_PRIORITY_URGENT
+}
+
+func generation(g *request.Generation) *wire.Generation {
+	return &wire.Generation{
+		Model:          g.Model.Name,
+		Adapter:        g.Model.Adapter,
+		WeightsVersion: g.WeightsVersion,
+		Prompt:         g.Prompt,
+		Resume:         g.Resume,
+		ResumeTokens:   uint32(g.ResumeTokens),
+		MaxTokens:      uint32(g.MaxTokens),
+		Seed:           g.Seed,
+		Temperature:    g.Temperature,
+		Stop:           g.Stop,
+		Chat:           g.Chat,
+		Streamed:       g.Streamed,
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
 
@@ -31,11 +33,12 @@
 	Servers []Server // ordered by name
 	Routers []Router // ordered by name
 	byGroup map[string][]Server
+	rings   map[string]*Ring
 }
 
 // NewView makes a View of listed VMs.
 func NewView(vms []platform.VM) *View {
-	view := &View{byGroup: make(map[string][]Server)}
+	view := &View{byGroup: make(map[string][]Server), rings: make(map[string]*Ring)}
 	ordered := slices.SortedFunc(slices.Values(vms), func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
 	for _, vm := range ordered {
 		isLeaving := vm.State == platform.VMLeaving
@@ -47,9 +50,16 @@
 		view.Servers = append(view.Servers, server)
 		view.byGroup[vm.Group] = append(view.byGroup[vm.Group], server)
 	}
+	for group, servers := range view.byGroup {
+		view.rings[group] = NewRing(servers)
+	}
 	return view
 }
 
+// Ring returns the consistent hash over a group's backend servers, or nil. Its
+// indexes are those of Group.
+func (v *View) Ring(group string) *Ring { return v.rings[group] }
+
 // Group returns the backend servers of a group. The caller must not change it.
 func (v *View) Group(name string) []Server { return v.byGroup[name] }
 
@@ -72,3 +82,25 @@
 	}
 	return false
 }
+
+// Equal says whether both views show the same VMs.
+func (v *View) Equal(other *View) bool {
+	return slices.Equal(v.Servers, other.Servers) && slices.Equal(v.Routers, other.Routers)
+}
+
+// RouterRank returns the position of the router in an order that differs from
+// the order by name but is the same at all daemons. An unlisted router comes
+// after all others.
+func (v *View) RouterRank(address string) int {
+	if !v.HasRouter(address) {
+		return len(v.Routers)
+	}
+	own := xxhash.Sum64String(address)
+	rank := 0
+	for i := range v.Routers {
+		if xxhash.Sum64String(v.Routers[i].Address) < own {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/internal/membership/ring.go
@@ -0,0 +1,64 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// pointsPerServer is the number of places of each backend server on a ring.
+const pointsPerServer = 32
+
+// Ring is a consistent hash over the backend servers of a group. All routers
+// with the same view have the same ring.
+type Ring struct {
+	servers []Server
+	points  []point
+}
+
+type point struct {
+	hash  uint64
+	index int32 // in servers
+}
+
+// NewRing returns the ring of the servers.
+func NewRing(servers []Server) *Ring {
+	ring := &Ring{servers: servers, points: make([]point, 0, len(servers)*pointsPerServer)}
+	for i := range servers {
+		ring.addPoints(int32(i))
+	}
+	slices.SortFunc(ring.points, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return ring
+}
+
+func (r *Ring) addPoints(index int32) {
+	var seed [4]byte
+	for n := uint32(0); n < pointsPerServer; n++ {
+		binary.BigEndian.PutUint32(seed[:], n)
+		var digest xxhash.Digest
+		digest.Reset()
+		_, _ = digest.WriteString(r.servers[index].Address)
+		_, _ = digest.Write(seed[:])
+		r.points = append(r.points, point{digest.Sum64(), index})
+	}
+}
+
+// Lookup appends to dst the indexes of up to n different servers that follow
+// hash on the ring, in ring order, leaving out those already in dst.
+func (r *Ring) Lookup(dst []int32, hash uint64, n int) []int32 {
+	if len(r.points) == 0 {
+		return dst
+	}
+	start := sort.Search(len(r.points), func(i int) bool { return r.points[i].hash >= hash })
+	want := min(len(dst)+n, len(r.servers))
+	for step := 0; step < len(r.points) && len(dst) < want; step++ {
+		index := r.points[(start+step)%len(r.points)].index
+		if !slices.Contains(dst, index) {
+			dst = append(dst, index)
+		}
+	}
+	return dst
+}
