--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,12 +29,13 @@
 
 // Observer learns from what sidecars answer.
 type Observer interface {
-	// Dispatched tells that a request is on its way to the target.
-	Dispatched(req *request.Request)
+	// Dispatched tells that a request is on its way to the target, which is
+	// expected to compute missing prompt tokens for it.
+	Dispatched(target request.Target, missing int64)
 	// Received tells of a frame of the target's answer.
-	Received(req *request.Request, frame *wire.Frame)
+	Received(target request.Target, req *request.Request, frame *wire.Frame)
 	// Finished tells that the attempt at the target has ended.
-	Finished(req *request.Request)
+	Finished(target request.Target)
 }
 
 // Revisions learns what other daemons have.
@@ -63,11 +64,11 @@
 // is there. A refusal is returned as an error, not as a stream.
 func (d *Dispatcher) Handle(ctx context.Context, req *request.Request) (request.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	d.observer.Dispatched(req)
+	d.observer.Dispatched(req.Target, req.MissingTokens)
 	frames, err := d.backend(ctx, req.Target.Address).Execute(ctx, executeRequest(req))
 	if err != nil {
 		cancel()
-		d.observer.Finished(req)
+		d.observer.Finished(req.Target)
 		return nil, sendError(err, req)
 	}
 	return d.open(ctx, cancel, req, frames, 0)
@@ -77,7 +78,7 @@
 // number of an attempt that was dispatched before.
 func (d *Dispatcher) Resume(ctx context.Context, req *request.Request, after uint64) (request.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	d.observer.Dispatched(req)
+	d.observer.Dispatched(req.Target, 0)
 	frames, err := d.backend(ctx, req.Target.Address).Resume(ctx, &wire.ResumeRequest{
 		RequestId:     req.ID,
 		Attempt:       req.Attempt,
@@ -88,8 +89,8 @@
 	})
 	if err != nil {
 		cancel()
-		d.observer.Finished(req)
-		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeStreamLost, "the stream can't be resumed")
+		d.observer.Finished(req.Target)
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "backend server %s can't be reached again", req.Target.Name)
 	}
 	return d.open(ctx, cancel, req, frames, after)
 }
@@ -180,7 +181,7 @@
 	s.last = frame.GetSequence()
 	s.ended = frame.GetTail() != nil || frame.GetReply() != nil || frame.GetFailure() != nil
 	s.dispatcher.revisions.SawRevisions(s.target.Address, frame.GetRevisions())
-	s.dispatcher.observer.Received(s.req, frame)
+	s.dispatcher.observer.Received(s.target, s.req, frame)
 }
 
 func (s *stream) receiveError(err error) error {
@@ -197,7 +198,7 @@
 	}
 	s.closed = true
 	s.cancel()
-	s.dispatcher.observer.Finished(s.req)
+	s.dispatcher.observer.Finished(s.target)
 	if cancel && !s.ended {
 		go s.dispatcher.cancelLater(s.target, &wire.CancelRequest{
 			RequestId: s.req.ID,
--- /dev/null
+++ b/internal/httpapi/call.go
@@ -0,0 +1,110 @@
+package httpapi
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// call serves the routes of plain services.
+func (s *Server) call(c echo.Context) error {
+	req, err := s.begin(c)
+	if err != nil {
+		return err
+	}
+	req.ResumeToken = ""
+	if req.Route.Generation() {
+		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for %s %s", c.Request().Method, c.Request().URL.Path)
+	}
+	body, err := readBody(c.Response(), c.Request(), s.options.Settings.Router.MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	req.Call = newCall(c.Request(), req, body)
+	if req.Call.GetOnce() {
+		c.Response().Header().Set(HeaderIdempotencyKey, req.Call.GetIdempotencyKey())
+	}
+	return s.run(c, req, func(ctx context.Context, stream request.Stream) error {
+		return writeReply(ctx, c, stream)
+	})
+}
+
+func newCall(r *http.Request, req *request.Request, body []byte) *wire.Call {
+	call := &wire.Call{
+		Method:  r.Method,
+		Path:    strings.TrimPrefix(r.URL.RequestURI(), req.Route.StripPrefix),
+		Headers: forwardedHeaders(r.Header),
+		Body:    body,
+		Once:    req.Route.Once,
+	}
+	if call.Once {
+		call.IdempotencyKey = r.Header.Get(HeaderIdempotencyKey)
+	}
+	if call.Once && call.IdempotencyKey == "" {
+		call.IdempotencyKey = uuid.NewString()
+	}
+	return call
+}
+
+// droppedHeaders are not passed on in either direction: those of one
+// connection, and those that may hold a caller's key.
+var droppedHeaders = append([]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Cookie", "Set-Cookie", "Host",
+}, credentialHeaders...)
+
+func forwardedHeaders(header http.Header) []*wire.Header {
+	var forwarded []*wire.Header
+	for name, values := range header {
+		if slices.Contains(droppedHeaders, name) {
+			continue
+		}
+		for _, value := range values {
+			forwarded = append(forwarded, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return forwarded
+}
+
+// writeReply answers with the plain service's reply.
+func writeReply(ctx context.Context, c echo.Context, stream request.Stream) error {
+	for {
+		frame, err := stream.Next(ctx)
+		if err == io.EOF {
+			return verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, "the answer ended early")
+		}
+		if err != nil {
+			return err
+		}
+		if reply := frame.GetReply(); reply != nil {
+			return sendReply(c, reply)
+		}
+	}
+}
+
+func sendReply(c echo.Context, reply *wire.Reply) error {
+	header := c.Response().Header()
+	requestID := header.Get(HeaderRequestID)
+	for _, h := range reply.GetHeaders() {
+		if !slices.Contains(droppedHeaders, http.CanonicalHeaderKey(h.GetName())) {
+			header.Add(h.GetName(), h.GetValue())
+		}
+	}
+	header.Set(HeaderRequestID, requestID)
+	header.Set(HeaderVerdict, verdict.Ran.String())
+	if reply.GetReplayed() {
+		header.Set(HeaderReplayed, "true")
+	}
+	c.Response().WriteHeader(int(reply.GetStatus()))
+	_, err := c.Response().Write(reply.GetBody())
+	return err
+}
--- /dev/null
+++ b/internal/httpapi/errors.go
@@ -0,0 +1,113 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var logger = logging.For("http")
+
+// errorBody is an error in the shape of the OpenAI interface.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string  `json:"message"`
+	Type      string  `json:"type"`
+	Param     *string `json:"param"`
+	Code      string  `json:"code"`
+	Verdict   string  `json:"verdict"`
+	RequestID string  `json:"request_id"`
+	StatusURL string  `json:"status_url,omitempty"`
+}
+
+// errorType returns the OpenAI error type for a status.
+func errorType(status int) string {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+func newErrorBody(e *verdict.Error, requestID string) errorBody {
+	return errorBody{Error: errorDetail{
+		Message:   e.Message,
+		Type:      errorType(e.Code.Status()),
+		Code:      string(e.Code),
+		Verdict:   e.Verdict.String(),
+		RequestID: requestID,
+	}}
+}
+
+// handleError implements echo.HTTPErrorHandler.
+func (s *Server) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	e := asVerdict(err)
+	requestID := c.Response().Header().Get(HeaderRequestID)
+	logger.Info(logging.Fields{
+		"request": requestID,
+		"code":    string(e.Code),
+		"verdict": e.Verdict.String(),
+		"error":   e.Error(),
+	}, "request refused or failed")
+	setErrorHeaders(c.Response().Header(), e)
+	if err := c.JSON(e.Code.Status(), newErrorBody(e, requestID)); err != nil {
+		logger.Debug(logging.Fields{"request": requestID, "error": err.Error()}, "error not written")
+	}
+}
+
+// asVerdict returns err as a verdict. Echo's own errors come before the chain.
+func asVerdict(err error) *verdict.Error {
+	var own *echo.HTTPError
+	if !errors.As(err, &own) {
+		return verdict.From(err)
+	}
+	code := verdict.CodeInvalidRequest
+	if own.Code == http.StatusNotFound || own.Code == http.StatusMethodNotAllowed {
+		code = verdict.CodeNotFound
+	}
+	return verdict.Wrap(err, verdict.NotRun, code, "%v", own.Message)
+}
+
+func setErrorHeaders(header http.Header, e *verdict.Error) {
+	header.Set(HeaderVerdict, e.Verdict.String())
+	if e.Verdict != verdict.NotRun {
+		header.Set(headerShouldRetry, "false")
+	}
+	if e.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		header.Set(headerRetryAfterMs, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+	} else if e.Code.Status() == http.StatusTooManyRequests {
+		header.Set("Retry-After", strconv.Itoa(int(defaultRetryAfter.Seconds())))
+	}
+}
+
+// defaultRetryAfter is sent with a rate refusal whose end is not known.
+const defaultRetryAfter = time.Second
+
+// encode returns value as JSON. The types encoded here can't fail.
+func encode(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return []byte("{}")
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/httpapi/events.go
@@ -0,0 +1,64 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// eventWriter writes server-sent events and flushes each.
+type eventWriter struct {
+	response *echo.Response
+	started  bool
+	buffer   []byte
+}
+
+func newEventWriter(response *echo.Response) *eventWriter {
+	return &eventWriter{response: response}
+}
+
+func (w *eventWriter) start() {
+	if w.started {
+		return
+	}
+	w.started = true
+	header := w.response.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	header.Set("X-Accel-Buffering", "no")
+	w.response.WriteHeader(http.StatusOK)
+}
+
+// write sends one event.
+func (w *eventWriter) write(id string, chunk completion) error {
+	w.start()
+	w.buffer = append(w.buffer[:0], "id: "...)
+	w.buffer = append(w.buffer, id...)
+	w.buffer = append(w.buffer, "\ndata: "...)
+	w.buffer = append(w.buffer, encode(chunk)...)
+	w.buffer = append(w.buffer, "\n\n"...)
+	return w.flush()
+}
+
+// done ends a complete stream.
+func (w *eventWriter) done() error {
+	w.start()
+	w.buffer = append(w.buffer[:0], "data: [DONE]\n\n"...)
+	return w.flush()
+}
+
+// writeError ends a stream that is not complete.
+func (w *eventWriter) writeError(body errorBody) {
+	w.buffer = append(w.buffer[:0], "event: error\ndata: "...)
+	w.buffer = append(w.buffer, encode(body)...)
+	w.buffer = append(w.buffer, "\n\n"...)
+	_ = w.flush()
+}
+
+func (w *eventWriter) flush() error {
+	if _, err := w.response.Write(w.buffer); err != nil {
+		return err
+	}
+	w.response.Flush()
+	return nil
+}
--- /dev/null
+++ b/internal/httpapi/server.go
@@ -0,0 +1,194 @@
+// Package httpapi is the router's side towards callers: the OpenAI interface,
+// streamed and not, and the plain services' routes.
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/inflight"
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// Header names of the interface.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderVerdict        = "Wasabigate-Verdict"
+	HeaderClass          = "Wasabigate-Class"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderLastEventID    = "Last-Event-Id"
+	HeaderReplayed       = "Idempotent-Replayed"
+	headerShouldRetry    = "X-Should-Retry"
+	headerRetryAfterMs   = "Retry-After-Ms"
+)
+
+// Paths of the OpenAI interface.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathModels      = "/v1/models"
+)
+
+// Options are the parts that a Server works with.
+type Options struct {
+	Settings *config.Settings
+	Source   control.Source
+	Handler  request.Handler // the filter chain
+	Inflight *inflight.Registry
+	Metrics  http.Handler
+}
+
+// Server serves callers.
+type Server struct {
+	options Options
+	echo    *echo.Echo
+}
+
+// New returns a Server.
+func New(options Options) *Server {
+	s := &Server{options: options, echo: echo.New()}
+	s.echo.HideBanner = true
+	s.echo.HidePort = true
+	s.echo.HTTPErrorHandler = s.handleError
+	s.echo.Use(s.closeWhenDraining)
+	s.echo.GET("/healthz", s.health)
+	s.echo.GET("/readyz", s.ready)
+	s.echo.GET("/metrics", echo.WrapHandler(options.Metrics))
+	s.echo.GET(pathModels, s.models)
+	for _, path := range []string{pathChat, pathCompletions} {
+		s.echo.POST(path, s.generate)
+		s.echo.GET(path, s.generate)
+	}
+	s.echo.Any("/*", s.call)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+// closeWhenDraining asks callers to leave the connection, so that none is cut
+// when the listener closes.
+func (s *Server) closeWhenDraining(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.options.Source.Snapshot().Draining {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) health(c echo.Context) error { return c.String(http.StatusOK, "ok\n") }
+
+func (s *Server) ready(c echo.Context) error {
+	snapshot := s.options.Source.Snapshot()
+	switch {
+	case snapshot.Draining:
+		return c.String(http.StatusServiceUnavailable, "draining\n")
+	case snapshot.Config == nil:
+		return c.String(http.StatusServiceUnavailable, "no document yet\n")
+	default:
+		return c.String(http.StatusOK, "ready\n")
+	}
+}
+
+// begin makes the request that a caller's HTTP request stands for.
+func (s *Server) begin(c echo.Context) (*request.Request, error) {
+	req := &request.Request{
+		ID:          uuid.NewString(),
+		Received:    time.Now(),
+		Snapshot:    s.options.Source.Snapshot(),
+		Credential:  credential(c.Request().Header),
+		ResumeToken: c.Request().Header.Get(HeaderLastEventID),
+	}
+	c.Response().Header().Set(HeaderRequestID, req.ID)
+	if req.Snapshot.Config == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "the configuration is not known yet").
+			WithRetryAfter(time.Second)
+	}
+	req.Route = findRoute(req.Snapshot.Config.Document, c.Request().Method, c.Request().URL.Path)
+	if req.Route == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for %s %s", c.Request().Method, c.Request().URL.Path)
+	}
+	return req, setClass(req, c.Request().Header.Get(HeaderClass))
+}
+
+func setClass(req *request.Request, wanted string) error {
+	switch class := config.Class(wanted); class {
+	case "", config.ClassUrgent, config.ClassDeferrable:
+		req.Class = class
+		return nil
+	default:
+		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "the header %s must be %q or %q",
+			HeaderClass, config.ClassUrgent, config.ClassDeferrable)
+	}
+}
+
+// credentialHeaders are the headers that may hold a caller's key.
+var credentialHeaders = []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization"}
+
+func credential(header http.Header) string {
+	if bearer, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer "); ok {
+		return strings.TrimSpace(bearer)
+	}
+	for _, name := range credentialHeaders[1:] {
+		if value := header.Get(name); value != "" {
+			return value
+		}
+	}
+	return ""
+}
+
+// findRoute returns the route for a method and path, or nil. The longest path
+// wins.
+func findRoute(document *config.Document, method, path string) *config.Route {
+	var best *config.Route
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		if matches(route, method, path) && (best == nil || len(route.Path) > len(best.Path)) {
+			best = route
+		}
+	}
+	return best
+}
+
+func matches(route *config.Route, method, path string) bool {
+	if route.Method != "" && route.Method != method && !route.Generation() {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(route.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return route.Path == path
+}
+
+// run passes the request through the chain and hands the stream to write.
+func (s *Server) run(c echo.Context, req *request.Request, write func(context.Context, request.Stream) error) error {
+	ctx, entry := s.options.Inflight.Begin(c.Request().Context())
+	defer entry.End()
+	stream, err := s.options.Handler.Handle(withEntry(ctx, entry), req)
+	if err != nil {
+		return endCause(ctx, err)
+	}
+	err = write(ctx, stream)
+	stream.Close(err != nil)
+	return endCause(ctx, err)
+}
+
+// endCause returns the verdict that ended ctx in place of err, if there is one.
+func endCause(ctx context.Context, err error) error {
+	if err == nil || ctx.Err() == nil {
+		return err
+	}
+	if cause, ok := context.Cause(ctx).(*verdict.Error); ok {
+		return cause
+	}
+	return err
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -70,3 +70,16 @@
 func (p Prefixed) Error(fields Fields, sentence string) {
 	log.WithFields(fields).Error(p.prefix + sentence)
 }
+
+// Level is a log level.
+type Level = log.Level
+
+// InfoLevel is the level of decisions.
+const InfoLevel = log.InfoLevel
+
+// Enabled says whether lines of that level are written, so that costly fields
+// are only made when they are needed.
+func Enabled(level Level) bool {
+	logger, ok := log.Log.(*log.Logger)
+	return !ok || logger.Level <= level
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,281 @@
+// Package relay is the filter that keeps a caller's answer whole: it repeats
+// what has not run, resumes a stream after a cut, and continues a generation on
+// another backend server when the first one has failed.
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var logger = logging.For("relay")
+
+const (
+	// maxAttempts bounds the attempts at backend servers for one request.
+	maxAttempts = 5
+	// maxResumes bounds the tries to resume an attempt after one cut.
+	maxResumes  = 3
+	resumePause = 50 * time.Millisecond
+)
+
+// Resumer asks a sidecar for the frames of a running attempt again.
+type Resumer interface {
+	Resume(ctx context.Context, req *request.Request, after uint64) (request.Stream, error)
+}
+
+// Filter relays answers.
+type Filter struct {
+	source  control.Source
+	resumer Resumer
+}
+
+// New returns the filter.
+func New(source control.Source, resumer Resumer) *Filter {
+	return &Filter{source: source, resumer: resumer}
+}
+
+// Name implements pipeline.Filter.
+func (*Filter) Name() string { return "relay" }
+
+// Handle implements pipeline.Filter.
+func (f *Filter) Handle(ctx context.Context, req *request.Request, next request.Handler) (request.Stream, error) {
+	s := &stream{filter: f, req: req, next: next}
+	if req.ResumeToken != "" {
+		return f.reconnect(ctx, s)
+	}
+	if err := s.start(ctx); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// reconnect resumes a stream that began at another router.
+func (f *Filter) reconnect(ctx context.Context, s *stream) (request.Stream, error) {
+	position, err := f.position(s.req)
+	if err != nil {
+		return nil, err
+	}
+	s.req.ID = position.RequestID
+	s.req.Attempt = position.Attempt
+	s.req.Target = request.Target{Name: position.Address, Address: position.Address}
+	s.last = position.Sequence
+	s.reconnected = true
+	inner, err := f.resumer.Resume(ctx, s.req, position.Sequence)
+	if err != nil {
+		return nil, err
+	}
+	s.inner = inner
+	return s, nil
+}
+
+// position checks the request's resume token against the caller's workspace and
+// the listed backend servers.
+func (f *Filter) position(req *request.Request) (request.Position, error) {
+	position, err := request.ParsePosition(req.ResumeToken)
+	if err != nil {
+		return request.Position{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "the Last-Event-ID is not valid")
+	}
+	if position.Workspace != req.Workspace || !f.source.Snapshot().View.HasServer(position.Address) {
+		return request.Position{}, verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, "the stream can't be resumed")
+	}
+	return position, nil
+}
+
+// stream is the answer to one request over all its attempts.
+type stream struct {
+	filter      *Filter
+	req         *request.Request
+	next        request.Handler
+	inner       request.Stream
+	last        uint64 // sequence number of the last frame of this attempt
+	reconnected bool   // began at another router, so that it can't be continued elsewhere
+	started     bool   // a head was delivered
+	text        []byte // completion delivered so far
+	tokens      int    // tokens in text
+	ended       bool
+}
+
+// start makes attempts until one is accepted. It repeats only what has not run;
+// a generation may be repeated in any case.
+func (s *stream) start(ctx context.Context) error {
+	for {
+		s.req.Attempt++
+		inner, err := s.next.Handle(ctx, s.req)
+		if err == nil {
+			s.inner = inner
+			s.last = 0
+			return nil
+		}
+		if ctx.Err() != nil {
+			return cancelled(ctx)
+		}
+		failure := verdict.From(err)
+		if s.brokeUnderway(failure) && s.resume(ctx, 0) {
+			return nil
+		}
+		if !s.mayRepeat(failure) {
+			return err
+		}
+		s.giveUpTarget(err)
+	}
+}
+
+// brokeUnderway says whether the connection broke after the request was sent,
+// so that the sidecar may still be at work on it.
+func (s *stream) brokeUnderway(failure *verdict.Error) bool {
+	return failure.Code == verdict.CodeBackendFailed && failure.Verdict == verdict.MayHaveRun && s.req.Target.Address != ""
+}
+
+func cancelled(ctx context.Context) error {
+	return verdict.Wrap(context.Cause(ctx), verdict.MayHaveRun, verdict.CodeCancelled, "the caller left")
+}
+
+// mayRepeat says whether another attempt may follow one that failed.
+func (s *stream) mayRepeat(failure *verdict.Error) bool {
+	if s.reconnected || s.req.Attempt >= maxAttempts || !retryable[failure.Code] {
+		return false
+	}
+	return failure.Verdict == verdict.NotRun || s.req.Generation != nil
+}
+
+// retryable holds the failures that another backend server may not have.
+var retryable = map[verdict.Code]bool{
+	verdict.CodeBackendFailed:   true,
+	verdict.CodeStreamLost:      true,
+	verdict.CodeDraining:        true,
+	verdict.CodeOverloaded:      true,
+	verdict.CodeWeightsMismatch: true,
+	verdict.CodeStaleDocument:   true,
+}
+
+// giveUpTarget keeps the request's next attempt away from its last target.
+func (s *stream) giveUpTarget(err error) {
+	logger.Info(logging.Fields{
+		"request": s.req.ID,
+		"attempt": s.req.Attempt,
+		"server":  s.req.Target.Name,
+		"error":   err.Error(),
+	}, "attempt failed, another follows")
+	if s.req.Target.Address != "" {
+		s.req.Failed = append(s.req.Failed, s.req.Target.Address)
+	}
+	s.req.Snapshot = s.filter.source.Snapshot()
+}
+
+// Next implements request.Stream.
+func (s *stream) Next(ctx context.Context) (*wire.Frame, error) {
+	if s.ended {
+		return nil, io.EOF
+	}
+	for {
+		frame, err := s.inner.Next(ctx)
+		if err == nil && frame.GetFailure() != nil {
+			err = failureOf(frame)
+		}
+		if err == nil {
+			s.last = frame.GetSequence()
+			if s.deliver(frame) {
+				return frame, nil
+			}
+			continue
+		}
+		if err := s.recover(ctx, err); err != nil {
+			s.ended = true
+			return nil, err
+		}
+	}
+}
+
+func failureOf(frame *wire.Frame) error {
+	failure := frame.GetFailure()
+	return verdict.New(verdict.Verdict(failure.GetVerdict()), verdict.Code(failure.GetCode()), "%s", failure.GetMessage()).
+		WithRetryAfter(time.Duration(failure.GetRetryAfterMs()) * time.Millisecond)
+}
+
+// deliver notes a frame and says whether the caller gets it: a continued
+// generation has one head only.
+func (s *stream) deliver(frame *wire.Frame) bool {
+	switch {
+	case frame.GetHead() != nil:
+		repeated := s.started
+		s.started = true
+		return !repeated
+	case frame.GetTokens() != nil:
+		s.text = append(s.text, frame.GetTokens().GetText()...)
+		s.tokens += int(frame.GetTokens().GetCount())
+	case frame.GetTail() != nil, frame.GetReply() != nil:
+		s.ended = true
+	}
+	return true
+}
+
+// recover makes the stream readable again after err, or returns the error that
+// ends it.
+func (s *stream) recover(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return cancelled(ctx)
+	}
+	failure := verdict.From(err)
+	if failure.Code == verdict.CodeBackendFailed && s.resume(ctx, s.last) {
+		return nil
+	}
+	if !s.mayRepeat(failure) {
+		return err
+	}
+	return s.continueElsewhere(ctx, err)
+}
+
+// resume asks the same sidecar for the frames after the given one.
+func (s *stream) resume(ctx context.Context, after uint64) bool {
+	for range maxResumes {
+		inner, err := s.filter.resumer.Resume(ctx, s.req, after)
+		if err == nil {
+			logger.Info(logging.Fields{"request": s.req.ID, "after": after}, "stream resumed")
+			s.replaceInner(inner, after)
+			return true
+		}
+		if verdict.From(err).Code != verdict.CodeBackendFailed {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(resumePause):
+		}
+	}
+	return false
+}
+
+func (s *stream) replaceInner(inner request.Stream, last uint64) {
+	if s.inner != nil {
+		s.inner.Close(false)
+	}
+	s.inner = inner
+	s.last = last
+}
+
+// continueElsewhere starts another attempt that goes on after the text that the
+// caller has.
+func (s *stream) continueElsewhere(ctx context.Context, err error) error {
+	s.inner.Close(true)
+	s.giveUpTarget(err)
+	if s.req.Generation != nil {
+		s.req.Generation.Resume = string(s.text)
+		s.req.Generation.ResumeTokens = s.tokens
+	}
+	return s.start(ctx)
+}
+
+// Close implements request.Stream.
+func (s *stream) Close(cancel bool) {
+	if s.inner != nil {
+		s.inner.Close(cancel)
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -38,8 +38,12 @@
 	// Set by limit.
 	Draws []*wire.Draw
 
-	// Set by route.
-	Target  Target
+	// Set by route. MissingTokens are the prompt tokens that the target is
+	// expected to compute.
+	Target        Target
+	MissingTokens int64
+
+	// Attempt counts the attempts from 1. Relay sets it.
 	Attempt uint32
 
 	// Exactly one of the two is set at arrival.
--- /dev/null
+++ b/internal/route/candidate.go
@@ -0,0 +1,117 @@
+package route
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/request"
+)
+
+// Candidate is a backend server that a request may go to.
+type Candidate struct {
+	Server *membership.Server
+	load   *serverLoad
+	// CachedTokens is the length of the prompt's prefix that the backend server
+	// is known to hold, in tokens.
+	CachedTokens int
+	// Affinity is the candidate's place in the order of the consistent hash; the
+	// first has 0.
+	Affinity int
+	// Score is the expected time to the first token.
+	Score time.Duration
+}
+
+// decision is the work space of one routing decision.
+type decision struct {
+	req          *request.Request
+	now          time.Time
+	zone         string // the router's availability zone
+	promptTokens int
+	candidates   []Candidate
+}
+
+// filter says whether a candidate may be used at all.
+type filter interface {
+	name() string
+	keep(d *decision, c *Candidate) bool
+}
+
+// availabilityFilter drops backend servers that leave, drain or have failed
+// this request.
+type availabilityFilter struct{}
+
+func (availabilityFilter) name() string { return "availability" }
+
+func (availabilityFilter) keep(d *decision, c *Candidate) bool {
+	return !c.Server.Leaving && !c.load.draining(d.now) && !d.req.HasFailed(c.Server.Address)
+}
+
+// weightsFilter drops engines that don't hold the request's weights version.
+type weightsFilter struct{}
+
+func (weightsFilter) name() string { return "weights" }
+
+func (weightsFilter) keep(d *decision, c *Candidate) bool {
+	return d.req.Generation == nil || c.load.holds(d.req.Generation)
+}
+
+// scorer returns a part of the expected time to the first token.
+type scorer interface {
+	name() string
+	score(d *decision, c *Candidate) time.Duration
+}
+
+// queueScorer scores the time until the backend server gets to the request.
+type queueScorer struct{}
+
+func (queueScorer) name() string { return "queue" }
+
+func (queueScorer) score(d *decision, c *Candidate) time.Duration {
+	prefill := seconds(c.load.backlog(d.now) / c.load.prefillRate())
+	return prefill + c.load.slotWait()
+}
+
+// meanServiceTime is assumed of a running request when all of an engine's slots
+// are taken.
+const meanServiceTime = 500 * time.Millisecond
+
+// slotWait returns the expected wait for one of the engine's slots.
+func (s *serverLoad) slotWait() time.Duration {
+	last := s.report.Load()
+	if last == nil || last.load.GetMaxRunning() == 0 {
+		return 0
+	}
+	slots := int64(last.load.GetMaxRunning())
+	ahead := s.requests() - slots + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead) * meanServiceTime / time.Duration(slots)
+}
+
+// prefixScorer scores the time to compute what the cache lacks.
+type prefixScorer struct{}
+
+func (prefixScorer) name() string { return "prefix" }
+
+func (prefixScorer) score(d *decision, c *Candidate) time.Duration {
+	missing := d.promptTokens - c.CachedTokens
+	return seconds(float64(missing) / c.load.prefillRate())
+}
+
+// zoneScorer scores the distance between availability zones.
+type zoneScorer struct{}
+
+// zoneDistance is the round trip between availability zones.
+const zoneDistance = time.Millisecond
+
+func (zoneScorer) name() string { return "zone" }
+
+func (zoneScorer) score(d *decision, c *Candidate) time.Duration {
+	if c.Server.AvailabilityZone == d.zone {
+		return 0
+	}
+	return zoneDistance
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/route/log.go
@@ -0,0 +1,41 @@
+package route
+
+import (
+	"strconv"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
+)
+
+// logDecision writes the line for one decision: the candidates with their
+// scores, the choice and its reason.
+func logDecision(d *decision, chosen int, reason string) {
+	if !logging.Enabled(logging.InfoLevel) {
+		return
+	}
+	c := &d.candidates[chosen]
+	logger.Info(logging.Fields{
+		"request":       d.req.ID,
+		"workspace":     d.req.Workspace,
+		"class":         priorityClass(d.req.Class),
+		"attempt":       d.req.Attempt,
+		"server":        c.Server.Name,
+		"reason":        reason,
+		"cached_tokens": c.CachedTokens,
+		"prompt_tokens": d.promptTokens,
+		"candidates":    candidateText(d.candidates),
+	}, "backend server chosen")
+}
+
+// candidateText lists candidates as name=score pairs in milliseconds.
+func candidateText(candidates []Candidate) string {
+	text := make([]byte, 0, 32*len(candidates))
+	for i := range candidates {
+		if i > 0 {
+			text = append(text, ' ')
+		}
+		text = append(text, candidates[i].Server.Name...)
+		text = append(text, '=')
+		text = strconv.AppendFloat(text, candidates[i].Score.Seconds()*1000, 'f', 1, 64)
+	}
+	return string(text)
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,199 @@
+// Package route is the filter that chooses the backend server of a request: it
+// gathers candidates, filters and scores them, and picks one.
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/prefix"
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/tokens"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+var logger = logging.For("route")
+
+// Holder is a backend server that is known to hold a prefix.
+type Holder struct {
+	Address string // rpc address
+	Blocks  int    // length of the prefix
+}
+
+// Index remembers which backend servers hold which prefixes.
+type Index interface {
+	// Holders appends to dst the backend servers known to hold a prefix of the
+	// chain, each with its longest.
+	Holders(dst []Holder, blocks []uint64) []Holder
+	// Learn notes that the backend server at address holds the chain.
+	Learn(blocks []uint64, address string, incarnation uint64)
+	// Forget drops what is known of the backend server at address.
+	Forget(address string)
+}
+
+// Filter routes requests.
+type Filter struct {
+	zone    string
+	source  control.Source
+	policy  *policy
+	tracker *Tracker
+	index   Index
+	spaces  sync.Pool // of *space
+}
+
+// space is reused memory of a decision.
+type space struct {
+	indexes  []int32
+	holders  []Holder
+	decision decision
+}
+
+// Name implements pipeline.Filter.
+func (*Filter) Name() string { return "route" }
+
+// Handle implements pipeline.Filter. It routes each attempt anew; a request
+// that resumes a stream has its target already.
+func (f *Filter) Handle(ctx context.Context, req *request.Request, next request.Handler) (request.Stream, error) {
+	if req.ResumeToken != "" {
+		return next.Handle(ctx, req)
+	}
+	target, err := f.choose(req)
+	if err != nil {
+		return nil, err
+	}
+	req.Target = target
+	return next.Handle(ctx, req)
+}
+
+// choose returns the backend server for the request's next attempt.
+func (f *Filter) choose(req *request.Request) (request.Target, error) {
+	group := groupOf(req)
+	view := f.source.Snapshot().View
+	servers := view.Group(group)
+	if len(servers) == 0 {
+		return request.Target{}, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of group %q is listed", group)
+	}
+	s := f.spaces.Get().(*space)
+	defer f.spaces.Put(s)
+	f.prepare(s, req)
+	f.gather(s, servers, view.Ring(group))
+	d := &s.decision
+	if len(d.candidates) == 0 {
+		return request.Target{}, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of group %q can take the request", group).
+			WithRetryAfter(time.Second)
+	}
+	f.score(d)
+	chosen, reason := f.policy.picker.pick(d)
+	logDecision(d, chosen, reason)
+	c := &d.candidates[chosen]
+	req.MissingTokens = int64(max(0, d.promptTokens-c.CachedTokens))
+	return request.Target{Name: c.Server.Name, Address: c.Server.Address}, nil
+}
+
+func groupOf(req *request.Request) string {
+	if req.Generation != nil {
+		return req.Generation.Model.Group
+	}
+	return req.Route.Group
+}
+
+// prepare computes the request's block hashes and looks up who holds them.
+func (f *Filter) prepare(s *space, req *request.Request) {
+	s.holders = s.holders[:0]
+	s.decision = decision{req: req, now: time.Now(), zone: f.zone, candidates: s.decision.candidates[:0]}
+	generation := req.Generation
+	if generation == nil {
+		return
+	}
+	s.decision.promptTokens = tokens.Count(len(generation.Prompt) + len(generation.Resume))
+	if len(generation.Blocks) == 0 {
+		generation.Blocks = prefix.Chain(generation.Blocks, req.CacheSeed().Salt(), generation.Prompt)
+	}
+	s.holders = f.index.Holders(s.holders, generation.Blocks)
+}
+
+// gather fills in the candidates that pass the filters.
+func (f *Filter) gather(s *space, servers []membership.Server, ring *membership.Ring) {
+	d := &s.decision
+	s.indexes = f.policy.gather.gather(s.indexes[:0], d, servers, ring, s.holders)
+	for affinity, index := range s.indexes {
+		server := &servers[index]
+		c := Candidate{Server: server, load: f.tracker.server(server.Address), Affinity: affinity}
+		c.CachedTokens = cachedTokens(s.holders, server.Address)
+		if f.keep(d, &c) {
+			d.candidates = append(d.candidates, c)
+		}
+	}
+}
+
+func cachedTokens(holders []Holder, address string) int {
+	for i := range holders {
+		if holders[i].Address == address {
+			return holders[i].Blocks * prefix.BlockTokens
+		}
+	}
+	return 0
+}
+
+func (f *Filter) keep(d *decision, c *Candidate) bool {
+	for _, filter := range f.policy.filters {
+		if !filter.keep(d, c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Filter) score(d *decision) {
+	for i := range d.candidates {
+		c := &d.candidates[i]
+		for _, scorer := range f.policy.scorers {
+			c.Score += scorer.score(d, c)
+		}
+	}
+}
+
+// Dispatched implements dispatch.Observer.
+func (f *Filter) Dispatched(target request.Target, missing int64) {
+	f.tracker.dispatched(target.Address, missing)
+}
+
+// Finished implements dispatch.Observer.
+func (f *Filter) Finished(target request.Target) { f.tracker.finished(target.Address) }
+
+// Received implements dispatch.Observer: it learns the load and, once the engine
+// has computed the prompt, the prefixes that it now holds.
+func (f *Filter) Received(target request.Target, req *request.Request, frame *wire.Frame) {
+	if load := loadOf(frame); load != nil {
+		f.learnLoad(target.Address, load)
+	}
+	if frame.GetTail() != nil && req.Generation != nil {
+		f.index.Learn(req.Generation.Blocks, target.Address, f.tracker.server(target.Address).incarnation())
+	}
+}
+
+// learnLoad notes a load report. An engine that came back empty holds none of
+// the prefixes known before.
+func (f *Filter) learnLoad(address string, load *wire.Load) {
+	server := f.tracker.server(address)
+	before := server.incarnation()
+	f.tracker.Report(address, load)
+	if before != 0 && load.GetIncarnation() != 0 && before != load.GetIncarnation() {
+		logger.Info(logging.Fields{"server": address, "incarnation": load.GetIncarnation()}, "engine restarted, its prefixes are forgotten")
+		f.index.Forget(address)
+	}
+}
+
+// priorityClass is the class in log lines of plain calls without one.
+func priorityClass(class config.Class) string {
+	if class == "" {
+		return string(config.ClassUrgent)
+	}
+	return string(class)
+}
--- /dev/null
+++ b/internal/route/tracker.go
@@ -0,0 +1,161 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// defaultPrefillRate is assumed of an engine that has not reported yet, in
+// tokens per second.
+const defaultPrefillRate = 8000
+
+// Tracker keeps what this router knows of each backend server's load: the last
+// report, and the router's own work given out since. It is safe for concurrent
+// use.
+type Tracker struct {
+	mu      sync.RWMutex
+	servers map[string]*serverLoad // by rpc address
+	byID    []*serverLoad
+}
+
+// serverLoad is the load of one backend server.
+type serverLoad struct {
+	id       uint32 // index in Tracker.byID
+	address  string
+	report   atomic.Pointer[report]
+	given    atomic.Int64 // prompt tokens given out, ever
+	inflight atomic.Int64 // own attempts that have not ended
+}
+
+// report is a load report with the state of the router's own counter then.
+type report struct {
+	load       *wire.Load
+	receivedAt time.Time
+	given      int64
+}
+
+// NewTracker returns an empty Tracker.
+func NewTracker() *Tracker {
+	return &Tracker{servers: make(map[string]*serverLoad)}
+}
+
+// server returns the load of the backend server at address.
+func (t *Tracker) server(address string) *serverLoad {
+	t.mu.RLock()
+	known := t.servers[address]
+	t.mu.RUnlock()
+	if known != nil {
+		return known
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known = t.servers[address]; known != nil {
+		return known
+	}
+	added := &serverLoad{id: uint32(len(t.byID)), address: address}
+	t.servers[address] = added
+	t.byID = append(t.byID, added)
+	return added
+}
+
+// Report takes a load report of the backend server at address.
+func (t *Tracker) Report(address string, load *wire.Load) {
+	server := t.server(address)
+	server.report.Store(&report{load: load, receivedAt: time.Now(), given: server.given.Load()})
+}
+
+// dispatched notes a request given to the backend server at address, which is
+// expected to compute missing prompt tokens for it.
+func (t *Tracker) dispatched(address string, missing int64) {
+	server := t.server(address)
+	server.inflight.Add(1)
+	server.given.Add(missing)
+}
+
+// finished notes the end of an attempt at address.
+func (t *Tracker) finished(address string) {
+	t.server(address).inflight.Add(-1)
+}
+
+// loadOf returns the load carried by a frame, or nil.
+func loadOf(frame *wire.Frame) *wire.Load {
+	switch {
+	case frame.GetHead() != nil:
+		return frame.GetHead().GetLoad()
+	case frame.GetTail() != nil:
+		return frame.GetTail().GetLoad()
+	case frame.GetFailure() != nil:
+		return frame.GetFailure().GetLoad()
+	default:
+		return nil
+	}
+}
+
+// backlog returns the prompt tokens that wait at the backend server now: those
+// last reported, less what was computed since, and those given out since.
+func (s *serverLoad) backlog(now time.Time) float64 {
+	last := s.report.Load()
+	if last == nil {
+		return float64(s.given.Load())
+	}
+	computed := now.Sub(last.receivedAt).Seconds() * s.prefillRate()
+	remaining := max(0, float64(last.load.GetBacklogTokens())-computed)
+	return remaining + float64(s.given.Load()-last.given)
+}
+
+// prefillRate returns the engine's prefill rate in tokens per second.
+func (s *serverLoad) prefillRate() float64 {
+	last := s.report.Load()
+	if last == nil || last.load.GetPrefillRate() <= 0 {
+		return defaultPrefillRate
+	}
+	return last.load.GetPrefillRate()
+}
+
+// requests returns the requests at the backend server as far as known: those
+// reported, but not fewer than this router's own.
+func (s *serverLoad) requests() int64 {
+	own := s.inflight.Load()
+	last := s.report.Load()
+	if last == nil {
+		return own
+	}
+	return max(own, int64(last.load.GetQueued()+last.load.GetRunning()))
+}
+
+// draining says whether the sidecar gave notice that it takes no new work.
+func (s *serverLoad) draining(now time.Time) bool {
+	last := s.report.Load()
+	return last != nil && last.load.GetDraining() && now.Sub(last.receivedAt) < noticeLifetime
+}
+
+// noticeLifetime is how long a sidecar's notice keeps new work away. A sidecar
+// that is back before then is tried again afterwards.
+const noticeLifetime = 5 * time.Second
+
+// incarnation returns the last reported incarnation of the engine, or 0.
+func (s *serverLoad) incarnation() uint64 {
+	last := s.report.Load()
+	if last == nil {
+		return 0
+	}
+	return last.load.GetIncarnation()
+}
+
+// holds says whether the engine reported the weights, or nothing of its weights.
+func (s *serverLoad) holds(g *request.Generation) bool {
+	last := s.report.Load()
+	if last == nil || len(last.load.GetLoaded()) == 0 {
+		return true
+	}
+	for _, loaded := range last.load.GetLoaded() {
+		if loaded.GetModel() == g.Model.Name && loaded.GetAdapter() == g.Model.Adapter && loaded.GetVersion() == g.WeightsVersion {
+			return true
+		}
+	}
+	return false
+}
