--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,19 @@
 GO ?= go
 PACKAGES := ./...
 
-.PHONY: build test lint generate clean
+DOCUMENT ?= examples/consortium.ini
+SMOKE_SECONDS := 60
 
-build: ## Builds the three programs into bin.
-	$(GO) build -o bin/ ./cmd/...
+.PHONY: build demo smoke test lint generate clean
+
+build: ## Builds the programs into bin.
+	$(GO) build -o bin/ ./cmd/... ./internal/tools/smoke
+
+demo: build ## Runs the whole system on loopback until Ctrl-C.
+	scripts/system.sh $(DOCUMENT) wait
+
+smoke: build ## Runs the whole system and checks it from outside.
+	timeout $(SMOKE_SECONDS) scripts/system.sh $(DOCUMENT) scripts/smoke.sh
 
 test: lint ## The README's test command: format, vet, staticcheck, tests with -race.
 	$(GO) run ./internal/tools/redtest -known KNOWN-RED.txt -- -race -timeout 15m $(PACKAGES)
--- /dev/null
+++ b/cmd/wasabigated/main.go
@@ -0,0 +1,72 @@
+// Wasabigated is the daemon: a router on an entry VM, or a sidecar beside a
+// backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/daemon"
+	"github.com/wasabigate/wasabigate/internal/version"
+)
+
+const (
+	flagConfig = "config"
+	flagCheck  = "check"
+	flagSet    = "set"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wasabigated:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "wasabigated",
+		Usage:   "router or sidecar daemon",
+		Version: version.Version,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagConfig, Usage: "INI file with the daemon's settings", Required: true},
+			&cli.StringSliceFlag{Name: flagSet, Usage: "setting that overrides the file, as SECTION.KEY=VALUE"},
+			&cli.BoolFlag{Name: flagCheck, Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	settings, err := loadSettings(c)
+	if err != nil {
+		return err
+	}
+	if c.Bool(flagCheck) {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	return daemon.Run(ctx, settings)
+}
+
+// loadSettings reads the file, overridden by environment variables and these by
+// flags.
+func loadSettings(c *cli.Command) (*config.Settings, error) {
+	overrides := config.EnvironmentOverrides(os.Environ())
+	for _, text := range c.StringSlice(flagSet) {
+		override, err := config.ParseOverride(text)
+		if err != nil {
+			return nil, err
+		}
+		overrides = append(overrides, override)
+	}
+	return config.LoadSettings(c.String(flagConfig), overrides)
+}
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -4,18 +4,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/subtle"
-	"strings"
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
-// keyPrefix starts the text of every key: wg-<key id>-<secret>.
-const keyPrefix = "wg-"
-
 // Filter authenticates requests.
 type Filter struct{}
 
@@ -47,8 +42,9 @@
 	if credential == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthenticated, "no API key given")
 	}
-	key := revision.Document.Key(keyID(credential))
-	digest := sha256.Sum256([]byte(credential))
+	id, _ := config.KeyID(credential)
+	key := revision.Document.Key(id)
+	digest := config.HashKey(credential)
 	if key == nil || subtle.ConstantTimeCompare(digest[:], key.SHA256[:]) != 1 {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthenticated, "the API key is not valid")
 	}
@@ -57,16 +53,3 @@
 	}
 	return key, nil
 }
-
-// keyID returns the id in a key's text, or "".
-func keyID(credential string) string {
-	rest, ok := strings.CutPrefix(credential, keyPrefix)
-	if !ok {
-		return ""
-	}
-	id, _, ok := strings.Cut(rest, "-")
-	if !ok {
-		return ""
-	}
-	return id
-}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -297,3 +297,11 @@
 func newer(a, b *wire.Revisions) bool {
 	return a.GetDocument() > b.GetDocument() || a.GetShardEpoch() > b.GetShardEpoch()
 }
+
+// PullNewer tells the loop that some router has newer state; the loop asks one
+// of them.
+func (l *Loop) PullNewer(seen *wire.Revisions) {
+	for _, address := range l.somePeers(1) {
+		l.SawRevisions(address, seen)
+	}
+}
--- /dev/null
+++ b/internal/daemon/router.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/auth"
+	"github.com/wasabigate/wasabigate/internal/classify"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/dispatch"
+	"github.com/wasabigate/wasabigate/internal/httpapi"
+	"github.com/wasabigate/wasabigate/internal/inflight"
+	"github.com/wasabigate/wasabigate/internal/limit"
+	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/relay"
+	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/route"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// balancerDelay is how long a draining router still takes requests, so that the
+// balancer can see that it is not ready and callers leave their connections.
+const balancerDelay = 2 * time.Second
+
+// router is the part of a router.
+type router struct {
+	base     *base
+	inflight *inflight.Registry
+	limiter  *limit.Local
+	server   *httpapi.Server
+}
+
+// newRouter builds the router's filter chain.
+func newRouter(b *base) (*router, error) {
+	r := &router{base: b, inflight: &inflight.Registry{}}
+	routing, err := route.New(b.settings, b.loop, route.NewTracker(), newIndex(b.settings.Router.PrefixEntries))
+	if err != nil {
+		return nil, err
+	}
+	r.limiter = limit.New(limit.Options{
+		Self:   b.settings.Daemon.RPCAddress,
+		Source: b.loop,
+		Peers:  limitPeers{dialer: b.dialer, source: b.loop, self: b.settings.Daemon.RPCAddress},
+		Wait:   b.settings.Router.LimitWait,
+	})
+	if err := wire.DRPCRegisterLimits(b.mux, r.limiter); err != nil {
+		return nil, errors.Wrap(err, "limits service")
+	}
+	r.server = httpapi.New(httpapi.Options{
+		Settings: b.settings,
+		Source:   b.loop,
+		Handler:  r.chain(routing),
+		Inflight: r.inflight,
+		Metrics:  b.metrics,
+	})
+	return r, nil
+}
+
+// chain declares the router's filters in the order in which they act.
+func (r *router) chain(routing *route.Filter) request.Handler {
+	dispatcher := dispatch.New(r.base.dialer, routing, r.base.loop)
+	return pipeline.Chain[*request.Request, request.Stream](
+		dispatcher,
+		auth.New(),
+		httpapi.KeyFilter{},
+		classify.New(),
+		limit.NewFilter(r.limiter, r.base.loop),
+		relay.New(r.base.loop, dispatcher),
+		routing,
+	)
+}
+
+func (r *router) handler() http.Handler { return r.server }
+
+func (r *router) httpAddress() string { return r.base.settings.Router.HTTPAddress }
+
+func (r *router) run(ctx context.Context) error {
+	r.limiter.Run(ctx)
+	return nil
+}
+
+// changed ends the running requests of withdrawn keys.
+func (r *router) changed(snapshot *control.Snapshot) {
+	if snapshot.Config != nil {
+		r.inflight.EndWithdrawn(snapshot.Config.KeyWithdrawn)
+	}
+}
+
+// Describe implements node.Part.
+func (r *router) Describe(status *wire.StatusReply) {
+	snapshot := r.base.loop.Snapshot()
+	status.Inflight = uint32(r.inflight.Len())
+	if snapshot.Shards != nil {
+		status.Shards = uint32(len(snapshot.Shards.Held(r.base.settings.Daemon.RPCAddress)))
+	}
+}
+
+// SetDraining implements node.Part. The control loop's snapshot says it all.
+func (r *router) SetDraining(bool) {}
+
+// drain waits until callers have left.
+func (r *router) drain(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(balancerDelay):
+	}
+	return r.inflight.Wait(ctx)
+}
--- /dev/null
+++ b/internal/tools/smoke/main.go
@@ -0,0 +1,237 @@
+// Smoke checks a running system from outside, the way a caller would, and
+// prints one line for each check: ok or FAIL, and its name.
+//
+// Usage: smoke -router URL -key KEY -model NAME [-lookup PATH] [-order PATH]
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+const (
+	startTimeout   = 15 * time.Second
+	requestTimeout = 10 * time.Second
+	promptWords    = 400
+	maxTokens      = 16
+)
+
+// checker runs checks against one router.
+type checker struct {
+	router string
+	key    string
+	model  string
+	lookup string
+	order  string
+	prompt string
+	client *http.Client
+}
+
+type check struct {
+	name string
+	run  func() error
+}
+
+func main() {
+	c := &checker{client: &http.Client{Timeout: requestTimeout}}
+	flag.StringVar(&c.router, "router", "", "base URL of a router")
+	flag.StringVar(&c.key, "key", "", "key of a workspace")
+	flag.StringVar(&c.model, "model", "", "model to ask")
+	flag.StringVar(&c.lookup, "lookup", "/desk/lookup/7", "path of a lookup")
+	flag.StringVar(&c.order, "order", "/desk/orders", "path of a route that is at most once")
+	flag.Parse()
+	c.prompt = uuid.NewString() + strings.Repeat(" the class roll of 1968", promptWords)
+	if !c.runAll() {
+		os.Exit(1)
+	}
+}
+
+func (c *checker) runAll() bool {
+	checks := []check{
+		{"router is ready", c.ready},
+		{"streamed completion", c.streamed},
+		{"repeated completion hits the cached prefix", c.cached},
+		{"lookup at the door", c.lookUp},
+		{"order sent twice runs once", c.orderTwice},
+		{"bad key is refused", c.badKey},
+	}
+	passed := true
+	for _, check := range checks {
+		err := check.run()
+		if err != nil {
+			passed = false
+			fmt.Printf("FAIL %s: %v\n", check.name, err)
+			continue
+		}
+		fmt.Printf("ok %s\n", check.name)
+	}
+	return passed
+}
+
+// ready waits until the router is ready and knows the backend servers.
+func (c *checker) ready() error {
+	deadline := time.Now().Add(startTimeout)
+	var last error
+	for time.Now().Before(deadline) {
+		if last = c.answers(); last == nil {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return last
+}
+
+func (c *checker) answers() error {
+	_, body, err := c.send(http.MethodGet, "/readyz", c.key, "", "")
+	if err != nil {
+		return err
+	}
+	if string(body) != "ready\n" {
+		return errors.Errorf("not ready: %s", body)
+	}
+	_, err = c.complete("hello")
+	return err
+}
+
+// send makes one request and returns its answer with the body.
+func (c *checker) send(method, path, key, idempotencyKey, body string) (*http.Response, []byte, error) {
+	req, err := http.NewRequest(method, c.router+path, strings.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, answer, err
+}
+
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+type completionAnswer struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Usage struct {
+		PromptTokensDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+func (c *checker) body(prompt string, stream bool) string {
+	encoded, _ := json.Marshal(completionRequest{c.model, prompt, maxTokens, stream})
+	return string(encoded)
+}
+
+func (c *checker) complete(prompt string) (*completionAnswer, error) {
+	resp, body, err := c.send(http.MethodPost, "/v1/completions", c.key, "", c.body(prompt, false))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	var answer completionAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, err
+	}
+	if len(answer.Choices) != 1 || answer.Choices[0].Text == "" {
+		return nil, errors.Errorf("no text in %s", body)
+	}
+	return &answer, nil
+}
+
+func (c *checker) streamed() error {
+	_, body, err := c.send(http.MethodPost, "/v1/completions", c.key, "", c.body(c.prompt, true))
+	if err != nil {
+		return err
+	}
+	chunks := 0
+	scanner := bufio.NewScanner(bytes.NewReader(body))
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" && chunks > maxTokens {
+			return nil
+		}
+		chunks++
+	}
+	return errors.Errorf("stream is not complete after %d chunks: %.300s", chunks, body)
+}
+
+func (c *checker) cached() error {
+	answer, err := c.complete(c.prompt)
+	if err != nil {
+		return err
+	}
+	if answer.Usage.PromptTokensDetails.CachedTokens == 0 {
+		return errors.New("no cached tokens")
+	}
+	return nil
+}
+
+func (c *checker) lookUp() error {
+	return c.expect(http.StatusOK)(c.send(http.MethodGet, c.lookup, c.key, "", ""))
+}
+
+func (c *checker) expect(status int) func(*http.Response, []byte, error) error {
+	return func(resp *http.Response, body []byte, err error) error {
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode != status {
+			return errors.Errorf("status %d, want %d: %s", resp.StatusCode, status, body)
+		}
+		return nil
+	}
+}
+
+func (c *checker) orderTwice() error {
+	key := uuid.NewString()
+	order := fmt.Sprintf(`{"order":%q}`, key)
+	first, firstBody, err := c.send(http.MethodPost, c.order, c.key, key, order)
+	if err != nil {
+		return err
+	}
+	second, secondBody, err := c.send(http.MethodPost, c.order, c.key, key, order)
+	if err != nil {
+		return err
+	}
+	if first.StatusCode/100 != 2 || first.StatusCode != second.StatusCode || !bytes.Equal(firstBody, secondBody) {
+		return errors.Errorf("answers differ: %d %s, %d %s", first.StatusCode, firstBody, second.StatusCode, secondBody)
+	}
+	if second.Header.Get("Idempotent-Replayed") != "true" {
+		return errors.New("the second order was not answered from the record")
+	}
+	return nil
+}
+
+func (c *checker) badKey() error {
+	return c.expect(http.StatusUnauthorized)(c.send(http.MethodPost, "/v1/completions", c.key+"x", "", c.body("hello", false)))
+}
