--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -3,11 +3,15 @@
 package auth
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
+	"slices"
+	"strings"
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -32,6 +36,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if repeats(req, credential) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest,
+			"the request repeats its API key outside of the header for it, where a backend server would see it")
+	}
 	req.KeyID = key.ID
 	req.Workspace = key.Workspace
 	return next.Handle(ctx, req)
@@ -53,3 +61,30 @@
 	}
 	return key, nil
 }
+
+// repeats says whether the part of the request that goes to a backend server
+// holds the credential.
+func repeats(req *request.Request, credential string) bool {
+	if call := req.Call; call != nil {
+		return inCall(call, credential)
+	}
+	generation := req.Generation
+	if generation == nil {
+		return false
+	}
+	return strings.Contains(generation.Prompt, credential) || slices.ContainsFunc(generation.Stop, func(stop string) bool {
+		return strings.Contains(stop, credential)
+	})
+}
+
+func inCall(call *wire.Call, credential string) bool {
+	if strings.Contains(call.GetPath(), credential) || strings.Contains(call.GetIdempotencyKey(), credential) {
+		return true
+	}
+	if bytes.Contains(call.GetBody(), []byte(credential)) {
+		return true
+	}
+	return slices.ContainsFunc(call.GetHeaders(), func(header *wire.Header) bool {
+		return strings.Contains(header.GetValue(), credential) || strings.Contains(header.GetName(), credential)
+	})
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/config"
@@ -20,6 +21,8 @@
 // ShardManager reads and changes the shard table.
 type ShardManager interface {
 	Step(ctx context.Context, view *membership.View, viewRead time.Time) (*shard.Table, error)
+	Learn(table *shard.Table)
+	HandBack(ctx context.Context, levels map[string]int64) error
 }
 
 // Peers reaches the Node service of other daemons.
@@ -46,9 +49,6 @@
 	// OnChange is called by the control goroutine after each new snapshot. It
 	// must neither block nor call a method of the Loop that sends an event.
 	OnChange func(*Snapshot)
-	// OnViewRead is called by the control goroutine after each successful read
-	// of the VM list, with the time before the read. It may be nil.
-	OnViewRead func(readAt time.Time, snapshot *Snapshot)
 }
 
 // Loop owns the control state. Its Run method is the control goroutine; all
@@ -63,6 +63,9 @@
 	ready   chan struct{}  // closed when a document is known
 	changed chan struct{}  // signals a new snapshot to the watch worker
 	stopped chan struct{}  // closed when the control goroutine has ended
+
+	shardsMu   sync.Mutex // held by whoever uses the shard manager
+	handedBack bool
 }
 
 // event changes the control state. Only the control goroutine calls apply,
@@ -211,10 +214,8 @@
 
 // viewSeen brings a read VM list.
 type viewSeen struct {
-	vms    []platform.VM
-	self   string
-	readAt time.Time
-	then   func(readAt time.Time, snapshot *Snapshot)
+	vms  []platform.VM
+	self string
 }
 
 func (e viewSeen) apply(state *Snapshot) bool {
@@ -230,10 +231,6 @@
 		state.View = view
 		state.Listed = listed
 	}
-	if e.then != nil {
-		after := *state
-		e.then(e.readAt, &after)
-	}
 	return changed
 }
 
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -84,7 +84,7 @@
 		logger.Debug(logging.Fields{"error": err.Error()}, "VM list not read")
 		return
 	}
-	l.send(viewSeen{vms, l.options.Settings.Daemon.RPCAddress, readAt, l.options.OnViewRead})
+	l.send(viewSeen{vms, l.options.Settings.Daemon.RPCAddress})
 	replace(l.viewed, readAt)
 }
 
@@ -105,20 +105,33 @@
 }
 
 func (l *Loop) stepShardsOnce(ctx context.Context, readAt time.Time) {
+	l.shardsMu.Lock()
+	defer l.shardsMu.Unlock()
 	snapshot := l.Snapshot()
-	if snapshot.Draining {
+	if l.handedBack {
 		return
 	}
+	if snapshot.Shards != nil {
+		l.options.Shards.Learn(snapshot.Shards)
+	}
 	table, err := l.options.Shards.Step(ctx, snapshot.View, readAt)
 	if err != nil {
 		logger.Debug(logging.Fields{"error": err.Error()}, "shard table not read")
-		return
 	}
 	if table != nil {
 		l.send(tableSeen{table})
 	}
 }
 
+// HandBack gives this router's shards up, at a stop, with the tokens that go with
+// them by workspace. The manager takes no step afterwards.
+func (l *Loop) HandBack(ctx context.Context, levels map[string]int64) error {
+	l.shardsMu.Lock()
+	defer l.shardsMu.Unlock()
+	l.handedBack = true
+	return l.options.Shards.HandBack(ctx, levels)
+}
+
 // followConfig keeps up with the document in the key-value service. Only the
 // routers that Watches names hold a watch; the others learn from peers, and
 // read only until they know a document.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,11 +84,17 @@
 // assemble builds the control loop and the role's part around it.
 func (b *base) assemble() (part, error) {
 	var p part
-	b.loop = control.NewLoop(b.loopOptions(func(s *control.Snapshot) { p.changed(s) }))
+	source := &lateSource{}
+	options := b.loopOptions(func(s *control.Snapshot) { p.changed(s) })
 	var err error
 	if b.settings.Daemon.Role == config.RoleRouter {
-		p, err = newRouter(b)
+		limiter := newLimiter(b, source)
+		options.Shards = newShardManager(b, limiter)
+		b.loop = control.NewLoop(options)
+		source.loop = b.loop
+		p, err = newRouter(b, limiter)
 	} else {
+		b.loop = control.NewLoop(options)
 		p, err = newSidecar(b)
 	}
 	if err != nil {
@@ -98,8 +104,15 @@
 	return p, errors.Wrap(wire.DRPCRegisterNode(b.mux, service), "node service")
 }
 
+// lateSource is the loop's snapshot for parts that are built before the loop,
+// because the loop needs them.
+type lateSource struct{ loop *control.Loop }
+
+// Snapshot implements control.Source.
+func (s *lateSource) Snapshot() *control.Snapshot { return s.loop.Snapshot() }
+
 func (b *base) loopOptions(onChange func(*control.Snapshot)) control.Options {
-	options := control.Options{
+	return control.Options{
 		Settings:  b.settings,
 		KV:        b.kv,
 		ConfigKey: configstore.Key(b.settings.Daemon.Environment),
@@ -112,7 +125,6 @@
 		},
 		OnChange: onChange,
 	}
-	return options
 }
 
 // serve runs all listeners and background work until ctx ends, then drains.
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -19,6 +19,7 @@
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/route"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/shard"
 )
 
 // balancerDelay is how long a draining router still takes requests, so that the
@@ -33,19 +34,32 @@
 	server   *httpapi.Server
 }
 
+func newLimiter(b *base, source control.Source) *limit.Local {
+	return limit.New(limit.Options{
+		Self:   b.settings.Daemon.RPCAddress,
+		Source: source,
+		Peers:  limitPeers{dialer: b.dialer, source: source, self: b.settings.Daemon.RPCAddress},
+		Wait:   b.settings.Router.LimitWait,
+	})
+}
+
+func newShardManager(b *base, limiter *limit.Local) *shard.Manager {
+	return shard.NewManager(shard.Options{
+		Self:        b.settings.Daemon.RPCAddress,
+		Environment: b.settings.Daemon.Environment,
+		KV:          b.kv,
+		Ledger:      limiter,
+		VMListLag:   b.settings.Platform.VMListLag,
+	})
+}
+
 // newRouter builds the router's filter chain.
-func newRouter(b *base) (*router, error) {
-	r := &router{base: b, inflight: &inflight.Registry{}}
+func newRouter(b *base, limiter *limit.Local) (*router, error) {
+	r := &router{base: b, inflight: &inflight.Registry{}, limiter: limiter}
 	routing, err := route.New(b.settings, b.loop, route.NewTracker(), newIndex(b.settings.Router.PrefixEntries))
 	if err != nil {
 		return nil, err
 	}
-	r.limiter = limit.New(limit.Options{
-		Self:   b.settings.Daemon.RPCAddress,
-		Source: b.loop,
-		Peers:  limitPeers{dialer: b.dialer, source: b.loop, self: b.settings.Daemon.RPCAddress},
-		Wait:   b.settings.Router.LimitWait,
-	})
 	if err := wire.DRPCRegisterLimits(b.mux, r.limiter); err != nil {
 		return nil, errors.Wrap(err, "limits service")
 	}
@@ -107,5 +121,18 @@
 	case <-ctx.Done():
 	case <-time.After(balancerDelay):
 	}
-	return r.inflight.Wait(ctx)
+	if err := r.inflight.Wait(ctx); err != nil {
+		return err
+	}
+	return r.handBack(ctx)
+}
+
+// handBack gives this router's shards to the others, with what is left in them.
+func (r *router) handBack(ctx context.Context) error {
+	table := r.base.loop.Snapshot().Shards
+	if table == nil {
+		return nil
+	}
+	levels := r.limiter.Release(table.Epoch, table.Held(r.base.settings.Daemon.RPCAddress))
+	return errors.Wrap(r.base.loop.HandBack(ctx, levels), "shards kept, since they could not be handed back")
 }
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -65,7 +65,6 @@
 	return c.String(http.StatusOK, "ready\n")
 }
 
-
 func (p *sidecarPart) run(ctx context.Context) error {
 	<-ctx.Done()
 	return nil
