--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -28,6 +28,10 @@
 func (f *Filter) Handle(ctx context.Context, req *request.Request, next request.Handler) (request.Stream, error) {
 	credential := req.Credential
 	req.Credential = ""
+	if credential != "" && repeats(req, credential) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest,
+			"the request repeats its API key outside of the header for it, where a backend server would see it")
+	}
 	if req.Route.Access == config.AccessOpen {
 		req.Workspace = req.Route.Workspace
 		return next.Handle(ctx, req)
@@ -36,10 +40,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if repeats(req, credential) {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest,
-			"the request repeats its API key outside of the header for it, where a backend server would see it")
-	}
 	req.KeyID = key.ID
 	req.Workspace = key.Workspace
 	return next.Handle(ctx, req)
--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -46,6 +46,7 @@
 		{"key in the path", closed, first, &wire.Call{Path: "/lookup?key=" + first}, "", verdict.CodeInvalidRequest},
 		{"key in the body", closed, first, &wire.Call{Body: []byte(`{"key":"` + first + `"}`)}, "", verdict.CodeInvalidRequest},
 		{"key in another header", closed, first, &wire.Call{Headers: []*wire.Header{{Name: "X-Note", Value: first}}}, "", verdict.CodeInvalidRequest},
+		{"key in the path of an open route", open, first, &wire.Call{Path: "/lookup?key=" + first}, "", verdict.CodeInvalidRequest},
 		{"key as idempotency key", closed, first, &wire.Call{IdempotencyKey: first}, "", verdict.CodeInvalidRequest},
 	}
 	for _, c := range cases {
