Prove the spread of revisions on a controlled clock

Table-driven cases with the key-value service, a router or the VM list out, a stale read and a restart of all routers without the key-value service, against the targets of 3 s and 1 s.

--- /dev/null
+++ b/internal/control/loop_test.go
@@ -0,0 +1,262 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/shard"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/standin/vmlist"
+)
+
+const configKey = "config"
+
+// inForceWithin is the time that a withdrawal may take to every daemon.
+const inForceWithin = 3 * time.Second
+
+// The tests' envelopes and tables are bare numbers.
+func envelope(number uint64) []byte { return binary.BigEndian.AppendUint64(nil, number) }
+
+func openNumber(encoded []byte) (*config.Revision, error) {
+	if len(encoded) != 8 {
+		return nil, errors.New("not a number")
+	}
+	return &config.Revision{Number: binary.BigEndian.Uint64(encoded), Envelope: encoded}, nil
+}
+
+func codec() Codec {
+	return Codec{
+		OpenEnvelope: openNumber,
+		EncodeTable:  func(table *shard.Table) ([]byte, error) { return envelope(table.Epoch), nil },
+		DecodeTable: func(encoded []byte) (*shard.Table, error) {
+			revision, err := openNumber(encoded)
+			if err != nil {
+				return nil, err
+			}
+			return &shard.Table{Epoch: revision.Number}, nil
+		},
+	}
+}
+
+// network connects loops in process. A cut daemon reaches nobody and is reached
+// by nobody.
+type network struct {
+	mu    sync.Mutex
+	loops map[string]*Loop
+	cut   map[string]bool
+}
+
+// reach returns the loop at address, or nil if self can't reach it.
+func (n *network) reach(self, address string) *Loop {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[self] || n.cut[address] {
+		return nil
+	}
+	return n.loops[address]
+}
+
+func (n *network) add(address string, loop *Loop) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loops[address] = loop
+}
+
+func (n *network) cutOff(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = true
+}
+
+type linkFrom struct {
+	network *network
+	self    string
+}
+
+func (l linkFrom) Exchange(_ context.Context, address string, req *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	peer := l.network.reach(l.self, address)
+	if peer == nil {
+		return nil, errors.New("unreachable")
+	}
+	return peer.Answer(req), nil
+}
+
+// world is a system of routers and sidecars on a controlled clock.
+type world struct {
+	kv      *kv.Store
+	vms     *vmlist.List
+	network *network
+	cancels map[string]context.CancelFunc
+}
+
+func newWorld() *world {
+	return &world{
+		kv:      kv.New(1),
+		vms:     vmlist.New(),
+		network: &network{loops: make(map[string]*Loop), cut: make(map[string]bool)},
+		cancels: make(map[string]context.CancelFunc),
+	}
+}
+
+func (w *world) start(t *testing.T, address string, role config.Role) *Loop {
+	t.Helper()
+	group := platform.GroupRouters
+	if role == config.RoleSidecar {
+		group = "engines"
+	}
+	w.vms.Set(platform.VM{Name: address, Address: address, Group: group, State: platform.VMLive})
+	loop := NewLoop(Options{
+		Settings: &config.Settings{
+			Daemon:   config.DaemonSettings{Role: role, RPCAddress: address},
+			Platform: config.PlatformSettings{Timeout: 500 * time.Millisecond},
+		},
+		KV:        w.kv,
+		ConfigKey: configKey,
+		VMs:       w.vms,
+		Peers:     linkFrom{w.network, address},
+		Codec:     codec(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	w.network.add(address, loop)
+	w.cancels[address] = cancel
+	go loop.Run(ctx)
+	return loop
+}
+
+func (w *world) stop() {
+	for _, cancel := range w.cancels {
+		cancel()
+	}
+	synctest.Wait()
+}
+
+// write accepts a revision in the key-value service.
+func (w *world) write(t *testing.T, number uint64) {
+	t.Helper()
+	entry, err := w.kv.Get(t.Context(), configKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		t.Fatal(err)
+	}
+	if _, err := w.kv.CompareAndSwap(t.Context(), configKey, envelope(number), entry.Version, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// wantEverywhere checks the revision in force at all daemons but those cut off.
+func (w *world) wantEverywhere(t *testing.T, number uint64) {
+	t.Helper()
+	for address, loop := range w.network.loops {
+		if revision := loop.Snapshot().Config; !w.network.cut[address] && (revision == nil || revision.Number != number) {
+			t.Errorf("%s has %+v, want revision %d", address, revision, number)
+		}
+	}
+}
+
+func startSystem(t *testing.T) *world {
+	t.Helper()
+	w := newWorld()
+	w.write(t, 1)
+	for _, address := range []string{"r1", "r2", "r3"} {
+		w.start(t, address, config.RoleRouter)
+	}
+	for _, address := range []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"} {
+		w.start(t, address, config.RoleSidecar)
+	}
+	time.Sleep(10 * time.Second)
+	return w
+}
+
+func TestRevisionIsInForceEverywhereInTime(t *testing.T) {
+	cases := []struct {
+		name  string
+		after func(w *world) // acts right after the revision was accepted
+		cut   string
+	}{
+		{"calm", func(*world) {}, ""},
+		{"key-value service down at once, but one router has read it", func(w *world) {
+			time.Sleep(50 * time.Millisecond)
+			w.kv.SetFaults(kv.Faults{Down: true})
+		}, ""},
+		{"a router can't reach the key-value service or its peers", func(*world) {}, "r2"},
+		{"VM list down", func(w *world) { w.vms.SetDown(true) }, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := startSystem(t)
+				defer w.stop()
+				w.wantEverywhere(t, 1)
+				w.network.cutOff(c.cut)
+				w.write(t, 2)
+				c.after(w)
+				time.Sleep(inForceWithin)
+				w.wantEverywhere(t, 2)
+			})
+		})
+	}
+}
+
+func TestRevisionNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startSystem(t)
+		defer w.stop()
+		w.write(t, 5)
+		time.Sleep(inForceWithin)
+		w.kv.SetFaults(kv.Faults{StaleReads: 1})
+		for _, loop := range w.network.loops {
+			loop.OfferEnvelope(envelope(4))
+			loop.OfferEnvelope([]byte("broken"))
+		}
+		time.Sleep(time.Minute)
+		w.wantEverywhere(t, 5)
+	})
+}
+
+func TestRestartWithoutTheKeyValueServiceTakesTheHighestRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startSystem(t)
+		defer w.stop()
+		w.write(t, 7)
+		time.Sleep(inForceWithin)
+		w.kv.SetFaults(kv.Faults{Down: true})
+		for _, address := range []string{"r1", "r2", "r3"} {
+			w.cancels[address]()
+		}
+		synctest.Wait()
+		began := time.Now()
+		for _, address := range []string{"r1", "r2", "r3"} {
+			w.start(t, address, config.RoleRouter)
+		}
+		for _, address := range []string{"r1", "r2", "r3"} {
+			<-w.network.loops[address].Ready()
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("all routers were ready after %v, want 1s at most", took)
+		}
+		w.wantEverywhere(t, 7)
+	})
+}
+
+func TestTableOfAPeerIsLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startSystem(t)
+		defer w.stop()
+		w.network.loops["r1"].OfferTable(envelope(3))
+		w.network.loops["r1"].OfferTable(envelope(2))
+		time.Sleep(inForceWithin)
+		for address, loop := range w.network.loops {
+			if table := loop.Snapshot().Shards; table == nil || table.Epoch != 3 {
+				t.Errorf("%s has table %+v, want epoch 3", address, table)
+			}
+		}
+	})
+}
