Let a model name the base that its adapter goes over

Cause: an adapter's section was looked up in the engine under its own name, which no engine holds. Change: the setting base, which is the section's name unless it is set; callers still see the section's name.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,7 @@
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
 	"github.com/wasabigate/wasabigate/internal/standin/model"
 	"github.com/wasabigate/wasabigate/internal/standin/pieces"
+	"github.com/wasabigate/wasabigate/internal/standin/service"
 	"github.com/wasabigate/wasabigate/internal/standin/vmlist"
 	"github.com/wasabigate/wasabigate/internal/standin/weights"
 )
@@ -46,6 +47,7 @@
 			weights.Command(),
 			pieces.Command(),
 			model.Command(),
+			service.Command(),
 			certs.Command(),
 		},
 	}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -31,6 +31,7 @@
 // Model is a section [model NAME].
 type Model struct {
 	Name             string
+	Base             string // model whose weights the engines load; the name itself unless there is an adapter
 	Adapter          string // empty for the base model
 	Group            string // group of the engines that hold the model
 	WeightsVersion   string // version that new requests use
@@ -120,7 +121,7 @@
 // Key returns the key of that id, or nil.
 func (d *Document) Key(id string) *Key { return d.index.keys[id] }
 
-// BuildIndex makes the lookups by name. Whoever fills a Document calls it once,
+// BuildIndex makes the lookups by name and sets each model's base. Whoever fills a Document calls it once,
 // before the Document is shared.
 func (d *Document) BuildIndex() {
 	d.index = index{
@@ -130,6 +131,9 @@
 		keys:       make(map[string]*Key, len(d.Keys)),
 	}
 	for i := range d.Models {
+		if d.Models[i].Base == "" {
+			d.Models[i].Base = d.Models[i].Name
+		}
 		d.index.models[d.Models[i].Name] = &d.Models[i]
 	}
 	for i := range d.Groups {
--- a/internal/config/document_table.go
+++ b/internal/config/document_table.go
@@ -23,6 +23,8 @@
 
 	{Section: kindModel, Key: "group", Type: TypeName, Required: true,
 		Doc: "Group of the engines that hold the model."},
+	{Section: kindModel, Key: "base", Type: TypeName,
+		Doc: "Model whose weights the engines load; none: the section's name."},
 	{Section: kindModel, Key: "adapter", Type: TypeName,
 		Doc: "Adapter that is loaded over the base model; none for the base model itself."},
 	{Section: kindModel, Key: "weights_version", Type: TypeName, Required: true,
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -90,6 +90,7 @@
 func parseModel(r *reader) Model {
 	model := Model{
 		Name:             r.section.title,
+		Base:             r.text("base"),
 		Adapter:          r.text("adapter"),
 		Group:            r.text("group"),
 		WeightsVersion:   r.text("weights_version"),
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/engine/client"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar"
@@ -20,6 +21,7 @@
 type sidecarPart struct {
 	base    *base
 	sidecar *sidecar.Sidecar
+	engine  engine.Engine     // nil beside plain services
 	index   *cacheindex.Index // nil beside plain services
 }
 
@@ -36,8 +38,10 @@
 	}
 	if settings.Kind == config.GroupEngines {
 		backend := client.NewEngine(settings.BackendURL)
+		p.engine = backend
 		p.index = cacheindex.New()
 		options.Engine = backend
+		options.Blocks = p.index
 		options.Executor = execute.New(backend, nil)
 	} else {
 		options.Executor = execute.New(nil, client.NewService(settings.BackendURL))
@@ -66,7 +70,9 @@
 }
 
 func (p *sidecarPart) run(ctx context.Context) error {
-	<-ctx.Done()
+	if p.index != nil {
+		p.index.Run(ctx, p.engine)
+	}
 	return nil
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -248,7 +248,8 @@
 
 func generation(g *request.Generation) *wire.Generation {
 	return &wire.Generation{
-		Model:          g.Model.Name,
+		Model:          g.Model.Base,
+		ServedName:     g.Model.Name,
 		Adapter:        g.Model.Adapter,
 		WeightsVersion: g.WeightsVersion,
 		Prompt:         g.Prompt,
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -80,7 +80,7 @@
 func (r *Request) CacheSeed() prefix.Seed {
 	return prefix.Seed{
 		Workspace:      r.Workspace,
-		Model:          r.Generation.Model.Name,
+		Model:          r.Generation.Model.Base,
 		Adapter:        r.Generation.Model.Adapter,
 		WeightsVersion: r.Generation.WeightsVersion,
 	}
--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -153,7 +153,7 @@
 		return true
 	}
 	for _, loaded := range last.load.GetLoaded() {
-		if loaded.GetModel() == g.Model.Name && loaded.GetAdapter() == g.Model.Adapter && loaded.GetVersion() == g.WeightsVersion {
+		if loaded.GetModel() == g.Model.Base && loaded.GetAdapter() == g.Model.Adapter && loaded.GetVersion() == g.WeightsVersion {
 			return true
 		}
 	}
--- a/internal/sidecar/execute/generate.go
+++ b/internal/sidecar/execute/generate.go
@@ -103,7 +103,7 @@
 		Load:           &wire.Load{Incarnation: incarnation},
 		CreatedUnix:    j.Request.CreatedUnix,
 		Chat:           g.Chat,
-		Model:          g.Model,
+		Model:          g.ServedName,
 		QueuedMs:       j.Queued.Milliseconds(),
 		ResumeTokens:   g.ResumeTokens,
 		WeightsVersion: g.WeightsVersion,
--- a/internal/sidecar/verify/checks.go
+++ b/internal/sidecar/verify/checks.go
@@ -146,7 +146,7 @@
 	}
 	for i := range document.Models {
 		model := &document.Models[i]
-		if model.Name == generation.Model && model.Adapter == generation.Adapter &&
+		if model.Base == generation.Model && model.Adapter == generation.Adapter &&
 			model.WeightsVersion == generation.WeightsVersion {
 			return nil
 		}
