--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -15,6 +15,7 @@
 	"github.com/wasabigate/wasabigate/internal/inflight"
 	"github.com/wasabigate/wasabigate/internal/limit"
 	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/prefix"
 	"github.com/wasabigate/wasabigate/internal/relay"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/route"
@@ -56,7 +57,7 @@
 // newRouter builds the router's filter chain.
 func newRouter(b *base, limiter *limit.Local) (*router, error) {
 	r := &router{base: b, inflight: &inflight.Registry{}, limiter: limiter}
-	routing, err := route.New(b.settings, b.loop, route.NewTracker(), newIndex(b.settings.Router.PrefixEntries))
+	routing, err := route.New(b.settings, b.loop, route.NewTracker(), prefix.NewIndex(b.settings.Router.PrefixEntries))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,11 +7,11 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
+	"github.com/apex/log/handlers/logfmt"
 	"github.com/pkg/errors"
 )
 
-// Log formats.
+// Log formats. Text is logfmt: key=value pairs.
 const (
 	FormatText = "text"
 	FormatJSON = "json"
@@ -21,7 +21,7 @@
 func Setup(w io.Writer, level, format string) error {
 	switch format {
 	case FormatText:
-		log.SetHandler(text.New(w))
+		log.SetHandler(logfmt.New(w))
 	case FormatJSON:
 		log.SetHandler(json.New(w))
 	default:
--- a/internal/route/gather.go
+++ b/internal/route/gather.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/prefix"
 )
 
 const (
@@ -25,7 +26,7 @@
 // gatherer finds a request's candidates, as indexes of the group's backend
 // servers in the order of affinity.
 type gatherer interface {
-	gather(dst []int32, d *decision, servers []membership.Server, ring *membership.Ring, holders []Holder) []int32
+	gather(dst []int32, d *decision, servers []membership.Server, ring *membership.Ring, holders []prefix.Holder) []int32
 }
 
 // rootHash returns the hash that decides affinity: that of the first blocks of
@@ -40,7 +41,7 @@
 // wholeGroup takes all backend servers, in the order of the ring.
 type wholeGroup struct{}
 
-func (wholeGroup) gather(dst []int32, d *decision, servers []membership.Server, ring *membership.Ring, _ []Holder) []int32 {
+func (wholeGroup) gather(dst []int32, d *decision, servers []membership.Server, ring *membership.Ring, _ []prefix.Holder) []int32 {
 	return ring.Lookup(dst, rootHash(d.blocks()), len(servers))
 }
 
@@ -49,7 +50,7 @@
 // for nested prefixes, and a few at random.
 type nearPrefix struct{}
 
-func (nearPrefix) gather(dst []int32, d *decision, servers []membership.Server, ring *membership.Ring, holders []Holder) []int32 {
+func (nearPrefix) gather(dst []int32, d *decision, servers []membership.Server, ring *membership.Ring, holders []prefix.Holder) []int32 {
 	blocks := d.blocks()
 	if len(servers) <= smallGroup {
 		return ring.Lookup(dst, rootHash(blocks), len(servers))
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -20,17 +20,11 @@
 
 var logger = logging.For("route")
 
-// Holder is a backend server that is known to hold a prefix.
-type Holder struct {
-	Address string // rpc address
-	Blocks  int    // length of the prefix
-}
-
 // Index remembers which backend servers hold which prefixes.
 type Index interface {
 	// Holders appends to dst the backend servers known to hold a prefix of the
 	// chain, each with its longest.
-	Holders(dst []Holder, blocks []uint64) []Holder
+	Holders(dst []prefix.Holder, blocks []uint64) []prefix.Holder
 	// Learn notes that the backend server at address holds the chain.
 	Learn(blocks []uint64, address string, incarnation uint64)
 	// Forget drops what is known of the backend server at address.
@@ -50,7 +44,7 @@
 // space is reused memory of a decision.
 type space struct {
 	indexes  []int32
-	holders  []Holder
+	holders  []prefix.Holder
 	decision decision
 }
 
@@ -132,7 +126,7 @@
 	}
 }
 
-func cachedTokens(holders []Holder, address string) int {
+func cachedTokens(holders []prefix.Holder, address string) int {
 	for i := range holders {
 		if holders[i].Address == address {
 			return holders[i].Blocks * prefix.BlockTokens
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -18,7 +18,8 @@
 policy=${POLICY:-own}
 environment=production
 run=$(mktemp -d)
-pids=()
+daemons=()
+standins=()
 
 kv_port=$((base))
 vms_port=$((base + 1))
@@ -30,21 +31,27 @@
 sidecar_http=$((base + 100))
 backend_port=$((base + 150))
 
+stop_all() { # PID...
+	for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
+	for pid in "$@"; do kill -CONT "$pid" 2>/dev/null || true; done
+	for pid in "$@"; do wait "$pid" 2>/dev/null || true; done
+}
+
+# The daemons drain while the platform is still there.
 stop() {
 	trap - EXIT INT TERM
-	for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-	for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
-	for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+	stop_all "${daemons[@]}"
+	stop_all "${standins[@]}"
 	[ "${KEEP_LOGS:-0}" = 1 ] && echo "logs: $run" || rm -rf "$run"
 }
 trap stop EXIT
 trap 'exit 130' INT TERM
 
-start() { # NAME COMMAND...
-	local name=$1
-	shift
+start() { # NAME daemon|standin COMMAND...
+	local name=$1 kind=$2
+	shift 2
 	"$@" >"$run/$name.log" 2>&1 &
-	pids+=($!)
+	if [ "$kind" = daemon ]; then daemons+=($!); else standins+=($!); fi
 	echo "$!" >"$run/$name.pid"
 }
 
@@ -99,12 +106,12 @@
 for ((i = 0; i < routers; i++)); do add_vm "router-$i" "127.0.0.1:$((router_rpc + i))" "$(zone $i)" routers; done
 for ((i = 0; i < engines; i++)); do add_vm "engine-$i" "127.0.0.1:$((sidecar_rpc + i))" "$(zone $i)" engines; done
 for ((i = 0; i < services; i++)); do add_vm "$service_group-$i" "127.0.0.1:$((sidecar_rpc + engines + i))" "$(zone $i)" "$service_group"; done
-echo "[$vms]" >"$run/vms.json"
+echo "{\"vms\":[$vms]}" >"$run/vms.json"
 
-start kv bin/standin kv --listen "127.0.0.1:$kv_port"
-start vm-list bin/standin vm-list --listen "127.0.0.1:$vms_port" --vms "$run/vms.json" --lag 1s
-start weights bin/standin weight-store --listen "127.0.0.1:$weights_port"
-start pieces bin/standin piece-store --listen "127.0.0.1:$pieces_port"
+start kv standin bin/standin kv --listen "127.0.0.1:$kv_port"
+start vm-list standin bin/standin vm-list --listen "127.0.0.1:$vms_port" --vms "$run/vms.json" --lag 1s
+start weights standin bin/standin weight-store --listen "127.0.0.1:$weights_port"
+start pieces standin bin/standin piece-store --listen "127.0.0.1:$pieces_port"
 
 sidecar() { # NUMBER NAME KIND GROUP
 	{
@@ -117,17 +124,17 @@
 ${SIDECAR_SETTINGS:-}
 INI
 	} >"$run/$2.ini"
-	start "$2" bin/wasabigated --config "$run/$2.ini"
+	start "$2" daemon bin/wasabigated --config "$run/$2.ini"
 }
 for ((i = 0; i < engines; i++)); do
 	# shellcheck disable=SC2086
-	start "backend-$i" bin/standin model-engine --listen "127.0.0.1:$((backend_port + i))" --seed $((i + 1)) \
+	start "backend-$i" standin bin/standin model-engine --listen "127.0.0.1:$((backend_port + i))" --seed $((i + 1)) \
 		--model "$model" --weights-version "$weights" ${ENGINE_FLAGS:-}
 	sidecar "$i" "engine-$i" engines engines
 done
 for ((i = 0; i < services; i++)); do
 	n=$((engines + i))
-	start "backend-$n" bin/standin service --listen "127.0.0.1:$((backend_port + n))" --name "$service_group"
+	start "backend-$n" standin bin/standin service --listen "127.0.0.1:$((backend_port + n))" --name "$service_group"
 	sidecar "$n" "$service_group-$i" service "$service_group"
 done
 for ((i = 0; i < routers; i++)); do
@@ -137,7 +144,7 @@
 		echo "http_address = 127.0.0.1:$((router_http + i))"
 		echo "policy = $policy"
 	} >"$run/router-$i.ini"
-	start "router-$i" bin/wasabigated --config "$run/router-$i.ini"
+	start "router-$i" daemon bin/wasabigated --config "$run/router-$i.ini"
 done
 
 apply() {
