--- /dev/null
+++ b/internal/systemtest/client_test.go
@@ -0,0 +1,138 @@
+package systemtest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+func completionBody(prompt string, maxTokens int, stream bool) string {
+	encoded, _ := json.Marshal(map[string]any{"model": modelName, "prompt": prompt, "max_tokens": maxTokens, "stream": stream})
+	return string(encoded)
+}
+
+// streamed is what a caller got of a streamed answer.
+type streamed struct {
+	status   int
+	verdict  string
+	text     string
+	events   []string // data lines
+	lastID   string   // of the last event
+	complete bool     // [DONE] was seen
+	failed   string   // data of an error event
+}
+
+// stream asks for a streamed completion. lastEventID reconnects to a running
+// one. onEvent, if set, is called after each event with the number so far.
+func (s *system) stream(ctx context.Context, r *router, key, body, lastEventID string, onEvent func(n int)) (*streamed, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	if lastEventID != "" {
+		req.Header.Set("Last-Event-ID", lastEventID)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	answer := &streamed{status: resp.StatusCode, verdict: resp.Header.Get("Wasabigate-Verdict")}
+	return answer, answer.read(resp.Body, onEvent)
+}
+
+func (a *streamed) read(body io.Reader, onEvent func(n int)) error {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, 1<<20)
+	event := ""
+	for scanner.Scan() {
+		line := scanner.Text()
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			a.lastID = strings.TrimPrefix(line, "id: ")
+		case strings.HasPrefix(line, "event: "):
+			event = strings.TrimPrefix(line, "event: ")
+		case strings.HasPrefix(line, "data: "):
+			a.take(event, strings.TrimPrefix(line, "data: "))
+			if onEvent != nil {
+				onEvent(len(a.events))
+			}
+		}
+	}
+	return scanner.Err()
+}
+
+func (a *streamed) take(event, data string) {
+	switch {
+	case event == "error":
+		a.failed = data
+	case data == "[DONE]":
+		a.complete = true
+	default:
+		a.events = append(a.events, data)
+		a.text += chunkText(data)
+	}
+}
+
+func chunkText(data string) string {
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Text
+}
+
+// reply is the answer to a call that is not streamed.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// errorCode returns the code of an error body.
+func (r *reply) errorCode() string {
+	var parsed struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(r.body), &parsed)
+	return parsed.Error.Code
+}
+
+// send makes one call.
+func (s *system) send(ctx context.Context, r *router, method, path, key, idempotencyKey, body string) (*reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, r.url+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "call")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return &reply{resp.StatusCode, resp.Header, string(text)}, err
+}
+
+// order sends a badge print order.
+func (s *system) order(ctx context.Context, r *router, idempotencyKey string) (*reply, error) {
+	return s.send(ctx, r, http.MethodPost, "/desk/orders", s.key, idempotencyKey, fmt.Sprintf(`{"badge":%q}`, idempotencyKey))
+}
--- /dev/null
+++ b/internal/systemtest/system_test.go
@@ -0,0 +1,338 @@
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/configstore"
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/standin/model"
+	"github.com/wasabigate/wasabigate/internal/standin/service"
+	"github.com/wasabigate/wasabigate/internal/standin/vmlist"
+)
+
+const (
+	environment = "test"
+	modelName   = "greeter"
+	weights     = "v1"
+)
+
+// plan says what a test's system consists of.
+type plan struct {
+	routers  int
+	engines  int
+	services int
+	// engine are the options of all model engines.
+	engine model.Options
+	// vmListLag is both the lag of the list and the setting of it.
+	vmListLag time.Duration
+	// document is added to the document's sections.
+	document string
+	// sidecar is added to the sidecars' settings.
+	sidecar string
+}
+
+// system is a running system.
+type system struct {
+	kv       *kv.Store
+	vms      *vmlist.List
+	store    *configstore.Store
+	key      string // of workspace north
+	otherKey string // of workspace south
+	routers  []*router
+	engines  []*engineServer
+	services []*serviceServer
+}
+
+// router is a router with the address of its HTTP side.
+type router struct {
+	*process
+	url  string
+	link *link // what the other daemons reach it through
+}
+
+// server is what every backend server has.
+type server struct {
+	sidecar *process
+	link    *link // what routers reach its sidecar through
+	seen    *capture
+	vm      platform.VM
+}
+
+type engineServer struct {
+	server
+	engine *model.Engine
+}
+
+type serviceServer struct {
+	server
+	service *service.Service
+}
+
+// capture records the requests that a backend server got, byte by byte.
+type capture struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (c *capture) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if dump, err := httputil.DumpRequest(r, true); err == nil {
+			c.mu.Lock()
+			c.text.Write(dump)
+			c.mu.Unlock()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *capture) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.String()
+}
+
+// start starts a system and waits until all its routers are ready.
+func start(t *testing.T, p plan) *system {
+	t.Helper()
+	s := &system{
+		kv:       kv.New(1),
+		vms:      vmlist.New(),
+		key:      config.NewKey("north-1"),
+		otherKey: config.NewKey("south-1"),
+	}
+	s.store = configstore.New(s.kv, environment)
+	s.apply(t, s.document(p))
+	kvURL := serveHTTP(t, kv.Handler(s.kv))
+	vmsURL := serveHTTP(t, vmlist.Handler(s.vms))
+	settings := func(name, role, address string) string {
+		return fmt.Sprintf(daemonSettings, name, role, environment, address, kvURL, vmsURL, p.vmListLag+100*time.Millisecond)
+	}
+	for i := range p.engines {
+		s.addEngine(t, p, i, settings)
+	}
+	for i := range p.services {
+		s.addService(t, p, i, settings)
+	}
+	for i := range p.routers {
+		s.addRouter(t, i, settings)
+	}
+	s.vms.SetLag(p.vmListLag)
+	for _, r := range s.routers {
+		s.awaitReady(t, r)
+	}
+	return s
+}
+
+const daemonSettings = `[daemon]
+name = %s
+role = %s
+availability_zone = zone-1
+environment = %s
+rpc_address = %s
+drain_timeout = 20s
+%%s
+[platform]
+key_value = %s
+vm_list = %s
+vm_list_lag = %s
+[tls]
+plaintext = yes
+[log]
+level = info
+`
+
+// document returns a document with two workspaces and a route of each kind.
+func (s *system) document(p plan) string {
+	return fmt.Sprintf(`[environment]
+name = test
+[model %s]
+group = engines
+weights_version = %s
+context_tokens = 32768
+default_max_tokens = 16
+[group engines]
+kind = engines
+[group desk]
+kind = service
+[workspace north]
+rate = 100000
+burst = 1000000
+[workspace south]
+rate = 100000
+burst = 1000000
+[workspace public]
+rate = 1000
+burst = 1000
+[key north-1]
+workspace = north
+sha256 = %x
+[key south-1]
+workspace = south
+sha256 = %x
+[route chat]
+path = /v1/chat/completions
+class = urgent
+[route completions]
+path = /v1/completions
+class = urgent
+[route lookup]
+path = /desk/lookup/*
+method = GET
+group = desk
+strip_prefix = /desk
+class = urgent
+[route orders]
+path = /desk/orders
+method = POST
+group = desk
+strip_prefix = /desk
+once = yes
+[route rolls]
+path = /rolls/jobs/*
+method = GET
+group = desk
+strip_prefix = /rolls
+access = open
+workspace = public
+%s`, modelName, weights, config.HashKey(s.key), config.HashKey(s.otherKey), p.document)
+}
+
+// apply accepts a document.
+func (s *system) apply(t *testing.T, text string) {
+	t.Helper()
+	base, err := s.store.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.store.Apply(t.Context(), base, []byte(text), "test"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+type settingsFor func(name, role, address string) string
+
+func (s *system) addEngine(t *testing.T, p plan, i int, settings settingsFor) {
+	options := p.engine
+	options.Seed = uint64(i + 1)
+	options.Loaded = []engine.LoadedWeights{{Model: modelName, Version: weights}}
+	e := &engineServer{engine: model.New(options)}
+	t.Cleanup(e.engine.Close)
+	name := fmt.Sprintf("engine-%d", i)
+	e.server = s.addServer(t, p, name, "engines", config.GroupEngines, model.Handler(e.engine), settings)
+	s.engines = append(s.engines, e)
+}
+
+func (s *system) addService(t *testing.T, p plan, i int, settings settingsFor) {
+	v := &serviceServer{service: service.New("desk")}
+	t.Cleanup(v.service.Close)
+	name := fmt.Sprintf("desk-%d", i)
+	v.server = s.addServer(t, p, name, "desk", config.GroupService, service.Handler(v.service), settings)
+	s.services = append(s.services, v)
+}
+
+// addServer starts a backend server's HTTP side and its sidecar, and lists it.
+func (s *system) addServer(t *testing.T, p plan, name, group string, kind config.GroupKind, handler http.Handler, settings settingsFor) server {
+	t.Helper()
+	address := freeAddress(t)
+	v := server{seen: &capture{}, link: newLink(t, address)}
+	backendURL := serveHTTP(t, v.seen.wrap(handler))
+	text := fmt.Sprintf(settings(name, "sidecar", address), "admin_address = "+freeAddress(t))
+	text += fmt.Sprintf("[sidecar]\nkind = %s\ngroup = %s\nbackend_url = %s\n%s\n", kind, group, backendURL, p.sidecar)
+	v.sidecar = newProcess(t, name, text)
+	v.vm = platform.VM{Name: name, Address: v.link.address(), AvailabilityZone: "zone-1", Group: group, State: platform.VMLive}
+	s.vms.Set(v.vm)
+	return v
+}
+
+func (s *system) addRouter(t *testing.T, i int, settings settingsFor) {
+	t.Helper()
+	address, httpAddress := freeAddress(t), freeAddress(t)
+	name := fmt.Sprintf("router-%d", i)
+	text := fmt.Sprintf(settings(name, "router", address), s.peersSetting()) + "[router]\nhttp_address = " + httpAddress + "\n"
+	r := &router{process: newProcess(t, name, text), url: "http://" + httpAddress}
+	s.vms.Set(platform.VM{Name: name, Address: address, AvailabilityZone: "zone-1", Group: platform.GroupRouters, State: platform.VMLive})
+	s.routers = append(s.routers, r)
+}
+
+// peersSetting names the sidecars, which a router asks when the platform is
+// down.
+func (s *system) peersSetting() string {
+	var addresses []string
+	for _, e := range s.engines {
+		addresses = append(addresses, e.link.address())
+	}
+	for _, v := range s.services {
+		addresses = append(addresses, v.link.address())
+	}
+	return "peers = " + strings.Join(addresses, ", ")
+}
+
+// awaitReady waits until the router answers a request.
+func (s *system) awaitReady(t *testing.T, r *router) {
+	t.Helper()
+	eventually(t, startTimeout, r.name+" is ready", func() bool {
+		reply := s.tryComplete(t.Context(), r, "hello")
+		return reply == http.StatusOK
+	})
+}
+
+// tryComplete returns the status of a short completion, or 0.
+func (s *system) tryComplete(ctx context.Context, r *router, prompt string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/v1/completions", strings.NewReader(completionBody(prompt, 1, false)))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+s.key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// eventually waits until condition holds.
+func eventually(t *testing.T, timeout time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(timeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", timeout, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func serveHTTP(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
