Warm a restarted router from the engines' digests

Cause: after a restart a router assumed 8,000 tokens/s of engines that it had not heard from, and knew none of their prefixes; TestRestartWithoutTheKeyValueService failed with 0 of 1,344 cached tokens after the restart of all routers. Ruled out: the hash order, which was the same at all routers. Change: a router reads each engine's digest at the start, side by side, and holds generations back until then, for half a second at most; an engine that has not reported is taken to be like the others; afterwards one engine in turn is read every half second, so that routers learn of each other's work.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -16,6 +16,16 @@
 	self   string
 }
 
+// digests reads the digests of sidecars. It implements route.Digests.
+type digests struct {
+	dialer *rpc.Dialer
+}
+
+func (d digests) Digest(ctx context.Context, address string, maxBlocks uint32) (*wire.DigestReply, error) {
+	client := wire.NewDRPCBackendClient(d.dialer.Conn(ctx, address))
+	return client.Digest(ctx, &wire.DigestRequest{MaxBlocks: maxBlocks})
+}
+
 func (p limitPeers) Addresses() []string {
 	view := p.source.Snapshot().View
 	addresses := make([]string, 0, len(view.Routers))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,10 +30,11 @@
 
 // router is the part of a router.
 type router struct {
-	base     *base
-	inflight *inflight.Registry
-	limiter  *limit.Local
-	server   *httpapi.Server
+	base      *base
+	inflight  *inflight.Registry
+	limiter   *limit.Local
+	refresher *route.Refresher
+	server    *httpapi.Server
 }
 
 func newLimiter(b *base, source control.Source) *limit.Local {
@@ -61,6 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.refresher = route.NewRefresher(routing, digests{dialer: b.dialer})
 	if err := wire.DRPCRegisterLimits(b.mux, r.limiter); err != nil {
 		return nil, errors.Wrap(err, "limits service")
 	}
@@ -93,7 +96,10 @@
 func (r *router) httpAddress() string { return r.base.settings.Router.HTTPAddress }
 
 func (r *router) run(ctx context.Context) error {
-	r.limiter.Run(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { r.limiter.Run(ctx) })
+	group.Go(func() { r.refresher.Run(ctx) })
+	group.Wait()
 	return nil
 }
 
--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -24,9 +24,28 @@
 		a.chat = req.Generation.Chat
 		a.model = req.Generation.ModelName
 	}
+	if position, err := request.ParsePosition(req.ResumeToken); err == nil {
+		a.chat = position.Chat
+		a.model = position.Model
+		a.created = position.CreatedUnix
+	}
 	return a
 }
 
+// position returns the place of a frame in the stream.
+func (a *answer) position(req *request.Request, frame *wire.Frame) request.Position {
+	return request.Position{
+		Workspace:   req.Workspace,
+		RequestID:   frame.GetRequestId(),
+		Attempt:     frame.GetAttempt(),
+		Sequence:    frame.GetSequence(),
+		Address:     req.Target.Address,
+		Model:       a.model,
+		Chat:        a.chat,
+		CreatedUnix: a.created,
+	}
+}
+
 func (a *answer) observe(frame *wire.Frame) {
 	a.id = frame.GetRequestId()
 	if head := frame.GetHead(); head != nil {
--- a/internal/httpapi/generate.go
+++ b/internal/httpapi/generate.go
@@ -83,15 +83,9 @@
 			return s.endBroken(ctx, events, req, err)
 		}
 		answer.observe(frame)
-		position := request.Position{
-			Workspace: req.Workspace,
-			RequestID: frame.GetRequestId(),
-			Attempt:   frame.GetAttempt(),
-			Sequence:  frame.GetSequence(),
-			Address:   req.Target.Address,
-		}
+		id := answer.position(req, frame).String()
 		for _, chunk := range answer.chunks(frame, usage) {
-			if err := events.write(position.String(), chunk); err != nil {
+			if err := events.write(id, chunk); err != nil {
 				return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCancelled, "the caller left")
 			}
 		}
--- a/internal/request/position.go
+++ b/internal/request/position.go
@@ -18,16 +18,24 @@
 	Attempt   uint32
 	Sequence  uint64
 	Address   string // rpc address of the sidecar that has the stream
+
+	// What all chunks of the stream share.
+	Model       string
+	Chat        bool
+	CreatedUnix int64
 }
 
 // String returns the text of the position.
 func (p Position) String() string {
 	encoded, err := proto.Marshal(&wire.Position{
-		Workspace: p.Workspace,
-		RequestId: p.RequestID,
-		Attempt:   p.Attempt,
-		Sequence:  p.Sequence,
-		Address:   p.Address,
+		Workspace:   p.Workspace,
+		RequestId:   p.RequestID,
+		Attempt:     p.Attempt,
+		Sequence:    p.Sequence,
+		Address:     p.Address,
+		Model:       p.Model,
+		Chat:        p.Chat,
+		CreatedUnix: p.CreatedUnix,
 	})
 	if err != nil {
 		return "" // only for strings that are not UTF-8
@@ -49,10 +57,13 @@
 		return Position{}, errors.New("position: incomplete")
 	}
 	return Position{
-		Workspace: p.GetWorkspace(),
-		RequestID: p.GetRequestId(),
-		Attempt:   p.GetAttempt(),
-		Sequence:  p.GetSequence(),
-		Address:   p.GetAddress(),
+		Workspace:   p.GetWorkspace(),
+		RequestID:   p.GetRequestId(),
+		Attempt:     p.GetAttempt(),
+		Sequence:    p.GetSequence(),
+		Address:     p.GetAddress(),
+		Model:       p.GetModel(),
+		Chat:        p.GetChat(),
+		CreatedUnix: p.GetCreatedUnix(),
 	}, nil
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -27,6 +27,8 @@
 	Holders(dst []prefix.Holder, blocks []uint64) []prefix.Holder
 	// Learn notes that the backend server at address holds the chain.
 	Learn(blocks []uint64, address string, incarnation uint64)
+	// Restore notes that the backend server at address holds the blocks.
+	Restore(blocks []uint64, address string, incarnation uint64)
 	// Forget drops what is known of the backend server at address.
 	Forget(address string)
 }
@@ -39,8 +41,15 @@
 	tracker *Tracker
 	index   Index
 	spaces  sync.Pool // of *space
+
+	started time.Time
+	warm    chan struct{} // closed when the index knows what engines hold
 }
 
+// warmTimeout bounds how long generations wait after the router's start until
+// the index knows what the engines hold.
+const warmTimeout = 500 * time.Millisecond
+
 // space is reused memory of a decision.
 type space struct {
 	indexes  []int32
@@ -57,6 +66,7 @@
 	if req.ResumeToken != "" {
 		return next.Handle(ctx, req)
 	}
+	f.awaitWarm(ctx)
 	target, err := f.choose(req)
 	if err != nil {
 		return nil, err
@@ -65,6 +75,25 @@
 	return next.Handle(ctx, req)
 }
 
+// awaitWarm waits until the index is warm, shortly after the start only.
+func (f *Filter) awaitWarm(ctx context.Context) {
+	select {
+	case <-f.warm:
+		return
+	default:
+	}
+	timer := time.NewTimer(time.Until(f.started.Add(warmTimeout)))
+	defer timer.Stop()
+	select {
+	case <-f.warm:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Warm is closed when the index knows what the engines hold.
+func (f *Filter) Warm() <-chan struct{} { return f.warm }
+
 // choose returns the backend server for the request's next attempt.
 func (f *Filter) choose(req *request.Request) (request.Target, error) {
 	group := groupOf(req)
--- a/internal/route/setup.go
+++ b/internal/route/setup.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"time"
+
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/control"
 )
@@ -17,6 +19,8 @@
 		policy:  policy,
 		tracker: tracker,
 		index:   index,
+		started: time.Now(),
+		warm:    make(chan struct{}),
 	}
 	f.spaces.New = func() any { return &space{} }
 	return f, nil
--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,8 +10,8 @@
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
-// defaultPrefillRate is assumed of an engine that has not reported yet, in
-// tokens per second.
+// defaultPrefillRate is assumed while no engine has reported, in tokens per
+// second.
 const defaultPrefillRate = 8000
 
 // Tracker keeps what this router knows of each backend server's load: the last
@@ -19,13 +20,12 @@
 type Tracker struct {
 	mu      sync.RWMutex
 	servers map[string]*serverLoad // by rpc address
-	byID    []*serverLoad
+	typical atomic.Uint64          // bits of the prefill rate reported last, by any server
 }
 
 // serverLoad is the load of one backend server.
 type serverLoad struct {
-	id       uint32 // index in Tracker.byID
-	address  string
+	tracker  *Tracker
 	report   atomic.Pointer[report]
 	given    atomic.Int64 // prompt tokens given out, ever
 	inflight atomic.Int64 // own attempts that have not ended
@@ -56,15 +56,17 @@
 	if known = t.servers[address]; known != nil {
 		return known
 	}
-	added := &serverLoad{id: uint32(len(t.byID)), address: address}
+	added := &serverLoad{tracker: t}
 	t.servers[address] = added
-	t.byID = append(t.byID, added)
 	return added
 }
 
 // Report takes a load report of the backend server at address.
 func (t *Tracker) Report(address string, load *wire.Load) {
 	server := t.server(address)
+	if load.GetPrefillRate() > 0 {
+		t.typical.Store(math.Float64bits(load.GetPrefillRate()))
+	}
 	server.report.Store(&report{load: load, receivedAt: time.Now(), given: server.given.Load()})
 }
 
@@ -107,13 +109,18 @@
 	return remaining + float64(s.given.Load()-last.given)
 }
 
-// prefillRate returns the engine's prefill rate in tokens per second.
+// prefillRate returns the engine's prefill rate in tokens per second. An engine
+// that has not reported is taken to be like the one that reported last, so that
+// it is neither favoured nor avoided.
 func (s *serverLoad) prefillRate() float64 {
 	last := s.report.Load()
-	if last == nil || last.load.GetPrefillRate() <= 0 {
-		return defaultPrefillRate
+	if last != nil && last.load.GetPrefillRate() > 0 {
+		return last.load.GetPrefillRate()
+	}
+	if typical := math.Float64frombits(s.tracker.typical.Load()); typical > 0 {
+		return typical
 	}
-	return last.load.GetPrefillRate()
+	return defaultPrefillRate
 }
 
 // requests returns the requests at the backend server as far as known: those
--- a/internal/systemtest/client_test.go
+++ b/internal/systemtest/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"testing"
 
 	"github.com/pkg/errors"
 )
@@ -60,8 +61,9 @@
 		case strings.HasPrefix(line, "event: "):
 			event = strings.TrimPrefix(line, "event: ")
 		case strings.HasPrefix(line, "data: "):
+			before := len(a.events)
 			a.take(event, strings.TrimPrefix(line, "data: "))
-			if onEvent != nil {
+			if onEvent != nil && len(a.events) > before {
 				onEvent(len(a.events))
 			}
 		}
@@ -136,3 +138,24 @@
 func (s *system) order(ctx context.Context, r *router, idempotencyKey string) (*reply, error) {
 	return s.send(ctx, r, http.MethodPost, "/desk/orders", s.key, idempotencyKey, fmt.Sprintf(`{"badge":%q}`, idempotencyKey))
 }
+
+// cachedTokens asks for a completion and returns how much of the prompt was
+// cached.
+func (s *system) cachedTokens(t *testing.T, r *router, prompt string) int {
+	t.Helper()
+	var answer struct {
+		Usage struct {
+			Details struct {
+				CachedTokens int `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+	got, err := s.send(t.Context(), r, http.MethodPost, "/v1/completions", s.key, "", completionBody(prompt, 1, false))
+	if err != nil || got.status != http.StatusOK {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if err := json.Unmarshal([]byte(got.body), &answer); err != nil {
+		t.Fatal(err)
+	}
+	return answer.Usage.Details.CachedTokens
+}
--- /dev/null
+++ b/internal/systemtest/keys_test.go
@@ -0,0 +1,150 @@
+package systemtest
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/standin/model"
+)
+
+// withdrawnWithin is the time after which a withdrawn key works nowhere.
+const withdrawnWithin = 3 * time.Second
+
+func TestWithdrawnKeyStopsWorking(t *testing.T) {
+	cases := []struct {
+		name string
+		then func(s *system) // right after the withdrawal was accepted
+	}{
+		{"calm", func(*system) {}},
+		{"key-value service goes down", func(s *system) {
+			time.Sleep(100 * time.Millisecond)
+			s.kv.SetFaults(kv.Faults{Down: true})
+		}},
+		{"VM list down", func(s *system) { s.vms.SetDown(true) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, plan{routers: 2, engines: 2, engine: model.Options{DecodeStep: 20 * time.Millisecond}})
+			ended := make(chan *streamed, 1)
+			running := make(chan struct{})
+			go func() {
+				answer, _ := s.stream(t.Context(), s.routers[0], s.key, completionBody(longPrompt("endless"), 5000, true), "", func(n int) {
+					if n == 3 {
+						close(running)
+					}
+				})
+				ended <- answer
+			}()
+			<-running
+			if _, err := s.store.Withdraw(t.Context(), "test", "north-1"); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			c.then(s)
+			select {
+			case answer := <-ended:
+				if answer == nil || answer.complete || !strings.Contains(answer.failed, "key_withdrawn") {
+					t.Errorf("the running stream ended with %+v", answer)
+				}
+			case <-time.After(withdrawnWithin):
+				t.Errorf("the stream still runs %v after the withdrawal", withdrawnWithin)
+			}
+			time.Sleep(time.Until(began.Add(withdrawnWithin)))
+			for _, r := range s.routers {
+				if status := s.tryComplete(t.Context(), r, "hello"); status != http.StatusUnauthorized {
+					t.Errorf("%s answers the withdrawn key with %d", r.name, status)
+				}
+			}
+			reply, err := s.send(t.Context(), s.routers[1], http.MethodGet, "/desk/lookup/7", s.otherKey, "", "")
+			if err != nil || reply.status != http.StatusServiceUnavailable { // this system has no desk server
+				t.Errorf("another workspace's key: %+v, %v", reply, err)
+			}
+		})
+	}
+}
+
+func TestNoBackendServerSeesACallersKey(t *testing.T) {
+	s := start(t, plan{routers: 1, engines: 1, services: 1})
+	secret := s.key[strings.LastIndexByte(s.key, '-')+1:]
+	for _, header := range []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization"} {
+		for _, path := range []string{"/v1/completions", "/v1/chat/completions", "/desk/lookup/7", "/desk/orders", "/rolls/jobs/3"} {
+			s.sendWithHeader(t, path, header)
+		}
+	}
+	chat := map[string]any{"model": modelName, "messages": []map[string]string{{"role": "user", "content": "my key is " + s.key}}}
+	encoded, _ := json.Marshal(chat)
+	for _, body := range []string{string(encoded), completionBody("my key is "+s.key, 1, false)} {
+		for _, path := range []string{"/v1/completions", "/v1/chat/completions", "/desk/orders"} {
+			if _, err := s.send(t.Context(), s.routers[0], http.MethodPost, path, s.key, "", body); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if _, err := s.send(t.Context(), s.routers[0], http.MethodGet, "/desk/lookup/7?key="+s.key, s.key, "", ""); err != nil {
+		t.Fatal(err)
+	}
+	for name, seen := range s.allSeen() {
+		if len(seen) == 0 {
+			t.Errorf("%s saw nothing", name)
+		}
+		if bytes.Contains(seen, []byte(secret)) {
+			t.Errorf("%s saw the key", name)
+		}
+	}
+}
+
+// sendWithHeader sends a request with the key in the given header.
+func (s *system) sendWithHeader(t *testing.T, path, header string) {
+	t.Helper()
+	method, body := http.MethodPost, completionBody("hello", 1, false)
+	if strings.Contains(path, "lookup") || strings.Contains(path, "jobs") {
+		method, body = http.MethodGet, ""
+	}
+	if strings.Contains(path, "chat") {
+		body = `{"model":"` + modelName + `","max_tokens":1,"messages":[{"role":"user","content":"hello"}]}`
+	}
+	req, err := http.NewRequestWithContext(t.Context(), method, s.routers[0].url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := s.key
+	if strings.HasSuffix(header, "Authorization") {
+		value = "Bearer " + s.key
+	}
+	req.Header.Set(header, value)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if header == "Authorization" && resp.StatusCode/100 != 2 {
+		t.Errorf("%s %s: status %d", method, path, resp.StatusCode)
+	}
+}
+
+// allSeen returns all bytes that reached backend servers and sidecars, and all
+// logs.
+func (s *system) allSeen() map[string][]byte {
+	seen := make(map[string][]byte)
+	var servers []server
+	for _, e := range s.engines {
+		servers = append(servers, e.server)
+	}
+	for _, v := range s.services {
+		servers = append(servers, v.server)
+	}
+	for _, v := range servers {
+		seen["backend server of "+v.vm.Name] = []byte(v.seen.String())
+		seen["sidecar "+v.vm.Name] = v.link.bytes()
+		seen["log of "+v.vm.Name] = []byte(v.sidecar.log.String())
+	}
+	for _, r := range s.routers {
+		seen["log of "+r.name] = []byte(r.log.String())
+	}
+	return seen
+}
--- a/internal/systemtest/streams_test.go
+++ b/internal/systemtest/streams_test.go
@@ -13,7 +13,9 @@
 
 var slowEngine = model.Options{DecodeStep: 10 * time.Millisecond}
 
-func longPrompt(name string) string { return name + strings.Repeat(" all snow guards of the north face", 40) }
+func longPrompt(name string) string {
+	return name + strings.Repeat(" all snow guards of the north face", 40)
+}
 
 // wholeStream returns the fault-free stream of a prompt.
 func (s *system) wholeStream(t *testing.T, prompt string) *streamed {
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -59,8 +59,7 @@
 // router is a router with the address of its HTTP side.
 type router struct {
 	*process
-	url  string
-	link *link // what the other daemons reach it through
+	url string
 }
 
 // server is what every backend server has.
