--- a/internal/systemtest/streams_test.go
+++ b/internal/systemtest/streams_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestStreamSurvivesFaults(t *testing.T) {
-	s := start(t, plan{routers: 1, engines: 3, engine: slowEngine})
+	s := start(t, plan{routers: 1, engines: 4, engine: slowEngine})
 	prompt := longPrompt("survive")
 	want := s.wholeStream(t, prompt)
 	cases := []struct {
@@ -40,6 +40,7 @@
 				e.link.cut()
 			}
 		}},
+		{"serving sidecar cut off", func() { s.servingEngine(t).link.setDown(true) }},
 		{"engine crash", func() { s.servingEngine(t).engine.Crash(50 * time.Millisecond) }},
 		{"sidecar killed", func() { s.servingEngine(t).sidecar.kill() }},
 	}
