Check recorded admission histories against rate and burst

Cause: the bound over all routers was argued, not shown.

Change: routers, their table managers and limiters run step by step in one bubble, with crashes, pauses, partitions, lost and late messages, stops and a failing key-value service; every window of what was admitted is compared with burst + rate x length. Requests that use less count what they used at the time of the draw. A surplus counts when it is settled; the bound then holds plus the debt not paid back. Evening-out asks one peer after the other, so that histories repeat.

--- a/internal/limit/acquire.go
+++ b/internal/limit/acquire.go
@@ -80,14 +80,14 @@
 
 // run makes rounds of debits until the cost is drawn or the wait is over.
 func (a *attempt) run(ctx context.Context) (Grant, error) {
-	deadline := a.local.guard.clock().Add(a.local.wait)
+	deadline := time.Now().Add(a.local.wait)
 	for round := 1; ; round++ {
 		delay := a.round(ctx)
 		if a.got == a.cost {
 			return a.grant(), nil
 		}
 		a.refund(ctx)
-		if round == maxRounds || a.local.guard.clock().Add(delay).After(deadline) {
+		if round == maxRounds || time.Now().Add(delay).After(deadline) {
 			return nil, a.refusal(delay)
 		}
 		if err := sleep(ctx, delay); err != nil {
@@ -132,9 +132,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := l.guard.clock()
+	sent := time.Now()
 	reply, err := l.peers.Debit(callCtx, address, req)
-	answered := l.guard.clock()
+	answered := time.Now()
 	if err != nil {
 		l.health.fail(address, answered)
 		return
@@ -192,7 +192,7 @@
 
 // silent says whether all owners failed lately.
 func (l *Local) silent(st *state) bool {
-	now := l.guard.clock()
+	now := time.Now()
 	for _, o := range st.owners {
 		if !l.health.isFailing(o.address, now) {
 			return false
@@ -203,7 +203,7 @@
 
 // order puts peers that failed lately last.
 func (l *Local) order(orders []order) []order {
-	now := l.guard.clock()
+	now := time.Now()
 	sorted := make([]order, 0, len(orders))
 	var failing []order
 	for _, o := range orders {
--- a/internal/limit/even.go
+++ b/internal/limit/even.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -50,18 +49,15 @@
 	if !now.spendable {
 		return
 	}
-	wants := make(map[string][]want)
+	wants := make([][]want, len(st.owners))
 	for _, b := range st.buckets {
 		b.plan(now, wants)
 	}
-	var calls sync.WaitGroup
-	for address, list := range wants {
-		if l.health.isFailing(address, l.guard.clock()) {
-			continue
+	for i, list := range wants {
+		if len(list) > 0 && !l.health.isFailing(st.owners[i].address, time.Now()) {
+			l.pull(ctx, snapshot, st.owners[i].address, list)
 		}
-		calls.Go(func() { l.pull(ctx, snapshot, address, list) })
 	}
-	calls.Wait()
 }
 
 // want is a number of tokens to ask a peer for.
@@ -73,10 +69,13 @@
 	mark   uint64
 }
 
-// plan adds what this bucket wants from its peers.
-func (b *bucket) plan(now moment, wants map[string][]want) {
+// plan adds what this bucket wants from each of its peers.
+func (b *bucket) plan(now moment, wants [][]want) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.peers) != len(wants) {
+		return // the table has just changed
+	}
 	indebted := b.level < 0
 	if now.elapsed-b.wanted > activeTime && !indebted {
 		return
@@ -91,7 +90,7 @@
 		p := &b.peers[i]
 		if surplus := p.estimate(now.elapsed) - b.common(now, p.own.burst); surplus > 0 {
 			w := want{bucket: b, tokens: min(surplus, missing), level: b.level, cap: b.own.burst, mark: mark}
-			wants[p.address] = append(wants[p.address], w)
+			wants[i] = append(wants[i], w)
 		}
 	}
 }
@@ -135,7 +134,7 @@
 	reply, err := l.peers.Levels(callCtx, address, req)
 	l.meters.pulls.Add(ctx, 1)
 	if err != nil {
-		l.health.fail(address, l.guard.clock())
+		l.health.fail(address, time.Now())
 		return
 	}
 	l.health.recover(address)
--- a/internal/limit/fakes_test.go
+++ b/internal/limit/fakes_test.go
@@ -67,15 +67,14 @@
 	}
 }
 
-// tester is a clock that tests move, with Locals that read it.
+// tester holds Locals whose background work the test does itself.
 type tester struct {
-	now   time.Time
 	peers network
 	cells map[string]*control.Cell
 }
 
 func newTester(addresses []string, snapshot *control.Snapshot) *tester {
-	x := &tester{now: time.Unix(1_000_000, 0), peers: network{}, cells: map[string]*control.Cell{}}
+	x := &tester{peers: network{}, cells: map[string]*control.Cell{}}
 	for _, address := range addresses {
 		x.start(address, snapshot)
 	}
@@ -88,17 +87,16 @@
 		Self:   address,
 		Source: x.cells[address],
 		Peers:  x.peers,
-		clock:  func() time.Time { return x.now },
 	})
 	x.peers[address].current()
 }
 
-// advance moves the clock while all processes run.
+// advance moves the clock of the bubble while all processes run.
 func (x *tester) advance(d time.Duration) {
 	for d > 0 {
 		step := min(d, beatInterval)
 		d -= step
-		x.now = x.now.Add(step)
+		time.Sleep(step)
 		for _, l := range x.peers {
 			l.guard.tick()
 		}
--- a/internal/limit/guard.go
+++ b/internal/limit/guard.go
@@ -20,7 +20,6 @@
 // After a pause this router's shards may belong to another one, so that
 // nothing is spent or refilled until the control loop confirms.
 type guard struct {
-	clock func() time.Time
 	start time.Time
 	log   logging.Prefixed
 
@@ -33,9 +32,9 @@
 	resumed time.Time // when the suspension was noticed
 }
 
-func newGuard(clock func() time.Time, log logging.Prefixed) *guard {
-	now := clock()
-	g := &guard{clock: clock, start: now, log: log}
+func newGuard(log logging.Prefixed) *guard {
+	now := time.Now()
+	g := &guard{start: now, log: log}
 	g.beat.Store(&now)
 	return g
 }
@@ -49,7 +48,7 @@
 
 // now reads the clock.
 func (g *guard) now() moment {
-	at := g.clock()
+	at := time.Now()
 	elapsed := at.Sub(g.start)
 	if !g.running(at) {
 		return moment{elapsed: elapsed, refill: g.frozen()}
@@ -81,7 +80,7 @@
 
 // tick notes that the process runs.
 func (g *guard) tick() {
-	if at := g.clock(); g.running(at) {
+	if at := time.Now(); g.running(at) {
 		g.beat.Store(&at)
 	}
 }
@@ -107,7 +106,7 @@
 	if !g.suspended.Load() || !seen.After(g.resumed) {
 		return false
 	}
-	at := g.clock()
+	at := time.Now()
 	if paused(seen.Add(maxConfirmAge-maxBeatGap), at) {
 		return false // another pause came between
 	}
--- /dev/null
+++ b/internal/limit/history_test.go
@@ -0,0 +1,149 @@
+package limit
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+)
+
+// inBubble runs a rapid property under synctest, which forbids T.Deadline.
+func inBubble(t *testing.T, property func(*rapid.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ rapid.TB }{t}, property)
+	})
+}
+
+// act is one step of a history: what happens to which router, and how much.
+type act func(w *world, n *node, amount int64)
+
+var acts = []act{
+	func(w *world, _ *node, amount int64) { w.advance(time.Duration(amount) * time.Millisecond / 2) },
+	func(w *world, _ *node, amount int64) { w.advance(time.Duration(amount) * 20 * time.Millisecond) },
+	func(w *world, n *node, amount int64) { w.acquire(n, 1+amount*60) },
+	func(w *world, _ *node, amount int64) { w.spendAll(1 + amount*20) },
+	func(w *world, _ *node, _ int64) { w.settleAll(50) },
+	func(_ *world, n *node, _ int64) { n.crash(); n.boot() },
+	func(w *world, n *node, amount int64) {
+		n.crash()
+		w.advance(time.Duration(amount) * time.Millisecond)
+		n.boot()
+	},
+	func(w *world, n *node, _ int64) { n.crash(); n.unlist(); w.addNode() },
+	func(_ *world, n *node, amount int64) { n.pause(time.Duration(amount) * 3 * time.Millisecond) },
+	func(_ *world, n *node, _ int64) { n.pause(30 * time.Second); n.unlist() },
+	func(w *world, n *node, amount int64) { n.cut(amount&1 > 0 && !w.late, amount&2 > 0, amount&4 > 0) },
+	func(_ *world, n *node, _ int64) { n.unlist() },
+	func(w *world, n *node, _ int64) { n.unlist(); n.cut(!w.late, true, true) },
+	func(w *world, n *node, _ int64) { n.cut(false, false, false); n.relist() },
+	func(w *world, _ *node, amount int64) {
+		w.store.SetFaults(kv.Faults{Down: amount%3 == 0, LoseAnswers: 0.4, StaleReads: 0.4})
+	},
+	func(w *world, _ *node, _ int64) { w.store.SetFaults(kv.Faults{}) },
+	func(w *world, n *node, _ int64) { n.stop(); w.addNode() },
+}
+
+func (n *node) unlist() {
+	if n.unlisted.IsZero() {
+		n.unlisted = time.Now()
+	}
+}
+
+func (n *node) relist() {
+	if !n.world.late {
+		n.unlisted = time.Time{}
+	}
+}
+
+func (n *node) cut(list, kv, peers bool) { n.cutList, n.cutKV, n.cutPeers = list, kv, peers }
+
+func (n *node) pause(d time.Duration) { n.pausedTill = time.Now().Add(d) }
+
+// spendAll sends requests to every router until they are refused.
+func (w *world) spendAll(cost int64) {
+	for _, n := range w.nodes {
+		for w.acquire(n, cost) {
+		}
+	}
+}
+
+// settleAll settles all running requests with a few thousandths of their cost.
+func (w *world) settleAll(limit int64) {
+	for len(w.open) > 0 {
+		w.settleOne(0, limit)
+	}
+}
+
+// settleOne settles a running request with a part of its cost, in thousandths.
+func (w *world) settleOne(amount, limit int64) {
+	if len(w.open) == 0 {
+		return
+	}
+	i := int(amount) % len(w.open)
+	w.settle(i, w.open[i].cost*w.random.Int64N(limit+1)/1000)
+}
+
+func TestAdmittedStaysWithinRateAndBurst(t *testing.T) {
+	inBubble(t, func(t *rapid.T) { checkHistory(t, 1000) })
+}
+
+// A surplus may exceed the bound by the debt that is not paid back yet.
+func TestSurplusExceedsTheBoundByTheDebtAtMost(t *testing.T) {
+	inBubble(t, func(t *rapid.T) { checkHistory(t, 1500) })
+}
+
+// checkHistory draws a history and checks every window of it. Requests use up to
+// limit thousandths of what they reserved.
+func checkHistory(t *rapid.T, limit int64) {
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), 3)
+	w.faulty = true
+	w.late = rapid.Bool().Draw(t, "late")
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		step := acts[rapid.IntRange(0, len(acts)-1).Draw(t, "act")]
+		n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "router")]
+		if !n.up {
+			n.boot()
+		}
+		step(w, n, rapid.Int64Range(0, 1000).Draw(t, "amount"))
+		if w.random.IntN(4) == 0 {
+			w.settleOne(w.random.Int64(), limit)
+		}
+	}
+	w.advance(30 * time.Second)
+	w.spendAll(1000)
+	if excess := w.worst(); excess > 0 {
+		t.Fatalf("admitted %d tokens above burst + rate × length", excess)
+	}
+}
+
+func TestLoadWithinRateIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for seed := range uint64(5) {
+			w := newWorld(seed, 3)
+			refused := 0
+			for range 2000 {
+				time.Sleep(10 * time.Millisecond)
+				w.tick()
+				if !w.acquire(w.nodes[0], 100+w.random.Int64N(180)) {
+					refused++
+				}
+			}
+			if refused > 0 {
+				t.Errorf("seed %d: %d of 2000 requests refused at 95%% of the rate", seed, refused)
+			}
+		}
+	})
+}
+
+// tick does the background work whose time has come.
+func (w *world) tick() {
+	if time.Now().UnixMilli()%worldStep.Milliseconds() != 0 {
+		return
+	}
+	for _, n := range w.nodes {
+		n.work()
+	}
+}
--- a/internal/limit/local.go
+++ b/internal/limit/local.go
@@ -18,8 +18,6 @@
 	Source control.Source
 	Peers  Peers
 	Wait   time.Duration // longest wait for tokens of one request
-
-	clock func() time.Time // nil: time.Now
 }
 
 // Local is this router's part of the buckets. It implements Limiter and
@@ -63,10 +61,6 @@
 
 // New returns a Local whose buckets are empty.
 func New(options Options) *Local {
-	clock := options.clock
-	if clock == nil {
-		clock = time.Now
-	}
 	log := logging.For("limit")
 	l := &Local{
 		self:        options.Self,
@@ -74,10 +68,9 @@
 		peers:       options.Peers,
 		wait:        options.Wait,
 		incarnation: rand.Uint64(),
-		guard:       newGuard(clock, log),
+		guard:       newGuard(log),
 		log:         log,
 		meters:      newMeters(),
-		refunds:     newRefunds(),
 		health:      newHealth(),
 	}
 	l.state.Store(&state{buckets: map[string]*bucket{}})
@@ -176,7 +169,7 @@
 // revoked from now on.
 func (l *Local) unlisted() {
 	if l.listed.Load() {
-		l.guard.suspend(l.guard.clock(), "This router is not listed; its shards rest until they are confirmed.")
+		l.guard.suspend(time.Now(), "This router is not listed; its shards rest until they are confirmed.")
 	}
 }
 
--- a/internal/limit/local_test.go
+++ b/internal/limit/local_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/config"
@@ -29,14 +30,20 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			x := newTester([]string{"a"}, snapshotOf(c.table, badges))
-			_, err := x.peers["a"].Acquire(context.Background(), c.workspace, c.cost, "r1")
-			wantCode(t, err, c.code)
+			synctest.Test(t, func(t *testing.T) {
+				x := newTester([]string{"a"}, snapshotOf(c.table, badges))
+				_, err := x.peers["a"].Acquire(context.Background(), c.workspace, c.cost, "r1")
+				wantCode(t, err, c.code)
+			})
 		})
 	}
 }
 
 func TestAcquireTakesFromPeers(t *testing.T) {
+	synctest.Test(t, testAcquireTakesFromPeers)
+}
+
+func testAcquireTakesFromPeers(t *testing.T) {
 	x := newTester([]string{"a", "b", "c"}, snapshotOf(tableOf(1, "a", "b", "c"), badges))
 	x.advance(4 * time.Second)
 	grant, err := x.peers["a"].Acquire(context.Background(), "badges", 60_000, "r1")
--- /dev/null
+++ b/internal/limit/world_test.go
@@ -0,0 +1,386 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/shard"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+)
+
+const (
+	listLag     = 2 * time.Second
+	sidecarLag  = 2 * time.Second // until every sidecar knows a new table
+	worldStep   = 50 * time.Millisecond
+	controlStep = time.Second
+)
+
+// world runs routers step by step in one goroutine of a synctest bubble, with
+// faults drawn from a seed, and records what was admitted.
+type world struct {
+	random    *rand.Rand
+	store     *kv.Store
+	workspace config.Workspace
+	nodes     []*node
+	tables    []published
+	history   []*admission
+	open      []*running
+	lostDebt  int64
+	depth     int
+	faulty    bool // messages get lost and delayed
+	late      bool // sidecars learn of tables from dispatches alone
+	names     int
+}
+
+// node is a VM with its router's process.
+type node struct {
+	world      *world
+	address    string
+	local      *Local
+	manager    *shard.Manager
+	cell       *control.Cell
+	up         bool
+	pausedTill time.Time
+	unlisted   time.Time // zero: listed
+	view       *membership.View
+	viewRead   time.Time
+	stepped    time.Time
+	cutList    bool
+	cutKV      bool
+	cutPeers   bool
+	debits     map[string][]debit
+}
+
+// published is a table that some router has known since a time.
+type published struct {
+	at    time.Time
+	table *shard.Table
+}
+
+// debit is a draw by a peer, dated when the owner subtracted it.
+type debit struct {
+	at     time.Time
+	tokens int64
+}
+
+// admission is a number of tokens spent at a time.
+type admission struct {
+	at     time.Time
+	tokens int64
+	debt   int64
+}
+
+// running is a request that is not settled.
+type running struct {
+	grant Grant
+	cost  int64
+	parts []*admission // own tokens first
+}
+
+func newWorld(seed uint64, routers int) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), store: kv.New(seed), workspace: badges}
+	for range routers {
+		w.addNode()
+	}
+	w.advance(12 * time.Second)
+	return w
+}
+
+func (w *world) addNode() {
+	w.names++
+	n := &node{world: w, address: fmt.Sprintf("router-%d", w.names), debits: map[string][]debit{}}
+	w.nodes = append(w.nodes, n)
+	n.boot()
+}
+
+// boot starts the node's process, which knows nothing.
+func (n *node) boot() {
+	n.view = membership.NewView(nil)
+	n.cell = control.NewCell(&control.Snapshot{Config: revisionOf(n.world.workspace), View: n.view})
+	n.local = New(Options{Self: n.address, Source: n.cell, Peers: n})
+	n.manager = shard.NewManager(shard.Options{
+		Self: n.address, Environment: "test", KV: reachableKV{n.world.store, n}, Ledger: n.local, VMListLag: listLag,
+	})
+	n.up = true
+	n.pausedTill = time.Time{}
+}
+
+func (n *node) crash() {
+	n.world.lostDebt += n.debt()
+	n.up = false
+}
+
+func (n *node) debt() int64 {
+	b := n.local.state.Load().buckets[n.world.workspace.Name]
+	if !n.up || b == nil {
+		return 0
+	}
+	return max(0, -b.level)
+}
+
+func (n *node) runs() bool { return n.up && !time.Now().Before(n.pausedTill) }
+
+// control is one step of the process's control loop.
+func (n *node) control() {
+	n.stepped = time.Now()
+	if !n.cutList {
+		n.view, n.viewRead = n.world.view(), time.Now()
+	}
+	for _, peer := range n.world.nodes {
+		if n.reaches(peer) {
+			n.manager.Learn(peer.cell.Snapshot().Shards)
+		}
+	}
+	table, _ := n.manager.Step(context.Background(), n.view, n.viewRead)
+	n.publish(table)
+}
+
+func (n *node) publish(table *shard.Table) {
+	n.cell.Publish(&control.Snapshot{
+		Config: n.cell.Snapshot().Config, Shards: table, View: n.view, Listed: n.view.HasRouter(n.address),
+	})
+	n.local.current()
+	known := n.world.tables
+	if table != nil && (len(known) == 0 || known[len(known)-1].table != table) {
+		n.world.tables = append(n.world.tables, published{at: time.Now(), table: table})
+	}
+}
+
+// stop is a planned stop with hand-back.
+func (n *node) stop() {
+	n.publish(n.cell.Snapshot().Shards)
+	if table := n.cell.Snapshot().Shards; table != nil {
+		levels := n.local.Release(table.Epoch, table.Held(n.address))
+		_ = n.manager.HandBack(context.Background(), levels)
+	}
+	n.crash()
+	n.unlisted = time.Now()
+}
+
+// view is a read of the VM list, which lags.
+func (w *world) view() *membership.View {
+	seen := time.Now().Add(-rand.N[time.Duration](1))
+	if w.faulty {
+		seen = time.Now().Add(-time.Duration(w.random.Int64N(int64(listLag))))
+	}
+	var vms []platform.VM
+	for _, n := range w.nodes {
+		if n.unlisted.IsZero() || seen.Before(n.unlisted) {
+			vms = append(vms, platform.VM{Name: n.address, Address: n.address, Group: platform.GroupRouters, State: platform.VMLive})
+		}
+	}
+	return membership.NewView(vms)
+}
+
+// advance moves the clock; the processes that are not paused do their
+// background work.
+func (w *world) advance(d time.Duration) {
+	for ; d > 0; d -= worldStep {
+		time.Sleep(min(d, worldStep))
+		for _, n := range slices.Clone(w.nodes) {
+			n.work()
+		}
+	}
+}
+
+func (n *node) work() {
+	if !n.runs() {
+		return
+	}
+	n.local.guard.tick()
+	if time.Since(n.stepped) >= controlStep {
+		n.control()
+	}
+	n.local.evenOut(context.Background())
+	n.local.sendRefunds(context.Background())
+}
+
+// sidecar returns the table that the sidecars know.
+func (w *world) sidecar(dispatcher *node) *shard.Table {
+	newest := dispatcher.cell.Snapshot().Shards
+	for _, p := range w.tables {
+		if !w.late && time.Since(p.at) >= sidecarLag && p.table.Epoch > newest.Epoch {
+			newest = p.table
+		}
+	}
+	return newest
+}
+
+// acquire is a request at n. It reports whether it was admitted.
+func (w *world) acquire(n *node, cost int64) bool {
+	if !n.runs() {
+		return false
+	}
+	w.names++
+	id := fmt.Sprintf("request-%d", w.names)
+	began := time.Now()
+	grant, err := n.local.Acquire(context.Background(), w.workspace.Name, cost, id)
+	if err != nil {
+		return false
+	}
+	table := w.sidecar(n)
+	for _, d := range grant.Draws() {
+		if !table.Valid(int(d.Shard), d.Owner, d.Epoch) {
+			grant.Settle(0)
+			return false
+		}
+	}
+	r := &running{grant: grant, cost: cost}
+	rest := cost
+	for _, d := range n.debits[id] {
+		r.parts = append(r.parts, w.admit(d.at, d.tokens))
+		rest -= d.tokens
+	}
+	r.parts = slices.Insert(r.parts, 0, w.admit(began, rest))
+	w.open = append(w.open, r)
+	return true
+}
+
+func (w *world) admit(at time.Time, tokens int64) *admission {
+	a := &admission{at: at, tokens: tokens, debt: w.debt()}
+	w.history = append(w.history, a)
+	return a
+}
+
+func (w *world) debt() int64 {
+	debt := w.lostDebt
+	for _, n := range w.nodes {
+		debt += n.debt()
+	}
+	return debt
+}
+
+// settle ends the i-th running request. Tokens that were not used count as
+// never drawn; a surplus counts when it is settled.
+func (w *world) settle(i int, used int64) {
+	r := w.open[i]
+	w.open = slices.Delete(w.open, i, i+1)
+	r.grant.Settle(used)
+	if used > r.cost {
+		w.admit(time.Now(), used-r.cost)
+	}
+	rest := max(0, r.cost-used)
+	for _, part := range r.parts {
+		unused := min(rest, part.tokens)
+		part.tokens -= unused
+		rest -= unused
+	}
+}
+
+// worst returns the largest excess over burst + rate × length of any window, as
+// the fill of one exact bucket that never refuses.
+func (w *world) worst() int64 {
+	slices.SortStableFunc(w.history, func(a, b *admission) int { return a.at.Compare(b.at) })
+	var fill, worst float64
+	var last time.Time
+	for _, a := range w.history {
+		if !last.IsZero() {
+			fill = max(0, fill-a.at.Sub(last).Seconds()*float64(w.workspace.Rate))
+		}
+		last = a.at
+		fill += float64(a.tokens)
+		worst = max(worst, fill-float64(a.debt+w.workspace.Burst))
+	}
+	return int64(worst)
+}
+
+func (n *node) reaches(peer *node) bool {
+	return n != peer && peer.runs() && !n.cutPeers && !peer.cutPeers
+}
+
+// call delivers a message to a peer, or loses it, or delays it or its answer.
+func (n *node) call(address string, deliver func(peer *node)) error {
+	i := slices.IndexFunc(n.world.nodes, func(peer *node) bool { return peer.address == address })
+	if i < 0 || !n.reaches(n.world.nodes[i]) {
+		return errUnreachable
+	}
+	w := n.world
+	sent := time.Now()
+	fate := w.random.IntN(20)
+	if fate == 0 && w.faulty {
+		return errUnreachable
+	}
+	if fate == 1 {
+		w.delay()
+	}
+	if !w.nodes[i].runs() {
+		return errUnreachable
+	}
+	deliver(w.nodes[i])
+	if fate == 2 && w.faulty {
+		return errUnreachable
+	}
+	if fate == 3 {
+		w.delay()
+	}
+	if time.Since(sent) > callTimeout && w.random.IntN(2) == 0 {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// delay lets the others work while a message is under way.
+func (w *world) delay() {
+	if !w.faulty || w.depth > 1 {
+		return
+	}
+	w.depth++
+	w.advance(time.Duration(w.random.IntN(400)) * time.Millisecond)
+	for range w.random.IntN(4) {
+		w.acquire(w.nodes[w.random.IntN(len(w.nodes))], 1+w.random.Int64N(20_000))
+	}
+	w.depth--
+}
+
+func (n *node) Addresses() []string { return nil }
+
+func (n *node) Debit(ctx context.Context, address string, req *wire.DebitRequest) (reply *wire.DebitReply, err error) {
+	err = n.call(address, func(peer *node) {
+		reply, _ = peer.local.Debit(ctx, req)
+		for _, d := range reply.Draws {
+			n.debits[req.RequestId] = append(n.debits[req.RequestId], debit{at: time.Now(), tokens: d.Tokens})
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (n *node) Credit(ctx context.Context, address string, req *wire.CreditRequest) (reply *wire.CreditReply, err error) {
+	err = n.call(address, func(peer *node) { reply, _ = peer.local.Credit(ctx, req) })
+	return reply, err
+}
+
+func (n *node) Levels(ctx context.Context, address string, req *wire.LevelsRequest) (reply *wire.LevelsReply, err error) {
+	err = n.call(address, func(peer *node) { reply, _ = peer.local.Levels(ctx, req) })
+	return reply, err
+}
+
+// reachableKV is the key-value service as seen from a node.
+type reachableKV struct {
+	platform.KV
+	node *node
+}
+
+func (k reachableKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if k.node.cutKV {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return k.KV.Get(ctx, key)
+}
+
+func (k reachableKV) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	if k.node.cutKV {
+		return 0, platform.ErrUnavailable
+	}
+	return k.KV.CompareAndSwap(ctx, key, value, expected, lease)
+}
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -46,8 +46,6 @@
 	KV          platform.KV
 	Ledger      Ledger        // nil: no tokens go with shards
 	VMListLag   time.Duration // largest lag of the VM list
-
-	clock func() time.Time // nil: time.Now
 }
 
 // Manager keeps this router's place in the table. The control goroutine alone
@@ -58,7 +56,6 @@
 	kv       platform.KV
 	ledger   Ledger
 	wait     time.Duration
-	clock    func() time.Time
 	log      logging.Prefixed
 	known    *Table
 	unsure   bool                 // a write may still take effect
@@ -78,10 +75,6 @@
 
 // NewManager returns a Manager that knows no table.
 func NewManager(options Options) *Manager {
-	clock := options.clock
-	if clock == nil {
-		clock = time.Now
-	}
 	ledger := options.Ledger
 	if ledger == nil {
 		ledger = noLedger{}
@@ -92,7 +85,6 @@
 		kv:      options.KV,
 		ledger:  ledger,
 		wait:    options.VMListLag + revokeMargin,
-		clock:   clock,
 		log:     logging.For("shard"),
 		missing: make(map[string]time.Time),
 		resting: make(map[int]rest),
@@ -126,7 +118,7 @@
 		}
 	}
 	m.keep()
-	m.nextRead = m.clock().Add(idleReadInterval/2 + rand.N(idleReadInterval/2))
+	m.nextRead = time.Now().Add(idleReadInterval/2 + rand.N(idleReadInterval/2))
 	return m.known, err
 }
 
@@ -138,7 +130,7 @@
 	if position(chosen, m.self) >= 0 || len(m.known.Held(m.self)) > 0 {
 		return false
 	}
-	return m.clock().Before(m.nextRead)
+	return time.Now().Before(m.nextRead)
 }
 
 // attempt reads the table and makes at most one write.
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -111,7 +111,7 @@
 
 // observe notes since when owners are not listed and shards are revoked.
 func (m *Manager) observe(view *membership.View, viewRead time.Time) {
-	now := m.clock()
+	now := time.Now()
 	present := make(map[string]struct{})
 	for i := range m.base().Owners {
 		o := &m.base().Owners[i]
@@ -147,7 +147,7 @@
 // claimable returns the free shards, those that rested included.
 func (m *Manager) claimable() []int {
 	var list []int
-	now := m.clock()
+	now := time.Now()
 	for i := range m.base().Owners {
 		o := &m.base().Owners[i]
 		rested := !o.Revoked || now.Sub(m.resting[i].since) >= restTime
