--- a/internal/sidecar/once/once_test.go
+++ b/internal/sidecar/once/once_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/config"
-	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
@@ -85,29 +85,31 @@
 		first  string
 		retry  string // a second attempt after the faults
 		calls  int
+		cold   bool // there is no lease yet
 	}{
-		{"no fault", kv.Faults{}, nil, kv.Faults{}, 0, "badge 1", "replayed badge 1", 1},
-		{"down at intent", down, nil, kv.Faults{}, 0, "store_unavailable/not-run", "badge 1", 1},
-		{"answer lost at intent", lost, nil, kv.Faults{}, 0, "badge 1", "replayed badge 1", 1},
-		{"answer lost and stale at intent", kv.Faults{LoseAnswers: 1, StaleReads: 1}, nil, kv.Faults{}, 0, "store_unavailable/not-run", "badge 1", 1},
-		{"slower than patience at intent", slow, nil, kv.Faults{}, 8 * time.Second, "store_unavailable/not-run", "badge 1", 1},
-		{"throttled at intent", kv.Faults{WritesPerSecond: 1}, nil, kv.Faults{}, time.Second, "badge 1", "replayed badge 1", 1},
-		{"refused by the service", kv.Faults{}, fails(refused), kv.Faults{}, 0, "no_backend_server/not-run", "badge 2", 2},
-		{"refused, then down at removal", kv.Faults{}, fails(refused), down, 5 * time.Second, "no_backend_server/not-run", "badge 2", 2},
-		{"refused, answer lost at removal", kv.Faults{}, fails(refused), lost, 0, "no_backend_server/not-run", "badge 2", 2},
-		{"answer lost at intent, refused", lost, fails(refused), kv.Faults{}, 0, "no_backend_server/not-run", "badge 2", 2},
-		{"broken while running", kv.Faults{}, fails(broken), kv.Faults{}, 0, "backend_failed/may-have-run", "request_in_progress/may-have-run", 1},
-		{"broken, retried late", kv.Faults{}, fails(broken), kv.Faults{}, time.Minute, "backend_failed/may-have-run", "outcome_unknown/may-have-run", 1},
-		{"broken and down", kv.Faults{}, fails(broken), down, time.Minute, "backend_failed/may-have-run", "outcome_unknown/may-have-run", 1},
-		{"down at record", kv.Faults{}, nil, down, 30 * time.Second, "badge 1", "replayed badge 1", 1},
-		{"down at record beyond the bound", kv.Faults{}, nil, down, 10 * time.Minute, "badge 1", "outcome_unknown/may-have-run", 1},
-		{"answer lost at record", kv.Faults{}, nil, lost, 0, "badge 1", "replayed badge 1", 1},
-		{"answer lost and stale at record", kv.Faults{}, nil, kv.Faults{LoseAnswers: 1, StaleReads: 1}, 0, "badge 1", "replayed badge 1", 1},
-		{"slow at record", kv.Faults{}, nil, slow, 10 * time.Second, "badge 1", "replayed badge 1", 1},
-		{"answers lost at both", lost, nil, lost, 0, "badge 1", "replayed badge 1", 1},
+		{"no fault", kv.Faults{}, nil, kv.Faults{}, 0, "badge 1", "replayed badge 1", 1, false},
+		{"down at intent", down, nil, kv.Faults{}, 0, "store_unavailable/not-run", "badge 1", 1, false},
+		{"answer lost at intent", lost, nil, kv.Faults{}, 0, "badge 1", "replayed badge 1", 1, false},
+		{"answer lost and stale at intent", kv.Faults{LoseAnswers: 1, StaleReads: 1}, nil, kv.Faults{}, 0, "store_unavailable/not-run", "badge 1", 1, false},
+		{"slower than patience at intent", slow, nil, kv.Faults{}, 8 * time.Second, "store_unavailable/not-run", "badge 1", 1, false},
+		{"throttled at intent", kv.Faults{WritesPerSecond: 1}, nil, kv.Faults{}, time.Second, "badge 1", "replayed badge 1", 1, false},
+		{"refused by the service", kv.Faults{}, fails(refused), kv.Faults{}, 0, "no_backend_server/not-run", "badge 2", 2, false},
+		{"refused, then down at removal", kv.Faults{}, fails(refused), down, 5 * time.Second, "no_backend_server/not-run", "badge 2", 2, false},
+		{"refused, answer lost at removal", kv.Faults{}, fails(refused), lost, 0, "no_backend_server/not-run", "badge 2", 2, false},
+		{"answer lost at intent, refused", lost, fails(refused), kv.Faults{}, 0, "no_backend_server/not-run", "badge 2", 2, false},
+		{"broken while running", kv.Faults{}, fails(broken), kv.Faults{}, 0, "backend_failed/may-have-run", "request_in_progress/may-have-run", 1, false},
+		{"broken, retried late", kv.Faults{}, fails(broken), kv.Faults{}, time.Minute, "backend_failed/may-have-run", "outcome_unknown/may-have-run", 1, false},
+		{"broken and down", kv.Faults{}, fails(broken), down, time.Minute, "backend_failed/may-have-run", "outcome_unknown/may-have-run", 1, false},
+		{"down at record", kv.Faults{}, nil, down, 30 * time.Second, "badge 1", "replayed badge 1", 1, false},
+		{"down at record beyond the bound", kv.Faults{}, nil, down, 10 * time.Minute, "badge 1", "outcome_unknown/may-have-run", 1, false},
+		{"answer lost at record", kv.Faults{}, nil, lost, 0, "badge 1", "replayed badge 1", 1, false},
+		{"answer lost and stale at record", kv.Faults{}, nil, kv.Faults{LoseAnswers: 1, StaleReads: 1}, 0, "badge 1", "replayed badge 1", 1, false},
+		{"slow at record", kv.Faults{}, nil, slow, 10 * time.Second, "badge 1", "replayed badge 1", 1, false},
+		{"answers lost at both", lost, nil, lost, 0, "badge 1", "replayed badge 1", 1, false},
 		{"crossed answer", kv.Faults{}, func(int) (job.Outcome, error) {
 			return &wire.Frame{RequestId: "another", Reply: &wire.Reply{Status: 201}}, nil
-		}, kv.Faults{}, 0, "backend_failed/may-have-run", "request_in_progress/may-have-run", 1},
+		}, kv.Faults{}, 0, "backend_failed/may-have-run", "request_in_progress/may-have-run", 1, false},
+		{"answer lost at the lease", lost, nil, kv.Faults{}, 0, "store_unavailable/not-run", "badge 1", 1, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -120,8 +122,12 @@
 					}
 					return c.run(call)
 				}}
-				store.SetFaults(c.intent)
 				o := New(Options{KV: store, Environment: "test"})
+				if !c.cold {
+					_, _ = o.store.leases.current(t.Context())
+				}
+				time.Sleep(time.Second)
+				store.SetFaults(c.intent)
 				if got := outcomeOf(o.Handle(t.Context(), badge("r1", "ann"), s)); got != c.first {
 					t.Errorf("first: got %q, want %q", got, c.first)
 				}
@@ -207,23 +213,79 @@
 	}
 }
 
-// TestSlowIntentDoesNotBegin covers a sidecar that is paused, or a slow service,
-// between the arrival of a call and its execution.
-func TestSlowIntentDoesNotBegin(t *testing.T) {
+// pausedKV stands for a sidecar that is stopped for a while just after its
+// intent was written.
+type pausedKV struct {
+	platform.KV
+	pause time.Duration
+}
+
+func (p *pausedKV) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	version, err := p.KV.CompareAndSwap(ctx, key, value, expected, lease)
+	if pause := p.pause; pause > 0 {
+		p.pause = 0
+		time.Sleep(pause)
+	}
+	return version, err
+}
+
+func TestPauses(t *testing.T) {
+	cases := []struct {
+		name                string
+		afterIntent, inCall time.Duration
+		first, during, last string
+	}{
+		{"after the intent", time.Minute, 0, "overloaded/not-run", "outcome_unknown/may-have-run", "badge 1"},
+		{"just before the service", 0, time.Minute, "badge 1", "outcome_unknown/may-have-run", "replayed badge 1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, s := kv.New(1), &service{hook: func(int) (job.Outcome, error) {
+					time.Sleep(c.inCall)
+					return nil, nil
+				}}
+				paused := New(Options{KV: &pausedKV{store, c.afterIntent}, Environment: "test"})
+				other := New(Options{KV: store, Environment: "test"})
+				var first string
+				var caller sync.WaitGroup
+				caller.Go(func() { first = outcomeOf(paused.Handle(t.Context(), badge("r1", "ann"), s)) })
+				time.Sleep(30 * time.Second)
+				if got := outcomeOf(other.Handle(t.Context(), badge("r2", "ann"), s)); got != c.during {
+					t.Errorf("during the pause: got %q, want %q", got, c.during)
+				}
+				caller.Wait()
+				if first != c.first {
+					t.Errorf("first: got %q, want %q", first, c.first)
+				}
+				paused.Wait()
+				if got := outcomeOf(other.Handle(t.Context(), badge("r3", "ann"), s)); got != c.last {
+					t.Errorf("afterwards: got %q, want %q", got, c.last)
+				}
+				if s.calls != 1 {
+					t.Errorf("%d calls", s.calls)
+				}
+			})
+		})
+	}
+}
+
+// TestRetention checks that a record lasts for its retention, across the
+// rotation of leases, and is forgotten afterwards.
+func TestRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, s := kv.New(1), &service{}
 		o := New(Options{KV: store, Environment: "test"})
-		late := badge("r1", "ann")
-		late.Received = time.Now().Add(-2990 * time.Millisecond)
-		store.SetFaults(kv.Faults{Delay: 9 * time.Millisecond})
-		paused := pipeline.HandlerFunc[*job.Job, job.Outcome](s.Handle)
-		time.Sleep(2 * time.Millisecond)
-		if got := outcomeOf(o.Handle(t.Context(), late, paused)); got != "store_unavailable/not-run" && got != "overloaded/not-run" {
-			t.Errorf("got %q", got)
+		results := []string{"badge 1", "replayed badge 1", "badge 2"}
+		for i, pause := range []time.Duration{0, retention, leaseTTL - retention + time.Hour} {
+			time.Sleep(pause)
+			if got := outcomeOf(o.Handle(t.Context(), badge(fmt.Sprint("r", i), "ann"), s)); got != results[i] {
+				t.Errorf("call %d: got %q, want %q", i, got, results[i])
+			}
 		}
-		if s.calls != 0 {
-			t.Errorf("%d calls", s.calls)
+		entries, err := store.List(t.Context(), "once/")
+		if err != nil || len(entries) != 1 {
+			t.Errorf("%d records, %v", len(entries), err)
 		}
-		o.Wait()
 	})
 }
--- a/internal/sidecar/once/setup.go
+++ b/internal/sidecar/once/setup.go
@@ -31,7 +31,7 @@
 // New returns the filter.
 func New(opts Options) *Once {
 	return &Once{
-		store:   store{kv: opts.KV, prefix: "once/" + opts.Environment + "/"},
+		store:   store{kv: opts.KV, leases: newLeases(opts.KV), prefix: "once/" + opts.Environment + "/"},
 		metrics: newMetrics(),
 	}
 }
--- a/internal/sidecar/once/store.go
+++ b/internal/sidecar/once/store.go
@@ -15,6 +15,7 @@
 // store keeps records in the key-value service.
 type store struct {
 	kv     platform.KV
+	leases *leases
 	prefix string
 }
 
@@ -28,17 +29,16 @@
 // there is one of another attempt, it returns that one and errTaken. After any
 // error the intent may still reach the service.
 func (s *store) create(ctx context.Context, r *record) (*wire.Intent, error) {
-	value := r.encode()
 	var expected platform.Version
 	for pause := retryMin; ; pause = grow(pause) {
-		version, err := s.kv.CompareAndSwap(ctx, r.key, value, expected, 0)
+		version, err := s.write(ctx, r, expected)
 		switch {
 		case err == nil:
 			r.version = version
 			return nil, nil
 		case errors.Is(err, platform.ErrUnavailable):
 			return nil, err
-		case errors.Is(err, platform.ErrThrottled):
+		case errors.Is(err, platform.ErrThrottled), errors.Is(err, platform.ErrNotFound):
 		default:
 			r.unsure = r.unsure || !errors.Is(err, platform.ErrConflict)
 			found := s.readBack(ctx, r)
@@ -57,6 +57,23 @@
 	}
 }
 
+// write puts the record's intent into the service if its version is expected.
+// ErrNotFound means that the lease was lost; the next call takes another one.
+func (s *store) write(ctx context.Context, r *record, expected platform.Version) (platform.Version, error) {
+	lease, err := s.leases.current(ctx)
+	if errors.Is(err, platform.ErrUnsure) {
+		return 0, errors.Wrap(platform.ErrThrottled, err.Error()) // no intent was written
+	}
+	if err != nil {
+		return 0, err
+	}
+	version, err := s.kv.CompareAndSwap(ctx, r.key, r.encode(), expected, lease)
+	if errors.Is(err, platform.ErrNotFound) {
+		s.leases.lost(lease)
+	}
+	return version, err
+}
+
 // owner says whose intent a read found.
 type owner int
 
@@ -121,30 +138,35 @@
 			return err
 		}
 	}
-	err := s.removeVersion(ctx, r)
-	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+	if r.unsure {
+		return settled(s.release(ctx, r))
+	}
+	err := s.kv.Delete(ctx, r.key, r.version)
+	if errors.Is(err, platform.ErrNotFound) {
 		return nil
 	}
-	return err
+	return settled(err)
 }
 
-func (s *store) removeVersion(ctx context.Context, r *record) error {
-	if !r.unsure {
-		return s.kv.Delete(ctx, r.key, r.version)
-	}
-	value, err := proto.Marshal(&wire.Intent{AttemptId: released})
-	if err != nil {
-		return err
+// settled turns a conflict into success: the version to be removed is gone.
+func settled(err error) error {
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
 	}
-	_, err = s.kv.CompareAndSwap(ctx, r.key, value, r.version, 0)
+	return err
+}
+
+// release replaces the record's intent by one that another attempt may replace.
+func (s *store) release(ctx context.Context, r *record) error {
+	mark := &record{key: r.key, intent: &wire.Intent{AttemptId: released}}
+	_, err := s.write(ctx, mark, r.version)
 	return err
 }
 
 // record writes the reply into the intent until it is there or ctx ends.
 func (s *store) record(ctx context.Context, r *record) error {
-	value := r.encode()
 	for pause := retryMin; ; pause = grow(pause) {
-		_, err := s.kv.CompareAndSwap(ctx, r.key, value, r.version, 0)
+		_, err := s.write(ctx, r, r.version)
 		if err == nil {
 			return nil
 		}
