Add the operators' command-line tool

Cause: operators have no way to apply, promote or show a configuration, to issue and withdraw keys, or to see the state of the daemons. The configuration store now also reads back right after a lost answer, because a service that loses all answers never shows the conflict that settled it. Found by the property test: stale answers until the timeout gave an error of no class; it is ErrUnavailable now.

--- /dev/null
+++ b/internal/cli/command.go
@@ -0,0 +1,95 @@
+// Package cli is the operators' command-line tool. Every command writes its
+// result to the standard output, as text or JSON, and its errors with a hint
+// to the standard error; the exit code says what became of it.
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Program is the command-line tool.
+type Program struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	// Extra are commands of other packages, such as load.
+	Extra []*cli.Command
+}
+
+// Run runs the command line and returns the exit code.
+func (p *Program) Run(ctx context.Context, args []string) ExitCode {
+	root := p.command()
+	err := root.Run(ctx, args)
+	return report(p.Stderr, root.String(flagOutput), err)
+}
+
+func (p *Program) command() *cli.Command {
+	commands := []*cli.Command{
+		configCommand(),
+		workspaceCommand(),
+		keyCommand(),
+		statusCommand(),
+		drainCommand(),
+		logLevelCommand(),
+		versionCommand(),
+	}
+	root := &cli.Command{
+		Name:                  "wasabigate",
+		Usage:                 "operate a wasabigate environment",
+		Flags:                 globalFlags(),
+		Commands:              append(commands, p.Extra...),
+		EnableShellCompletion: true,
+		Suggest:               true,
+		Reader:                p.Stdin,
+		Writer:                p.Stdout,
+		ErrWriter:             p.Stderr,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {}, // Run reports
+		ConfigureShellCompletionCommand: func(completion *cli.Command) {
+			completion.Hidden = false
+		},
+	}
+	prepare(root)
+	return root
+}
+
+// prepare gives every command the handling of wrong usage.
+func prepare(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return usageError(command, "%v", err)
+	}
+	if command.Action == nil && len(command.Commands) > 0 {
+		command.Action = unknownCommand
+	}
+	for _, child := range command.Commands {
+		prepare(child)
+	}
+}
+
+func unknownCommand(_ context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return usageError(command, "there is no command %q", command.Args().First())
+	}
+	return cli.ShowSubcommandHelp(command)
+}
+
+func usageError(command *cli.Command, format string, args ...any) error {
+	return fail(ExitUsage, "see \""+command.FullName()+" --help\"", format, args...)
+}
+
+// arguments returns the command's arguments if their number is right.
+func arguments(command *cli.Command, count int) ([]string, error) {
+	if command.Args().Len() != count {
+		return nil, usageError(command, "takes %s", argumentsUsage(command))
+	}
+	return command.Args().Slice(), nil
+}
+
+func argumentsUsage(command *cli.Command) string {
+	if command.ArgsUsage == "" {
+		return "no arguments"
+	}
+	return "the arguments " + command.ArgsUsage
+}
--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,303 @@
+package cli
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/configstore"
+)
+
+const (
+	flagBase     = "base"
+	flagRevision = "revision"
+)
+
+func configCommand() *cli.Command {
+	revision := &cli.Uint64Flag{Name: flagRevision, Usage: "`NUMBER` of a past revision; none for the current one"}
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check, apply and promote the document of an environment",
+		Commands: []*cli.Command{
+			{Name: "check", Usage: "check a document without any connection", ArgsUsage: "FILE", Action: action(configCheck)},
+			{Name: "diff", Usage: "compare the document in force with a file", ArgsUsage: "FILE", Flags: []cli.Flag{revision}, Action: action(configDiff)},
+			{Name: "apply", Usage: "put a document in force", ArgsUsage: "FILE",
+				Flags: []cli.Flag{&cli.Uint64Flag{Name: flagBase, Usage: "`NUMBER` of the revision that the file started from; needed once there is one"}}, Action: action(configApply)},
+			promoteCommand(),
+			{Name: "history", Usage: "list the accepted revisions", Action: action(configHistory)},
+			{Name: "show", Usage: "print a document", Flags: []cli.Flag{revision}, Action: action(configShow)},
+		},
+	}
+}
+
+// readDocument reads the file that the command's argument names; "-" is the
+// standard input.
+func (s *session) readDocument() ([]byte, error) {
+	args, err := arguments(s.command, 1)
+	if err != nil {
+		return nil, err
+	}
+	if args[0] == "-" {
+		text, err := io.ReadAll(io.LimitReader(s.command.Root().Reader, config.MaxDocumentBytes+1))
+		return text, errors.Wrap(err, "read the standard input")
+	}
+	text, err := os.ReadFile(args[0])
+	return text, errors.Wrap(err, "read the document")
+}
+
+// parse checks a document and names its source in the faults.
+func (s *session) parse(text []byte) (*config.Document, error) {
+	document, err := config.Parse(text)
+	var faults config.Faults
+	if errors.As(err, &faults) {
+		for i := range faults {
+			faults[i].Source = s.command.Args().First()
+		}
+		return nil, faults
+	}
+	return document, err
+}
+
+// checked is the result of config check.
+type checked struct {
+	Digest     string `json:"digest"`
+	Models     int    `json:"models"`
+	Groups     int    `json:"groups"`
+	Workspaces int    `json:"workspaces"`
+	Keys       int    `json:"keys"`
+	Routes     int    `json:"routes"`
+}
+
+func (c *checked) writeText(w io.Writer) {
+	fmt.Fprintf(w, "valid: %d models, %d groups, %d workspaces, %d keys, %d routes\ndigest %s\n",
+		c.Models, c.Groups, c.Workspaces, c.Keys, c.Routes, c.Digest)
+}
+
+func configCheck(_ context.Context, s *session) error {
+	text, err := s.readDocument()
+	if err != nil {
+		return err
+	}
+	d, err := s.parse(text)
+	if err != nil {
+		return err
+	}
+	digest := configstore.Digest(text)
+	return s.print(&checked{hex.EncodeToString(digest[:]), len(d.Models), len(d.Groups), len(d.Workspaces), len(d.Keys), len(d.Routes)})
+}
+
+// difference is the result of config diff.
+type difference struct {
+	Revision uint64 `json:"revision"`
+	Diff     string `json:"diff"`
+}
+
+func (d *difference) writeText(w io.Writer) { fmt.Fprint(w, d.Diff) }
+
+func configDiff(ctx context.Context, s *session) error {
+	text, err := s.readDocument()
+	if err != nil {
+		return err
+	}
+	past, err := s.chosenRevision(ctx)
+	if err != nil {
+		return err
+	}
+	out := &difference{Revision: past.Number, Diff: configstore.Diff(past.Text, text)}
+	if err := s.print(out); err != nil || out.Diff == "" {
+		return err
+	}
+	return exitWith(ExitDiffers)
+}
+
+// chosenRevision returns the revision of --revision, or the current one.
+func (s *session) chosenRevision(ctx context.Context) (*configstore.Past, error) {
+	store, err := s.store()
+	if err != nil {
+		return nil, err
+	}
+	history, err := store.History(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if len(history) == 0 {
+		return nil, configstore.ErrNoDocument
+	}
+	number := s.command.Uint64(flagRevision)
+	if number == 0 {
+		return &history[0], nil
+	}
+	for i := range history {
+		if history[i].Number == number && history[i].Text != nil {
+			return &history[i], nil
+		}
+	}
+	return nil, fail(ExitRefused, "see \"wasabigate config history\"", "the history does not hold the text of revision %d", number)
+}
+
+// accepted is the result of a change.
+type accepted struct {
+	Environment string                 `json:"environment"`
+	Revision    uint64                 `json:"revision"`
+	Digest      string                 `json:"digest"`
+	ChangeID    string                 `json:"change_id"`
+	Settlement  configstore.Settlement `json:"settlement"`
+}
+
+func (s *session) accepted(result *configstore.Result) *accepted {
+	return &accepted{
+		Environment: s.command.String(flagEnvironment),
+		Revision:    result.Revision.Number,
+		Digest:      hex.EncodeToString(result.Revision.Digest[:]),
+		ChangeID:    result.ChangeID,
+		Settlement:  result.Settlement,
+	}
+}
+
+func (a *accepted) writeText(w io.Writer) {
+	switch a.Settlement {
+	case configstore.SettledUnchanged:
+		fmt.Fprintf(w, "unchanged: revision %d of %s says so already\n", a.Revision, a.Environment)
+		return
+	case configstore.SettledByReadBack:
+		fmt.Fprintln(w, "the answer to the write was lost; reading back showed that it took effect")
+	}
+	fmt.Fprintf(w, "revision %d of %s is accepted, digest %s\n", a.Revision, a.Environment, a.Digest)
+}
+
+func configApply(ctx context.Context, s *session) error {
+	text, err := s.readDocument()
+	if err != nil {
+		return err
+	}
+	if _, err := s.parse(text); err != nil {
+		return err
+	}
+	store, err := s.store()
+	if err != nil {
+		return err
+	}
+	base, err := s.base(ctx, store, text)
+	if err != nil {
+		return err
+	}
+	result, err := store.Apply(ctx, base, text, s.author())
+	if err != nil {
+		return err
+	}
+	s.warnWithdrawn(result.Revision)
+	return s.print(s.accepted(result))
+}
+
+// base returns the current state if it is the one that --base names.
+func (s *session) base(ctx context.Context, store *configstore.Store, text []byte) (*configstore.State, error) {
+	state, err := store.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	base := s.command.Uint64(flagBase)
+	if state.Number() == base {
+		return state, nil
+	}
+	if state.Revision == nil {
+		return nil, fail(ExitRefused, "leave out --base for the first document", "there is no revision %d", base)
+	}
+	if base == 0 {
+		return nil, fail(ExitRefused, "give --base with the revision that your file started from; see \"wasabigate config diff\"",
+			"revision %d is in force", state.Number())
+	}
+	return nil, &configstore.ConflictError{
+		Base:    base,
+		Current: state.Revision,
+		Diff:    configstore.Diff(state.Revision.Text, text),
+	}
+}
+
+// warnWithdrawn names the document's keys that are withdrawn.
+func (s *session) warnWithdrawn(revision *config.Revision) {
+	for _, key := range revision.Document.Keys {
+		if revision.KeyWithdrawn(key.ID) {
+			s.warn("key %s stays withdrawn", key.ID)
+		}
+	}
+}
+
+// revisionInfo is a line of config history.
+type revisionInfo struct {
+	Revision uint64    `json:"revision"`
+	Accepted time.Time `json:"accepted"`
+	Author   string    `json:"author"`
+	Digest   string    `json:"digest"`
+	ChangeID string    `json:"change_id"`
+	HasText  bool      `json:"has_text"`
+}
+
+func newRevisionInfo(p *configstore.Past) revisionInfo {
+	return revisionInfo{p.Number, p.Accepted, p.Author, hex.EncodeToString(p.Digest[:]), p.ChangeID, p.Text != nil}
+}
+
+// revisionList is the result of config history.
+type revisionList struct {
+	Revisions []revisionInfo `json:"revisions"`
+}
+
+func (l *revisionList) writeText(w io.Writer) {
+	table := newTable(w)
+	fmt.Fprintln(table, "REVISION\tACCEPTED\tAUTHOR\tDIGEST\tCHANGE\tTEXT")
+	for _, r := range l.Revisions {
+		text := "kept"
+		if !r.HasText {
+			text = "dropped"
+		}
+		fmt.Fprintf(table, "%d\t%s\t%s\t%.12s\t%s\t%s\n", r.Revision, r.Accepted.Format(time.RFC3339), r.Author, r.Digest, r.ChangeID, text)
+	}
+	_ = table.Flush()
+}
+
+func configHistory(ctx context.Context, s *session) error {
+	if _, err := arguments(s.command, 0); err != nil {
+		return err
+	}
+	store, err := s.store()
+	if err != nil {
+		return err
+	}
+	history, err := store.History(ctx)
+	if err != nil {
+		return err
+	}
+	out := &revisionList{Revisions: []revisionInfo{}}
+	for i := range history {
+		out.Revisions = append(out.Revisions, newRevisionInfo(&history[i]))
+	}
+	return s.print(out)
+}
+
+// shown is the result of config show.
+type shown struct {
+	revisionInfo
+	Text string `json:"text"`
+}
+
+func (d *shown) writeText(w io.Writer) { fmt.Fprint(w, d.Text) }
+
+func configShow(ctx context.Context, s *session) error {
+	if _, err := arguments(s.command, 0); err != nil {
+		return err
+	}
+	past, err := s.chosenRevision(ctx)
+	if err != nil {
+		return err
+	}
+	if s.command.String(flagOutput) == outputText {
+		s.warn("this is revision %d; apply a changed text with --base %d", past.Number, past.Number)
+	}
+	return s.print(&shown{newRevisionInfo(past), string(past.Text)})
+}
--- /dev/null
+++ b/internal/cli/harness_test.go
@@ -0,0 +1,238 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/wasabigate/wasabigate/internal/configstore"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/standin/vmlist"
+)
+
+func TestMain(m *testing.M) {
+	// The idle connections of the platform's HTTP client outlive a command.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"),
+		goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+const startDocument = `[environment]
+name = Test
+
+[group engines]
+kind = engines
+
+# demo key of w
+[workspace w]
+rate = 100
+burst = 1000
+
+[key k]
+workspace = w
+sha256 = 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+
+[route chat]
+path = /v1/chat/completions
+`
+
+// site is a platform with fake daemons.
+type site struct {
+	t    *testing.T
+	kv   *kv.Store
+	vms  *vmlist.List
+	args []string // that name the platform
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, kv: kv.New(1), vms: vmlist.New()}
+	store := httptest.NewServer(kv.Handler(s.kv))
+	t.Cleanup(store.Close)
+	list := httptest.NewServer(vmlist.Handler(s.vms))
+	t.Cleanup(list.Close)
+	s.args = []string{"--key-value", store.URL, "--vm-list", list.URL, "--plaintext", "--author", "ann", "--call-timeout", "500ms", "--timeout", "3s"}
+	return s
+}
+
+// run runs a command in an environment.
+func (s *site) run(environment string, args ...string) *run {
+	return runProgram(s.t, "", append(append([]string{"--environment", environment}, s.args...), args...)...)
+}
+
+// run is what a command wrote and returned.
+type run struct {
+	t      *testing.T
+	code   ExitCode
+	stdout string
+	stderr string
+}
+
+func runProgram(t *testing.T, stdin string, args ...string) *run {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	program := &Program{Stdin: strings.NewReader(stdin), Stdout: &stdout, Stderr: &stderr}
+	code := program.Run(t.Context(), append([]string{"wasabigate"}, args...))
+	return &run{t, code, stdout.String(), stderr.String()}
+}
+
+// wants checks the exit code and parts of the output.
+func (r *run) wants(code ExitCode, parts ...string) *run {
+	r.t.Helper()
+	if r.code != code {
+		r.t.Errorf("exit code %d, want %d\nstdout: %s\nstderr: %s", r.code, code, r.stdout, r.stderr)
+	}
+	for _, part := range parts {
+		if !strings.Contains(r.stdout+r.stderr, part) {
+			r.t.Errorf("the output lacks %q\nstdout: %s\nstderr: %s", part, r.stdout, r.stderr)
+		}
+	}
+	return r
+}
+
+// decode reads the output as JSON.
+func (r *run) decode(into any) {
+	r.t.Helper()
+	if err := json.Unmarshal([]byte(r.stdout), into); err != nil {
+		r.t.Fatalf("output %q: %v", r.stdout, err)
+	}
+}
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "document.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func (s *site) apply(environment, text string) *configstore.State {
+	s.t.Helper()
+	store := configstore.New(s.kv, environment)
+	base, err := store.Read(s.t.Context())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := store.Apply(s.t.Context(), base, []byte(text), "test"); err != nil {
+		s.t.Fatal(err)
+	}
+	return s.state(environment)
+}
+
+func (s *site) state(environment string) *configstore.State {
+	s.t.Helper()
+	state, err := configstore.New(s.kv, environment).Read(s.t.Context())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return state
+}
+
+// fakeNode is a daemon that answers from a fixed status.
+type fakeNode struct {
+	wire.DRPCNodeUnimplementedServer
+	mu      sync.Mutex
+	status  *wire.StatusReply
+	deaf    bool // ignores offered documents
+	hanging bool // never answers
+	drained bool
+	level   string
+}
+
+func (n *fakeNode) wait(ctx context.Context) error {
+	if n.hanging {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+func (n *fakeNode) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusReply, error) {
+	if err := n.wait(ctx); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.status, nil
+}
+
+func (n *fakeNode) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	if err := n.wait(ctx); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	revision, err := configstore.Open(request.Document)
+	if err != nil {
+		return nil, err
+	}
+	if !n.deaf {
+		n.status.Revisions = &wire.Revisions{Document: revision.Number}
+	}
+	return &wire.ExchangeReply{Revisions: n.status.Revisions}, nil
+}
+
+func (n *fakeNode) Drain(_ context.Context, request *wire.DrainRequest) (*wire.DrainReply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.drained = !request.Cancel
+	return &wire.DrainReply{Draining: n.drained, Inflight: 7}, nil
+}
+
+func (n *fakeNode) SetLogLevel(_ context.Context, request *wire.LogLevelRequest) (*wire.LogLevelReply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.level = request.Level
+	return &wire.LogLevelReply{Level: request.Level}, nil
+}
+
+// add starts a daemon and lists its VM in the group.
+func (s *site) add(node *fakeNode, group string) *fakeNode {
+	s.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterNode(mux, node); err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = rpc.Serve(ctx, listener, mux, nil, nil)
+	}()
+	s.t.Cleanup(func() { cancel(); <-done })
+	s.list(node.status.Name, listener.Addr().String(), group)
+	return node
+}
+
+func (s *site) list(name, address, group string) {
+	s.vms.Set(platform.VM{Name: name, Address: address, Group: group, State: platform.VMLive, AvailabilityZone: "a"})
+}
+
+// node returns a daemon that has the state in force.
+func node(name, role, environment string, state *configstore.State) *fakeNode {
+	return &fakeNode{status: &wire.StatusReply{
+		Name:           name,
+		Role:           role,
+		Zone:           "a",
+		Environment:    environment,
+		Revisions:      &wire.Revisions{Document: state.Number()},
+		DocumentDigest: state.Revision.Digest[:],
+		Queue:          &wire.QueueStatus{},
+	}}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -38,14 +38,14 @@
 }
 
 func (p *parser) checkModel(model *Model) {
-	p.checkGroup(p.at(kindModel, model.Name), model.Group, GroupEngines)
+	p.checkGroup(p.at(KindModel, model.Name), model.Group, GroupEngines)
 }
 
 func (p *parser) checkKeys() {
 	owners := make(map[[32]byte]string)
 	for i := range p.document.Keys {
 		key := &p.document.Keys[i]
-		r := p.at(kindKey, key.ID)
+		r := p.at(KindKey, key.ID)
 		p.checkWorkspace(r, key.Workspace)
 		if key.SHA256 == ([32]byte{}) {
 			continue
@@ -59,7 +59,7 @@
 }
 
 func (p *parser) checkRoute(route *Route) {
-	r := p.at(kindRoute, route.Name)
+	r := p.at(KindRoute, route.Name)
 	p.checkAccess(r, route)
 	if route.Path == "" {
 		return
@@ -132,7 +132,7 @@
 	for i := range routes {
 		for j := range routes[:i] {
 			if routes[i].overlaps(&routes[j]) {
-				p.at(kindRoute, routes[i].Name).fault("path", "%s overlaps with %s of [route %s]",
+				p.at(KindRoute, routes[i].Name).fault("path", "%s overlaps with %s of [route %s]",
 					routes[i].Path, routes[j].Path, routes[j].Name)
 			}
 		}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -10,7 +10,7 @@
 const MaxDocumentBytes = platform.MaxValueSize
 
 // titled are the kinds of the document's sections that carry a name.
-var titled = []string{kindModel, kindGroup, kindWorkspace, kindKey, kindRoute}
+var titled = []string{KindModel, KindGroup, KindWorkspace, KindKey, KindRoute}
 
 // Parse reads a document and checks it as a whole. An error is of type Faults
 // and lists all of them.
@@ -23,8 +23,8 @@
 	for _, s := range readINI(text, "", &p.faults) {
 		p.section(s)
 	}
-	if _, found := p.places[kindEnvironment]; !found {
-		p.faults.add(place{}, "", "section [%s] is missing", kindEnvironment)
+	if _, found := p.places[KindEnvironment]; !found {
+		p.faults.add(place{}, "", "section [%s] is missing", KindEnvironment)
 	}
 	p.document.BuildIndex()
 	p.checkReferences()
@@ -50,17 +50,17 @@
 	p.places[s.name()] = r
 	d := p.document
 	switch s.kind {
-	case kindEnvironment:
+	case KindEnvironment:
 		d.Environment = Environment{Name: r.text("name")}
-	case kindModel:
+	case KindModel:
 		d.Models = append(d.Models, parseModel(r))
-	case kindGroup:
+	case KindGroup:
 		d.Groups = append(d.Groups, parseGroup(r))
-	case kindWorkspace:
+	case KindWorkspace:
 		d.Workspaces = append(d.Workspaces, parseWorkspace(r))
-	case kindKey:
+	case KindKey:
 		d.Keys = append(d.Keys, parseKey(r))
-	case kindRoute:
+	case KindRoute:
 		d.Routes = append(d.Routes, parseRoute(r))
 	}
 }
@@ -73,10 +73,10 @@
 	case !documentTable.hasSection(s.kind):
 		p.faults.add(s.place(), "", "unknown section: known are environment, model, group, workspace, key and route")
 		return false
-	case slices.Contains(titled, s.kind) && checkName(s.title) != nil:
-		p.faults.add(s.place(), "", "%v", checkName(s.title))
+	case slices.Contains(titled, s.kind) && CheckName(s.title) != nil:
+		p.faults.add(s.place(), "", "%v", CheckName(s.title))
 		return false
-	case s.kind == kindEnvironment && s.title != "":
+	case s.kind == KindEnvironment && s.title != "":
 		p.faults.add(s.place(), "", "takes no name: write [environment]")
 		return false
 	}
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -90,7 +90,7 @@
 func checkText(setting *Setting, value string) error {
 	switch setting.Type {
 	case TypeName:
-		return checkName(value)
+		return CheckName(value)
 	case TypeChoice:
 		return checkChoice(setting.Choices, value)
 	case TypeAddress:
@@ -105,7 +105,8 @@
 	return nil
 }
 
-func checkName(value string) error {
+// CheckName says what is wrong with the name of a section or a daemon.
+func CheckName(value string) error {
 	if len(value) > maxNameLength || !namePattern.MatchString(value) {
 		return errors.Errorf("%q is not a name: up to %d of a-z, 0-9, \".\", \"_\" and \"-\"", value, maxNameLength)
 	}
--- a/internal/configstore/envelope_test.go
+++ b/internal/configstore/envelope_test.go
@@ -223,7 +223,7 @@
 		if err != nil {
 			f.Fatal(err)
 		}
-		digest := documentDigest(text)
+		digest := Digest(text)
 		envelope := &wire.Envelope{Revision: 1, Digest: digest[:], Document: text, WithdrawnKeys: []string{"k"}}
 		value, err := Seal(envelope)
 		if err != nil {
--- a/internal/configstore/property_test.go
+++ b/internal/configstore/property_test.go
@@ -67,7 +67,7 @@
 func (o *operator) Promote(t *rapid.T) {
 	ctx, cancel := o.context()
 	defer cancel()
-	_, err := o.store().Promote(ctx, o.base, New(o.service, "source"), documentDigest(document("source")), "test")
+	_, err := o.store().Promote(ctx, o.base, New(o.service, "source"), Digest(document("source")), "test")
 	checkError(t, err)
 }
 
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -117,7 +117,7 @@
 
 // next returns the envelope of the revision after base.
 func (s *Store) next(base *State, text []byte, withdraw []string, author string) *wire.Envelope {
-	digest := documentDigest(text)
+	digest := Digest(text)
 	envelope := &wire.Envelope{
 		Revision:     base.Number() + 1,
 		Digest:       digest[:],
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -59,6 +59,7 @@
 }{
 	{"calm", kv.Faults{}},
 	{"lost answers", kv.Faults{LoseAnswers: 0.5}},
+	{"all answers lost", kv.Faults{LoseAnswers: 1}},
 	{"stale reads", kv.Faults{StaleReads: 0.5}},
 	{"throttled", kv.Faults{WritesPerSecond: 5, ReadsPerSecond: 20}},
 	{"slow, lost and stale", kv.Faults{Delay: 30 * time.Millisecond, LoseAnswers: 0.3, StaleReads: 0.3}},
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -53,7 +53,8 @@
 	}
 }
 
-func documentDigest(text []byte) [32]byte { return sha256.Sum256(text) }
+// Digest returns the digest of a document.
+func Digest(text []byte) [32]byte { return sha256.Sum256(text) }
 
 // write swaps the envelope in if base is still current. All attempts carry the
 // same expected version, so that at most one of them can take effect.
@@ -73,6 +74,9 @@
 			return s.settle(ctx, base, envelope, unsure)
 		case errors.Is(err, platform.ErrUnsure):
 			unsure = true
+			if current := s.newer(ctx, base.version); current != nil {
+				return conclude(base, current, envelope, unsure)
+			}
 		case !passing(err):
 			return nil, unsettled(errors.Wrap(err, "write the configuration"), unsure)
 		}
@@ -90,13 +94,18 @@
 	return errors.Wrap(ErrUnsettled, err.Error())
 }
 
-// settle finds out, after a conflict, whether an earlier attempt of this
-// change took effect or another change came first.
+// settle finds out, after a conflict, what came first.
 func (s *Store) settle(ctx context.Context, base *State, envelope *wire.Envelope, unsure bool) (*Result, error) {
 	current, err := s.readAfter(ctx, base.version)
 	if err != nil {
 		return nil, unsettled(errors.Wrap(err, "read back after a conflict"), unsure)
 	}
+	return conclude(base, current, envelope, unsure)
+}
+
+// conclude says from a state newer than base whether an attempt of the change
+// took effect or another change came first.
+func conclude(base, current *State, envelope *wire.Envelope, unsure bool) (*Result, error) {
 	switch {
 	case unsure && current.includes(envelope.ChangeId):
 		return result(envelope, SettledByReadBack)
@@ -110,6 +119,19 @@
 	}
 }
 
+// newer returns the state if a single read shows one newer than version.
+func (s *Store) newer(ctx context.Context, version platform.Version) *State {
+	entry, err := s.kv.Get(ctx, Key(s.environment))
+	if err != nil || entry.Version <= version {
+		return nil
+	}
+	state, err := s.open(entry)
+	if err != nil {
+		return nil
+	}
+	return state
+}
+
 // readAfter reads until the state is newer than version: a read may be stale.
 func (s *Store) readAfter(ctx context.Context, version platform.Version) (*State, error) {
 	var pause backoff
@@ -122,7 +144,7 @@
 			return state, nil
 		}
 		if err := pause.wait(ctx); err != nil {
-			return nil, errors.Wrap(err, "only stale answers")
+			return nil, errors.Wrapf(platform.ErrUnavailable, "only stale answers: %v", err)
 		}
 	}
 }
