Prove the tool over mutual TLS and settle what the history forgot

Cause: two paths had no test: the tool's TLS flags, and a lost answer whose revision the history no longer holds. Change: a status over mutual TLS, and the case tables of conclude. The first promotion of an environment no longer prints the whole document.

--- a/internal/cli/harness_test.go
+++ b/internal/cli/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http/httptest"
@@ -55,6 +56,8 @@
 	kv   *kv.Store
 	vms  *vmlist.List
 	args []string // that name the platform
+	// secure is the TLS configuration of the daemons added next; nil: plain text.
+	secure *tls.Config
 }
 
 func newSite(t *testing.T) *site {
@@ -218,7 +221,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = rpc.Serve(ctx, listener, mux, nil, nil)
+		_ = rpc.Serve(ctx, listener, mux, s.secure, nil)
 	}()
 	s.t.Cleanup(func() { cancel(); <-done })
 	s.list(node.status.Name, listener.Addr().String(), group)
--- a/internal/cli/promote.go
+++ b/internal/cli/promote.go
@@ -88,12 +88,12 @@
 	return s.print(&promoted{s.accepted(result), from, tried.Number(), daemons, diffTo(base, result)})
 }
 
+// diffTo returns what the promotion changed; nothing for a first document.
 func diffTo(base *configstore.State, result *configstore.Result) string {
-	var text []byte
-	if base.Revision != nil {
-		text = base.Revision.Text
+	if base.Revision == nil {
+		return ""
 	}
-	return configstore.Diff(text, result.Revision.Text)
+	return configstore.Diff(base.Revision.Text, result.Revision.Text)
 }
 
 // promotionBase returns the target's state. A document that the source never
--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -1,11 +1,15 @@
 package cli
 
 import (
+	"path/filepath"
 	"testing"
 
+	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/standin/certs"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/tlsconf"
 )
 
 func TestStatus(t *testing.T) {
@@ -111,3 +115,23 @@
 	s.list("gone", "127.0.0.1:1", "engines")
 	s.run("trial", "log-level", "info").wants(ExitUnconfirmed, "gone", "not done")
 }
+
+func TestStatusOverMutualTLS(t *testing.T) {
+	dir := t.TempDir()
+	if err := certs.Write(dir, []string{"127.0.0.1"}); err != nil {
+		t.Fatal(err)
+	}
+	file := func(name string) string { return filepath.Join(dir, name) }
+	settings := config.TLSSettings{CA: file("ca.pem"), Certificate: file("daemon.pem"), Key: file("daemon-key.pem")}
+	files, err := tlsconf.Load(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSite(t)
+	state := s.apply("trial", startDocument)
+	s.secure = files.Server()
+	s.add(node("r1", "router", "trial", state), "routers")
+	s.add(node("s1", "sidecar", "trial", state), "engines")
+	s.run("trial", "status").wants(ExitDown, "unreachable") // --plaintext
+	s.run("trial", "status", "--tls-ca", settings.CA, "--tls-certificate", settings.Certificate, "--tls-key", settings.Key).wants(ExitOK, "healthy")
+}
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
 )
 
@@ -233,6 +234,22 @@
 	})
 }
 
+func TestConcludeAdmitsWhatTheHistoryForgot(t *testing.T) {
+	lost := &wire.Envelope{Revision: 5, ChangeId: "lost"}
+	current := &State{
+		Revision: &config.Revision{Number: 300},
+		envelope: &wire.Envelope{Revision: 300, History: []*wire.PastDocument{{Revision: 299}, {Revision: 6}}},
+	}
+	if _, err := conclude(&State{}, current, lost, true); !errors.Is(err, ErrUnsettled) {
+		t.Errorf("error %v, want unsettled", err)
+	}
+	current.envelope.History[1].Revision = 5
+	var conflict *ConflictError
+	if _, err := conclude(&State{}, current, lost, true); !errors.As(err, &conflict) {
+		t.Errorf("error %v, want a conflict: revision 5 was another change", err)
+	}
+}
+
 func TestApplyRefusesAFaultyDocument(t *testing.T) {
 	store := New(kv.New(1), testEnvironment)
 	_, err := store.Apply(t.Context(), &State{}, []byte("[workspace w]\n"), "test")
