--- a/internal/sidecar/buffer/buffer.go
+++ b/internal/sidecar/buffer/buffer.go
@@ -11,6 +11,9 @@
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
+// frameOverhead is what a frame takes in memory besides its bytes.
+const frameOverhead = 256
+
 // Key names an attempt of a request.
 type Key struct {
 	RequestID string
@@ -83,7 +86,7 @@
 	}
 	frame.Sequence = uint64(len(b.frames)) + 1
 	b.frames = append(b.frames, frame)
-	size := proto.Size(frame)
+	size := proto.Size(frame) + frameOverhead
 	b.bytes += size
 	b.table.metrics.addBytes(size)
 	if last {
@@ -133,6 +136,13 @@
 	return uint64(len(b.frames))
 }
 
+// size returns the memory that the frames take, in bytes.
+func (b *Buffer) size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes
+}
+
 func (b *Buffer) after(sequence uint64) ([]*wire.Frame, bool, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/sidecar/buffer/table.go
+++ b/internal/sidecar/buffer/table.go
@@ -17,12 +17,19 @@
 
 	mu            sync.Mutex
 	attempts      map[Key]*Buffer
-	ended         []*Buffer // finished attempts, oldest first
+	ended         []retained // finished attempts, oldest first
 	finishedBytes int
+	sweeper       *time.Timer      // runs while ended is not empty
 	cancelled     map[Key]struct{} // attempts cancelled before they arrived
 	changed       chan struct{}    // closed and replaced when a buffer may have settled
 }
 
+// retained is a finished attempt that can be read until a time.
+type retained struct {
+	buffer *Buffer
+	until  time.Time
+}
+
 // Opened is the result of Open.
 type Opened struct {
 	Buffer *Buffer
@@ -104,36 +111,43 @@
 // finished starts the retention of a buffer that has ended.
 func (t *Table) finished(buffer *Buffer) {
 	t.mu.Lock()
-	t.ended = append(t.ended, buffer)
-	t.finishedBytes += buffer.bytes
+	t.ended = append(t.ended, retained{buffer: buffer, until: time.Now().Add(t.retention)})
+	t.finishedBytes += buffer.size()
 	for t.finishedBytes > t.maxBytes && len(t.ended) > 1 {
 		t.metrics.addDropped()
-		t.removeLocked(t.ended[0])
+		t.dropOldestLocked()
+	}
+	if t.sweeper == nil {
+		t.sweeper = time.AfterFunc(t.retention, t.sweep)
 	}
 	t.mu.Unlock()
 	buffer.cancel(nil)
-	time.AfterFunc(t.retention, func() { t.expire(buffer) })
 	t.notify()
 }
 
-func (t *Table) expire(buffer *Buffer) {
+// sweep drops the attempts whose retention is over.
+func (t *Table) sweep() {
 	t.mu.Lock()
-	t.removeLocked(buffer)
+	now := time.Now()
+	for len(t.ended) > 0 && !now.Before(t.ended[0].until) {
+		t.dropOldestLocked()
+	}
+	if len(t.ended) > 0 {
+		t.sweeper.Reset(t.ended[0].until.Sub(now))
+	} else {
+		t.sweeper = nil
+	}
 	t.mu.Unlock()
 	t.notify()
 }
 
-func (t *Table) removeLocked(buffer *Buffer) {
-	for i, candidate := range t.ended {
-		if candidate != buffer {
-			continue
-		}
-		t.ended = append(t.ended[:i], t.ended[i+1:]...)
-		t.finishedBytes -= buffer.bytes
-		t.metrics.addBytes(-buffer.bytes)
-		delete(t.attempts, buffer.key)
-		return
-	}
+func (t *Table) dropOldestLocked() {
+	oldest := t.ended[0].buffer
+	t.ended[0] = retained{}
+	t.ended = t.ended[1:]
+	t.finishedBytes -= oldest.size()
+	t.metrics.addBytes(-oldest.size())
+	delete(t.attempts, oldest.key)
 }
 
 func (t *Table) notify() {
