--- /dev/null
+++ b/internal/sidecar/verify/verify_test.go
@@ -0,0 +1,200 @@
+package verify
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/shard"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+func document(keys ...config.Key) *config.Document {
+	d := &config.Document{
+		Models:     []config.Model{{Name: "m", WeightsVersion: "v2"}},
+		Workspaces: []config.Workspace{{Name: "north"}, {Name: "south"}},
+		Keys:       append(keys, config.Key{ID: "k1", Workspace: "north"}, config.Key{ID: "k2", Workspace: "south"}),
+		Routes: []config.Route{
+			{Name: "chat", Path: "/v1/chat/completions", Access: config.AccessKey},
+			{Name: "open-chat", Path: "/v1/completions", Access: config.AccessOpen, Workspace: "south"},
+			{Name: "hours", Method: "GET", Path: "/desk/hours", StripPrefix: "/desk", Group: "desk", Access: config.AccessOpen, Workspace: "north"},
+			{Name: "guests", Path: "/desk/guests/*", StripPrefix: "/desk", Group: "desk", Access: config.AccessKey},
+			{Name: "jobs", Path: "/jobs/*", Group: "records", Access: config.AccessKey},
+		},
+	}
+	d.BuildIndex()
+	return d
+}
+
+func state(number uint64, epoch uint64, keys ...config.Key) *control.Snapshot {
+	table := &shard.Table{Epoch: epoch}
+	table.Owners[0] = shard.Owner{Address: "router-a", SinceEpoch: 2}
+	return &control.Snapshot{
+		Config: &config.Revision{Number: number, Document: document(keys...), Withdrawn: map[string]struct{}{"gone": {}}},
+		Shards: table,
+		View:   membership.NewView(nil),
+	}
+}
+
+func newVerify(kind config.GroupKind, source control.Source, noted func(*wire.Revisions)) *Verify {
+	group := "desk"
+	if kind == config.GroupEngines {
+		group = "engines"
+	}
+	return New(Options{
+		Settings:    &config.SidecarSettings{Kind: kind, Group: group},
+		Source:      source,
+		OnRevisions: noted,
+		Draining:    func() bool { return source.Snapshot().Draining },
+		Loaded:      func() []*wire.Weights { return []*wire.Weights{{Model: "m", Version: "v1"}} },
+	})
+}
+
+// check returns the code of the refusal, empty if the request passes. Each
+// refusal must say that the request has not run.
+func check(t *testing.T, v *Verify, req *wire.ExecuteRequest) verdict.Code {
+	t.Helper()
+	passed := false
+	last := pipeline.HandlerFunc[*job.Job, job.Outcome](func(_ context.Context, j *job.Job) (job.Outcome, error) {
+		passed = j.Route != nil && j.Snapshot != nil
+		return nil, nil
+	})
+	_, err := v.Handle(t.Context(), &job.Job{Request: req, Received: time.Now()}, last)
+	if err == nil {
+		if !passed {
+			t.Error("passed without route and snapshot")
+		}
+		return ""
+	}
+	refusal := verdict.From(err)
+	if passed || refusal.Verdict != verdict.NotRun {
+		t.Errorf("refusal %v, passed %v", refusal, passed)
+	}
+	return refusal.Code
+}
+
+func generate(workspace, key, version string) *wire.ExecuteRequest {
+	return &wire.ExecuteRequest{RequestId: "r1", Workspace: workspace, KeyId: key, Route: "chat",
+		Generation: &wire.Generation{Model: "m", WeightsVersion: version}}
+}
+
+func call(route, key, method, path string) *wire.ExecuteRequest {
+	return &wire.ExecuteRequest{RequestId: "r1", Workspace: "north", KeyId: key, Route: route,
+		Call: &wire.Call{Method: method, Path: path}}
+}
+
+func TestChecks(t *testing.T) {
+	draw := func(shard uint32, owner string, epoch uint64) *wire.ExecuteRequest {
+		req := generate("north", "k1", "v2")
+		req.Draws = []*wire.Draw{{Shard: shard, Owner: owner, Epoch: epoch, Tokens: 1}}
+		return req
+	}
+	route := func(name, workspace, key string) *wire.ExecuteRequest {
+		req := generate(workspace, key, "v2")
+		req.Route = name
+		return req
+	}
+	engine, service := config.GroupEngines, config.GroupService
+	cases := []struct {
+		name string
+		kind config.GroupKind
+		req  *wire.ExecuteRequest
+		want verdict.Code
+	}{
+		{"key of the workspace", engine, generate("north", "k1", "v2"), ""},
+		{"key of another workspace", engine, generate("south", "k1", "v2"), verdict.CodeForbidden},
+		{"key without a workspace", engine, generate("", "k1", "v2"), verdict.CodeForbidden},
+		{"unknown key", engine, generate("north", "k9", "v2"), verdict.CodeUnauthenticated},
+		{"withdrawn key", engine, generate("north", "gone", "v2"), verdict.CodeKeyWithdrawn},
+		{"no key", engine, generate("north", "", "v2"), verdict.CodeUnauthenticated},
+		{"open route", engine, route("open-chat", "south", ""), ""},
+		{"open route for another workspace", engine, route("open-chat", "north", ""), verdict.CodeForbidden},
+		{"unknown route", engine, route("nothing", "north", "k1"), verdict.CodeNotFound},
+		{"weights only the engine knows", engine, generate("north", "k1", "v1"), ""},
+		{"weights nobody knows", engine, generate("north", "k1", "v0"), verdict.CodeWeightsMismatch},
+		{"generation beside a service", service, generate("north", "k1", "v2"), verdict.CodeNotFound},
+		{"draw of the owner", engine, draw(0, "router-a", 3), ""},
+		{"draw of a newer epoch", engine, draw(0, "router-b", 6), ""},
+		{"draw before the owner had it", engine, draw(0, "router-a", 1), verdict.CodeStaleShardEpoch},
+		{"draw of a former owner", engine, draw(0, "router-b", 4), verdict.CodeStaleShardEpoch},
+		{"draw of no shard", engine, draw(shard.Count, "router-a", 9), verdict.CodeStaleShardEpoch},
+		{"call", service, call("guests", "k1", "GET", "/guests/ann?x=1"), ""},
+		{"call of another group", service, call("jobs", "k1", "GET", "/jobs/1"), verdict.CodeNotFound},
+		{"call of an engine", engine, call("guests", "k1", "GET", "/guests/ann"), verdict.CodeNotFound},
+		{"open call", service, call("hours", "", "GET", "/hours"), ""},
+		{"open route, another path", service, call("hours", "", "GET", "/guests/ann"), verdict.CodeForbidden},
+		{"open route, another method", service, call("hours", "", "POST", "/hours"), verdict.CodeForbidden},
+		{"dots in the path", service, call("guests", "k1", "GET", "/guests/../hours"), verdict.CodeForbidden},
+		{"escaped dots in the path", service, call("guests", "k1", "GET", "/guests/%2e%2e/hours"), verdict.CodeForbidden},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := newVerify(c.kind, control.NewCell(state(4, 5)), nil)
+			if got := check(t, v, c.req); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestDrainingAndEmptyState(t *testing.T) {
+	leaving := state(4, 5)
+	leaving.Draining = true
+	if got := check(t, newVerify(config.GroupEngines, control.NewCell(leaving), nil), generate("north", "k1", "v2")); got != verdict.CodeDraining {
+		t.Errorf("leaving: %q", got)
+	}
+	empty := &control.Snapshot{View: membership.NewView(nil)}
+	if got := check(t, newVerify(config.GroupEngines, control.NewCell(empty), nil), generate("north", "k1", "v2")); got != verdict.CodeStaleDocument {
+		t.Errorf("no document: %q", got)
+	}
+}
+
+// TestCatchUp sends requests whose router knows a newer document.
+func TestCatchUp(t *testing.T) {
+	newKey := config.Key{ID: "new", Workspace: "north"}
+	cases := []struct {
+		name   string
+		key    string
+		after  time.Duration // when the newer document arrives; 0: never
+		want   verdict.Code
+		longer time.Duration // shortest time the check takes
+	}{
+		{"known key does not wait", "k1", 0, "", 0},
+		{"new key, document arrives", "new", 100 * time.Millisecond, "", 100 * time.Millisecond},
+		{"new key, document does not arrive", "new", 0, verdict.CodeStaleDocument, catchUpWait},
+		{"unknown key, document arrives", "k9", 100 * time.Millisecond, verdict.CodeUnauthenticated, 100 * time.Millisecond},
+		{"withdrawn key does not wait", "gone", 0, verdict.CodeKeyWithdrawn, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cell := control.NewCell(state(4, 5))
+				noted := uint64(0)
+				v := newVerify(config.GroupEngines, cell, func(r *wire.Revisions) { noted = r.Document })
+				if c.after > 0 {
+					time.AfterFunc(c.after, func() { cell.Publish(state(5, 5, newKey)) })
+				}
+				req := generate("north", c.key, "v2")
+				req.Revisions = &wire.Revisions{Document: 5}
+				start := time.Now()
+				if got := check(t, v, req); got != c.want {
+					t.Errorf("got %q, want %q", got, c.want)
+				}
+				if took := time.Since(start); took < c.longer || took > c.longer+2*catchUpPoll {
+					t.Errorf("took %v, want %v", took, c.longer)
+				}
+				if noted != 5 {
+					t.Errorf("the control loop was told of %d", noted)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
