Reserve slots for urgent requests, and prove the queue's shares

Cause: long deferrable requests could hold every slot, so that an urgent one waited for one of them to end; a flow that owed tokens stayed in memory for ever; the expected wait counted as if all slots ran requests of one class.

The change: deferrable requests leave one slot in eight free; idle flows are forgotten when nothing waits; the wait for the next free slot follows from what runs. At a stop, what still waits shortly before the deadline is handed back to its router as not run.

--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/wasabigate/wasabigate/internal/logging"
 )
@@ -20,14 +21,27 @@
 	return s.draining.Load() || s.source.Snapshot().Draining
 }
 
+// handBackMargin is the time before the end of a drain at which requests that
+// still wait are handed back to their routers.
+const handBackMargin = 2 * time.Second
+
 // Drain refuses new work and waits until what was accepted has ended, its
-// answers were read and its replies recorded, or ctx ends.
+// answers were read and its replies recorded, or ctx ends. Requests that still
+// wait shortly before the deadline of ctx are refused as not run.
 func (s *Sidecar) Drain(ctx context.Context) error {
 	s.SetDraining(true)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		timer := time.AfterFunc(left-min(handBackMargin, left/2), s.queue.HandBack)
+		defer timer.Stop()
+	}
 	if err := s.jobs.wait(ctx); err != nil {
 		return err
 	}
-	return s.buffers.Drain(ctx)
+	if err := s.buffers.Drain(ctx); err != nil {
+		return err
+	}
+	return s.once.Wait(ctx)
 }
 
 // group counts running jobs.
--- a/internal/sidecar/once/once.go
+++ b/internal/sidecar/once/once.go
@@ -40,8 +40,20 @@
 	return outcome, nil
 }
 
-// Wait waits until no reply is being recorded in the background.
-func (o *Once) Wait() { o.background.Wait() }
+// Wait waits until no reply is being recorded in the background, or ctx ends.
+func (o *Once) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		o.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
 
 func (o *Once) handle(ctx context.Context, j *job.Job, next job.Handler) (job.Outcome, *verdict.Error) {
 	r := newRecord(o.store.prefix, j)
--- a/internal/sidecar/once/once_test.go
+++ b/internal/sidecar/once/once_test.go
@@ -142,8 +142,12 @@
 				if s.calls != c.calls {
 					t.Errorf("%d calls, want %d", s.calls, c.calls)
 				}
-				o.Wait()
-				other.Wait()
+				if err := o.Wait(t.Context()); err != nil {
+					t.Error(err)
+				}
+				if err := other.Wait(t.Context()); err != nil {
+					t.Error(err)
+				}
 			})
 		})
 	}
@@ -204,7 +208,9 @@
 			}
 			callers.Wait()
 			for _, o := range sidecars {
-				o.Wait()
+				if err := o.Wait(t.Context()); err != nil {
+					t.Error(err)
+				}
 			}
 			if s.calls > 1 {
 				t.Errorf("seed %d: executed %d times", seed, s.calls)
@@ -258,7 +264,9 @@
 				if first != c.first {
 					t.Errorf("first: got %q, want %q", first, c.first)
 				}
-				paused.Wait()
+				if err := paused.Wait(t.Context()); err != nil {
+					t.Error(err)
+				}
 				if got := outcomeOf(other.Handle(t.Context(), badge("r3", "ann"), s)); got != c.last {
 					t.Errorf("afterwards: got %q, want %q", got, c.last)
 				}
--- a/internal/sidecar/queue/lane.go
+++ b/internal/sidecar/queue/lane.go
@@ -27,7 +27,7 @@
 	prompt   int64 // tokens of the prompt
 	enqueued time.Time
 	ready    chan struct{} // closed when granted or evicted
-	evicted  bool
+	evicted  string        // reason, if taken out of the queue
 	granted  bool
 }
 
@@ -42,6 +42,9 @@
 
 func (f *flow) head() *waiter { return f.waiting[0] }
 
+// busy says whether the flow has requests that wait or run.
+func (f *flow) busy() bool { return f.running > 0 || len(f.waiting) > 0 }
+
 func (f *flow) charge(tokens int64) { f.counter += float64(tokens) / f.weight }
 
 func (f *flow) pop() *waiter {
@@ -71,7 +74,11 @@
 	backlog []*flow // flows with waiting requests, in no order
 	floor   float64 // counter of the flow served last; only grows
 	waiting int
-	service average // time that a request occupies a slot
+	running int
+	// indebted says that idle flows are kept for the tokens that they were served
+	// beyond the others.
+	indebted bool
+	service  average // time that a request occupies a slot
 }
 
 // flow returns the workspace's flow. A flow that was idle starts at the counter
@@ -97,11 +104,11 @@
 }
 
 // fairest returns the flow that was served least among those whose first request
-// was enqueued before a time, or nil.
-func (l *lane) fairest(before time.Time) *flow {
+// was not enqueued after a time, or nil.
+func (l *lane) fairest(until time.Time) *flow {
 	var best *flow
 	for _, f := range l.backlog {
-		if !f.head().enqueued.Before(before) {
+		if f.head().enqueued.After(until) {
 			continue
 		}
 		if best == nil || f.counter < best.counter {
@@ -144,18 +151,30 @@
 	}
 }
 
-// release forgets a flow that is idle and owes nothing.
+// release forgets a flow that is idle and owes nothing. When nothing waits in
+// the lane, nobody is owed anything, and all idle flows are forgotten.
 func (l *lane) release(f *flow) {
-	if f.running > 0 || len(f.waiting) > 0 {
+	if f.busy() {
 		return
 	}
-	if f.counter <= l.floor || l.idle() {
+	switch {
+	case l.waiting == 0 && l.indebted:
+		l.forgetIdle()
+	case l.waiting == 0 || f.counter <= l.floor:
 		delete(l.flows, f.workspace)
+	default:
+		l.indebted = true
 	}
 }
 
-// idle says whether nothing waits in the lane: then nobody is owed anything.
-func (l *lane) idle() bool { return l.waiting == 0 }
+func (l *lane) forgetIdle() {
+	l.indebted = false
+	for workspace, f := range l.flows {
+		if !f.busy() {
+			delete(l.flows, workspace)
+		}
+	}
+}
 
 // ahead returns how many requests of the lane are served before a new one of
 // the flow: from each other flow at most as many, by weight, as from its own.
--- a/internal/sidecar/queue/metrics.go
+++ b/internal/sidecar/queue/metrics.go
@@ -75,15 +75,15 @@
 
 // lastWaitLocked projects the wait of a request at the end of a lane.
 func (q *Queue) lastWaitLocked(laneIndex int) time.Duration {
-	if q.running < q.slots {
+	if q.freeLocked(laneIndex) {
 		return 0
 	}
 	var work time.Duration
 	for i := 0; i <= laneIndex; i++ {
 		l := &q.lanes[i]
-		work += l.service.times(float64(l.waiting + 1))
+		work += l.service.times(float64(l.waiting))
 	}
-	return work / time.Duration(q.slots)
+	return work/time.Duration(q.slots) + q.nextReleaseLocked()
 }
 
 func boolToInt(b bool) int64 {
--- a/internal/sidecar/queue/queue.go
+++ b/internal/sidecar/queue/queue.go
@@ -26,19 +26,21 @@
 	reasonFull      = "queue full"
 	reasonDeadline  = "deadline"
 	reasonCancelled = "cancelled"
+	reasonLeaving   = "leaving"
 )
 
 // Queue is the filter. It is safe for concurrent use.
 type Queue struct {
-	slots   int
-	limit   int
-	ageing  time.Duration
-	metrics metrics
+	slots    int
+	reserved int // slots that deferrable requests leave free
+	limit    int
+	ageing   time.Duration
+	metrics  metrics
 
 	mu            sync.Mutex
 	lanes         [laneCount]lane
 	running       int
-	starts        int   // starts since an aged request had its turn
+	starts        int   // urgent starts since an aged request had its turn
 	backlogTokens int64 // prompt tokens without a first answer
 	watch         watch
 }
@@ -79,7 +81,7 @@
 	}
 	q.metrics.addWait(w.lane, j.Queued)
 	logger.Info(decisionFields(j, w.lane), "request started")
-	return newSlot(q, j, w, now), nil
+	return newSlot(q, w, now), nil
 }
 
 // enqueue starts the request, lets it wait, or refuses it on arrival.
@@ -128,12 +130,29 @@
 }
 
 func (q *Queue) evictLocked(l *lane, f *flow) {
-	w := f.waiting[len(f.waiting)-1]
+	q.giveUpLocked(l, f.waiting[len(f.waiting)-1], reasonFull)
+}
+
+// giveUpLocked takes a waiting request out of the queue and tells it why.
+func (q *Queue) giveUpLocked(l *lane, w *waiter, reason string) {
 	l.drop(w)
 	q.backlogTokens -= w.prompt
-	w.evicted = true
+	w.evicted = reason
 	close(w.ready)
-	l.release(f)
+	l.release(w.flow)
+}
+
+// HandBack refuses all requests that wait, because the backend server is
+// leaving, so that their routers send them elsewhere.
+func (q *Queue) HandBack() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i := range q.lanes {
+		l := &q.lanes[i]
+		for l.waiting > 0 {
+			q.giveUpLocked(l, l.backlog[0].head(), reasonLeaving)
+		}
+	}
 }
 
 // dispatchLocked starts requests while there are free slots.
@@ -146,31 +165,31 @@
 		w := l.take(f)
 		f.running++
 		f.charge(w.prompt)
+		l.running++
 		q.running++
 		w.granted = true
 		close(w.ready)
 	}
 }
 
-// nextLocked chooses the lane and flow that are served next.
+// nextLocked chooses the lane and flow that are served next. The flow is nil if
+// none may start.
 func (q *Queue) nextLocked(now time.Time) (*lane, *flow) {
 	urgent, deferrable := &q.lanes[laneUrgent], &q.lanes[laneDeferrable]
-	if urgent.waiting == 0 {
-		return deferrable, deferrable.fairest(never(now))
+	mayDefer := deferrable.waiting > 0 && deferrable.running < q.slots-q.reserved
+	if mayDefer && urgent.waiting == 0 {
+		return deferrable, deferrable.fairest(now)
 	}
-	q.starts++
-	if q.starts >= agedTurn && deferrable.waiting > 0 {
+	if mayDefer && q.starts >= agedTurn-1 {
 		if f := deferrable.fairest(now.Add(-q.ageing)); f != nil {
 			q.starts = 0
 			return deferrable, f
 		}
 	}
-	return urgent, urgent.fairest(never(now))
+	q.starts++
+	return urgent, urgent.fairest(now)
 }
 
-// never is a time after every enqueued request.
-func never(now time.Time) time.Time { return now.Add(time.Hour) }
-
 // wait returns when the request is granted (empty reason) or given up.
 func (q *Queue) wait(ctx context.Context, j *job.Job, w *waiter) string {
 	deadline := j.Deadline()
@@ -182,10 +201,7 @@
 	}
 	select {
 	case <-w.ready:
-		if w.evicted {
-			return reasonFull
-		}
-		return ""
+		return w.evicted
 	case <-expired:
 		q.abandon(w)
 		return reasonDeadline
@@ -201,11 +217,12 @@
 	defer q.mu.Unlock()
 	l := &q.lanes[w.lane]
 	switch {
-	case w.evicted:
+	case w.evicted != "":
 		return
 	case w.granted:
 		w.flow.charge(-w.prompt)
 		w.flow.running--
+		l.running--
 		q.running--
 	default:
 		l.drop(w)
@@ -216,10 +233,13 @@
 }
 
 func (q *Queue) refused(ctx context.Context, j *job.Job, w *waiter, reason string) *verdict.Error {
-	if reason == reasonCancelled {
-		q.metrics.addRefused(w.lane, reason)
-		logger.Info(decisionFields(j, w.lane), "request cancelled while waiting")
+	switch reason {
+	case reasonCancelled:
+		q.countRefusal(j, w.lane, 0, reason)
 		return verdict.Wrap(context.Cause(ctx), verdict.NotRun, verdict.CodeCancelled, "cancelled while waiting")
+	case reasonLeaving:
+		q.countRefusal(j, w.lane, 0, reason)
+		return verdict.New(verdict.NotRun, verdict.CodeDraining, "the backend server is leaving")
 	}
 	q.mu.Lock()
 	expected := q.expectedLocked(w.flow, w.lane)
@@ -228,13 +248,17 @@
 }
 
 func (q *Queue) overloaded(j *job.Job, laneIndex int, expected time.Duration, reason string) *verdict.Error {
+	q.countRefusal(j, laneIndex, expected, reason)
+	err := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the backend server is busy: %s", reason)
+	return err.WithRetryAfter(max(expected, minRetryAfter))
+}
+
+func (q *Queue) countRefusal(j *job.Job, laneIndex int, expected time.Duration, reason string) {
 	q.metrics.addRefused(laneIndex, reason)
 	fields := decisionFields(j, laneIndex)
 	fields["expected"] = expected.String()
 	fields["reason"] = reason
 	logger.Info(fields, "request refused")
-	err := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the backend server is busy: %s", reason)
-	return err.WithRetryAfter(max(expected, minRetryAfter))
 }
 
 func decisionFields(j *job.Job, laneIndex int) logging.Fields {
--- /dev/null
+++ b/internal/sidecar/queue/queue_test.go
@@ -0,0 +1,346 @@
+package queue
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// arrival is a request of a simulated load.
+type arrival struct {
+	at        time.Duration
+	workspace string
+	class     wire.Priority
+	patience  time.Duration
+	service   time.Duration
+	tokens    uint32 // reported at the end
+	err       error  // of the execution
+}
+
+// result is what became of an arrival.
+type result struct {
+	arrival
+	order   int // in which it started, from 1; 0: it did not
+	wait    time.Duration
+	refusal *verdict.Error
+}
+
+// simulate sends the arrivals to the queue on a controlled clock.
+func simulate(ctx context.Context, q *Queue, rates map[string]int64, arrivals []arrival) []result {
+	document := &config.Document{}
+	for name, rate := range rates {
+		document.Workspaces = append(document.Workspaces, config.Workspace{Name: name, Rate: rate})
+	}
+	document.BuildIndex()
+	snapshot := &control.Snapshot{Config: &config.Revision{Document: document}}
+	results := make([]result, len(arrivals))
+	var mu sync.Mutex
+	started := 0
+	var callers sync.WaitGroup
+	for i, a := range arrivals {
+		callers.Go(func() {
+			time.Sleep(a.at)
+			r := result{arrival: a}
+			j := &job.Job{Received: time.Now(), Snapshot: snapshot, Emit: func(*wire.Frame) {}, Request: &wire.ExecuteRequest{
+				RequestId: fmt.Sprint("r", i), Workspace: a.workspace, Priority: a.class, PatienceMs: a.patience.Milliseconds(),
+				Generation: &wire.Generation{Prompt: "four"},
+			}}
+			_, err := q.Handle(ctx, j, pipeline.HandlerFunc[*job.Job, job.Outcome](func(context.Context, *job.Job) (job.Outcome, error) {
+				mu.Lock()
+				started++
+				r.order = started
+				mu.Unlock()
+				time.Sleep(a.service)
+				return &wire.Frame{Tail: &wire.Tail{PromptTokens: 1, CompletionTokens: a.tokens}}, a.err
+			}))
+			r.wait = j.Queued
+			r.refusal = verdict.From(err)
+			results[i] = r
+		})
+	}
+	callers.Wait()
+	return results
+}
+
+// newQueue returns a queue with that many slots.
+func newQueue(slots int) *Queue {
+	return New(&config.SidecarSettings{MaxConcurrent: slots, QueueLimit: 500, AgeingBound: time.Minute})
+}
+
+// leftover fails the test if the queue holds anything after its load has ended.
+func leftover(t *testing.T, q *Queue) {
+	t.Helper()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.running != 0 || q.waitingLocked() != 0 || q.backlogTokens != 0 {
+		t.Errorf("left: %d running, %d waiting, %d tokens", q.running, q.waitingLocked(), q.backlogTokens)
+	}
+	for i := range q.lanes {
+		l := &q.lanes[i]
+		if len(l.flows) != 0 || len(l.backlog) != 0 || l.running != 0 {
+			t.Errorf("lane %d left: %d flows, %d running", i, len(l.flows), l.running)
+		}
+	}
+}
+
+// repeat returns count arrivals, one each period.
+func repeat(count int, period time.Duration, a arrival) []arrival {
+	list := make([]arrival, count)
+	for i := range list {
+		list[i] = a
+		list[i].at += time.Duration(i) * period
+	}
+	return list
+}
+
+// servedFirst counts by workspace who is among the first starts.
+func servedFirst(results []result, starts int) map[string]int {
+	counts := make(map[string]int)
+	for _, r := range results {
+		if r.order > 0 && r.order <= starts {
+			counts[r.workspace]++
+		}
+	}
+	return counts
+}
+
+func TestShares(t *testing.T) {
+	urgent, deferrable := wire.Priority_PRIORITY_URGENT, wire.Priority_PRIORITY_DEFERRABLE
+	second := arrival{service: time.Second, tokens: 100}
+	of := func(workspace string, at time.Duration, class wire.Priority, tokens uint32) arrival {
+		a := second
+		a.workspace, a.at, a.class, a.tokens = workspace, at, class, tokens
+		return a
+	}
+	flood := repeat(60, 0, of("big", 0, urgent, 100))
+	cases := []struct {
+		name     string
+		rates    map[string]int64
+		arrivals []arrival
+		starts   int
+		want     map[string]int // least number of starts among the first ones
+	}{
+		{"a flood does not keep others out", nil, append(flood, repeat(10, 0, of("small", time.Millisecond, urgent, 100))...), 21, map[string]int{"small": 10}},
+		{"shares follow the rates", map[string]int64{"big": 300, "small": 100}, append(flood, repeat(30, 0, of("small", time.Millisecond, urgent, 100))...), 41, map[string]int{"big": 29, "small": 9}},
+		{"shares count tokens", nil, append(repeat(60, 0, of("big", 0, urgent, 300)), repeat(40, 0, of("small", time.Millisecond, urgent, 100))...), 41, map[string]int{"big": 9, "small": 29}},
+		{"idle time is not saved up", nil, append(repeat(80, 0, of("big", 0, urgent, 100)), repeat(40, 0, of("small", 30*time.Second, urgent, 100))...), 51, map[string]int{"big": 40, "small": 9}},
+		{"urgent goes first", nil, append(repeat(30, 0, of("night", 0, deferrable, 100)), repeat(20, 0, of("door", time.Millisecond, urgent, 100))...), 21, map[string]int{"door": 20}},
+		{"one aged request in four", nil, append(repeat(30, 0, of("night", 0, deferrable, 100)), repeat(200, 0, of("door", time.Millisecond, urgent, 100))...), 101, map[string]int{"night": 10, "door": 89}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newQueue(1)
+				got := servedFirst(simulate(t.Context(), q, c.rates, c.arrivals), c.starts)
+				for workspace, want := range c.want {
+					if got[workspace] < want {
+						t.Errorf("%s: %d of the first %d starts, want %d", workspace, got[workspace], c.starts, want)
+					}
+				}
+				leftover(t, q)
+			})
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	patient := arrival{workspace: "a", patience: time.Hour, service: time.Second}
+	hurried := arrival{workspace: "b", at: 5500 * time.Millisecond, patience: 300 * time.Millisecond, service: time.Second}
+	early := hurried
+	early.at = 10 * time.Millisecond
+	failing := patient
+	failing.err = verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "refused")
+	cases := []struct {
+		name     string
+		limit    int
+		arrivals []arrival // the last one is judged
+		code     verdict.Code
+		within   time.Duration // time after which it is refused at the latest
+		started  int
+	}{
+		{"expected wait, at arrival", 50, append(repeat(20, 0, patient), hurried), verdict.CodeOverloaded, 0, 20},
+		{"nothing measured, at the deadline", 50, append(repeat(20, 0, patient), early), verdict.CodeOverloaded, 300 * time.Millisecond, 20},
+		{"a neighbour's flood does not count in full", 50, append(repeat(30, 0, patient), arrival{workspace: "b", at: 5500 * time.Millisecond, patience: 3 * time.Second}), "", 0, 31},
+		{"queue full of one's own", 5, append(repeat(6, 0, patient), arrival{workspace: "a", at: time.Millisecond, patience: time.Hour}), verdict.CodeOverloaded, 0, 6},
+		{"a neighbour's flood makes room", 5, append(repeat(6, 0, patient), arrival{workspace: "b", at: time.Millisecond, patience: time.Hour}), "", 0, 6},
+		{"slots of refused executions are free again", 50, append(repeat(20, 0, failing), arrival{workspace: "b", at: time.Millisecond, patience: time.Hour}), "", 0, 21},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := New(&config.SidecarSettings{MaxConcurrent: 1, QueueLimit: c.limit})
+				results := simulate(t.Context(), q, nil, c.arrivals)
+				started := 0
+				for _, r := range results {
+					if r.order > 0 {
+						started++
+						continue
+					}
+					if r.refusal == nil || r.refusal.Verdict != verdict.NotRun || r.refusal.RetryAfter < minRetryAfter {
+						t.Errorf("not started, but %v", r.refusal)
+					}
+				}
+				judged := results[len(results)-1]
+				switch {
+				case c.code == "" && judged.refusal != nil:
+					t.Errorf("refused: %v", judged.refusal)
+				case c.code != "" && (judged.refusal == nil || judged.refusal.Code != c.code || judged.wait > c.within):
+					t.Errorf("got %v after %v", judged.refusal, judged.wait)
+				}
+				if started != c.started {
+					t.Errorf("%d started, want %d", started, c.started)
+				}
+				leftover(t, q)
+			})
+		})
+	}
+}
+
+// TestNeighbourBurst compares a workspace inside its rate in calm and while a
+// neighbour sends five times its own: its p99 may be 1.5 times as long.
+func TestNeighbourBurst(t *testing.T) {
+	const perSecond = 6 // requests of each of five workspaces; four slots carry 40
+	latency := func(t *testing.T, burst int) time.Duration {
+		rng := rand.New(rand.NewPCG(7, 7))
+		var arrivals []arrival
+		for w := range 5 {
+			rate := float64(perSecond)
+			if w == 0 {
+				rate *= float64(burst)
+			}
+			for at := 0.0; at < 60; at += rng.ExpFloat64() / rate {
+				arrivals = append(arrivals, arrival{workspace: fmt.Sprint("w", w), at: time.Duration(at * float64(time.Second)),
+					patience: 10 * time.Second, service: 100 * time.Millisecond, tokens: 100})
+			}
+		}
+		var took []time.Duration
+		for _, r := range simulate(t.Context(), newQueue(4), nil, arrivals) {
+			if r.workspace == "w0" {
+				continue
+			}
+			if r.refusal != nil {
+				t.Errorf("%s is inside its rate and was refused: %v", r.workspace, r.refusal)
+			}
+			took = append(took, r.wait+r.service)
+		}
+		slices.SortFunc(took, cmp.Compare[time.Duration])
+		return took[len(took)*99/100]
+	}
+	synctest.Test(t, func(t *testing.T) {
+		calm, burst := latency(t, 1), latency(t, 5)
+		t.Logf("p99 of the others: calm %v, burst %v", calm, burst)
+		if burst > calm*3/2 {
+			t.Errorf("p99 %v in calm, %v during a neighbour's burst", calm, burst)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestUrgentFindsAReservedSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(8)
+		night := repeat(40, 0, arrival{workspace: "night", class: wire.Priority_PRIORITY_DEFERRABLE, service: time.Minute})
+		results := simulate(t.Context(), q, nil, append(night, arrival{workspace: "door", at: time.Second, service: time.Second}))
+		if wait := results[40].wait; wait != 0 {
+			t.Errorf("urgent request waited %v for deferrable ones", wait)
+		}
+		leftover(t, q)
+	})
+}
+
+func TestCancelAndHandBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(500*time.Millisecond, cancel)
+		for _, r := range simulate(ctx, q, nil, repeat(5, 0, arrival{workspace: "a", service: time.Second})) {
+			if r.order == 0 && (r.refusal.Code != verdict.CodeCancelled || r.refusal.Verdict != verdict.NotRun) {
+				t.Errorf("cancelled: %v", r.refusal)
+			}
+		}
+		leftover(t, q)
+		time.AfterFunc(500*time.Millisecond, q.HandBack)
+		handedBack := 0
+		for _, r := range simulate(t.Context(), q, nil, repeat(5, 0, arrival{workspace: "a", service: time.Second})) {
+			if r.order == 0 && r.refusal.Code == verdict.CodeDraining && r.refusal.Verdict == verdict.NotRun {
+				handedBack++
+			}
+		}
+		if handedBack != 4 {
+			t.Errorf("%d handed back, want 4", handedBack)
+		}
+		leftover(t, q)
+	})
+}
+
+// TestStorm mixes cancels, deadlines, refusals and evictions.
+func TestStorm(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			upTo := func(d time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(d))) }
+			q := New(&config.SidecarSettings{MaxConcurrent: 4, QueueLimit: 20, AgeingBound: time.Second})
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(4*time.Second, cancel)
+			time.AfterFunc(2*time.Second, q.HandBack)
+			var arrivals []arrival
+			for range 300 {
+				arrivals = append(arrivals, arrival{
+					at: upTo(5 * time.Second), workspace: fmt.Sprint("w", rng.IntN(5)), class: wire.Priority(rng.IntN(2)),
+					patience: upTo(2 * time.Second), service: upTo(300 * time.Millisecond), tokens: rng.Uint32N(500),
+				})
+			}
+			for _, r := range simulate(ctx, q, nil, arrivals) {
+				if (r.order == 0) != (r.refusal != nil) {
+					t.Errorf("seed %d: started %v and refused %v", seed, r.order > 0, r.refusal)
+				}
+				if r.refusal != nil && r.refusal.Verdict != verdict.NotRun {
+					t.Errorf("seed %d: %v", seed, r.refusal)
+				}
+			}
+			leftover(t, q)
+		})
+	}
+}
+
+func TestPileUpIsLogged(t *testing.T) {
+	lines := memory.New()
+	former := log.Log.(*log.Logger).Handler
+	log.SetHandler(lines)
+	defer log.SetHandler(former)
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1)
+		go simulate(t.Context(), q, nil, repeat(100, 0, arrival{workspace: "night", service: time.Second}))
+		time.Sleep(10 * time.Second)
+		if !q.Status().PileUp {
+			t.Error("no pile-up after ten seconds")
+		}
+		time.Sleep(3 * time.Minute)
+		if q.Status().PileUp {
+			t.Error("the pile-up did not end")
+		}
+	})
+	seen := make(map[string]int)
+	for _, entry := range lines.Entries {
+		seen[entry.Message]++
+	}
+	if seen["queue: pile-up started"] != 1 || seen["queue: pile-up lasts"] < 2 || seen["queue: pile-up ended"] != 1 {
+		t.Errorf("started %d, lasts %d, ended %d", seen["queue: pile-up started"], seen["queue: pile-up lasts"], seen["queue: pile-up ended"])
+	}
+}
--- a/internal/sidecar/queue/setup.go
+++ b/internal/sidecar/queue/setup.go
@@ -13,6 +13,11 @@
 	defaultMaxConcurrent = 64
 	defaultQueueLimit    = 1024
 	defaultAgeingBound   = 10 * time.Minute
+	// reservedShare: one slot of this many is kept free of deferrable requests,
+	// so that an urgent one need not wait for a long one to end.
+	reservedShare = 8
+	// minSlotsToReserve is the number of slots from which one is reserved.
+	minSlotsToReserve = 4
 )
 
 // New returns the filter. Settings that are zero get a default.
@@ -25,6 +30,9 @@
 	if q.ageing <= 0 {
 		q.ageing = defaultAgeingBound
 	}
+	if q.slots >= minSlotsToReserve {
+		q.reserved = max(1, q.slots/reservedShare)
+	}
 	for i := range q.lanes {
 		q.lanes[i].flows = make(map[string]*flow)
 	}
--- a/internal/sidecar/queue/slot.go
+++ b/internal/sidecar/queue/slot.go
@@ -19,7 +19,7 @@
 	ran     bool
 }
 
-func newSlot(q *Queue, j *job.Job, w *waiter, now time.Time) *slot {
+func newSlot(q *Queue, w *waiter, now time.Time) *slot {
 	return &slot{queue: q, waiter: w, started: now, charged: w.prompt, pending: w.prompt}
 }
 
@@ -80,6 +80,7 @@
 		l.service.add(now.Sub(s.started))
 	}
 	s.waiter.flow.running--
+	l.running--
 	q.running--
 	l.release(s.waiter.flow)
 	q.dispatchLocked(now)
--- a/internal/sidecar/queue/state.go
+++ b/internal/sidecar/queue/state.go
@@ -67,14 +67,41 @@
 
 // expectedLocked estimates the wait of a new request of a flow.
 func (q *Queue) expectedLocked(own *flow, laneIndex int) time.Duration {
-	if q.running < q.slots {
+	l := &q.lanes[laneIndex]
+	if q.freeLocked(laneIndex) && l.waiting == 0 {
 		return 0
 	}
-	l := &q.lanes[laneIndex]
-	work := l.service.times(l.ahead(own) + 1)
+	work := l.service.times(l.ahead(own))
 	if laneIndex == laneDeferrable {
 		urgent := &q.lanes[laneUrgent]
 		work += urgent.service.times(float64(urgent.waiting))
 	}
-	return work / time.Duration(q.slots)
+	return work/time.Duration(q.slots) + q.nextReleaseLocked()
+}
+
+// freeLocked says whether a request of the lane could start now.
+func (q *Queue) freeLocked(laneIndex int) bool {
+	if laneIndex == laneDeferrable && q.lanes[laneIndex].running >= q.slots-q.reserved {
+		return false
+	}
+	return q.running < q.slots
+}
+
+// nextReleaseLocked estimates the time until a slot becomes free, from what runs
+// in the slots. It is 0 if nothing was measured yet.
+func (q *Queue) nextReleaseLocked() time.Duration {
+	var perSecond float64
+	for i := range q.lanes {
+		l := &q.lanes[i]
+		if l.running > 0 && l.service.seconds == 0 {
+			return 0
+		}
+		if l.running > 0 {
+			perSecond += float64(l.running) / l.service.seconds
+		}
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / perSecond)
 }
