Sharpen the contract tests by trial faults in the code

Cause: trials that broke one line at a time showed five lines whose loss no test noticed: following redirects, counting only the last connection, deletions in a watch's catch-up, the new end of a renewed lease, and breaking an answer in the middle. A sixth, a watch that drops an event instead of breaking, was noticed only by the test run's own time limit.

Change: the watch test writes while the watch is broken; a redirect leads to a page that answers; the lease test reads between renewal and lapse; the cut answer is seen on the wire; the overflow test looks without waiting. Counting only the last connection is gone: a write that had any connection is unsure, which is safe and simpler.

--- a/internal/platform/client/caller.go
+++ b/internal/platform/client/caller.go
@@ -114,15 +114,13 @@
 }
 
 // connTrace records whether a request had a connection on which it may have
-// been sent. The transport asks for another connection only if nothing was
-// sent on the last one.
+// been sent.
 type connTrace struct {
 	connected atomic.Bool
 }
 
 func (t *connTrace) attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GetConn: func(string) { t.connected.Store(false) },
 		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
 	})
 }
--- a/internal/platform/client/contract_test.go
+++ b/internal/platform/client/contract_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -222,23 +223,30 @@
 	}
 }
 
+// Changes are made while a watch is open and while it is broken, deletions among
+// them; what the watches showed must add up to what the service holds.
 func TestBrokenWatchResumesWithoutLoss(t *testing.T) {
-	const writes = 300
+	const rounds, writes = 20, 16
 	overKVs(t, callTimeout, func(t *testing.T, service kvUnderTest) {
-		go change(t, service.store, writes)
+		random := rand.New(rand.NewPCG(3, 3))
 		seen := make(map[string][]byte)
 		var last platform.Version
-		breaks := 0
-		for ; last <= writes; breaks++ {
+		for range rounds {
 			events, err := service.Watch(t.Context(), "k", last)
 			if err != nil {
 				t.Fatal(err)
 			}
-			last = follow(t, events, seen, last, writes)
+			change(t, service.store, random, writes)
+			service.store.BreakWatches()
+			last = follow(t, events, seen, last)
+			change(t, service.store, random, writes)
 		}
-		if breaks < 2 {
-			t.Errorf("%d watches opened, so none was broken", breaks)
+		events, err := service.Watch(t.Context(), "k", last)
+		if err != nil {
+			t.Fatal(err)
 		}
+		service.store.BreakWatches()
+		follow(t, events, seen, last)
 		entries, err := service.List(t.Context(), "k")
 		if err != nil {
 			t.Fatal(err)
@@ -251,32 +259,28 @@
 				t.Errorf("%s: saw %q, want %q", entry.Key, seen[entry.Key], entry.Value)
 			}
 		}
-		service.store.BreakWatches()
 	})
 }
 
-// change makes writes, a third of them deletions, and breaks the watches now
-// and then.
-func change(t *testing.T, store *kv.Store, writes int) {
-	for i := range writes {
-		key := string([]rune{'k', rune('a' + i/3%5)})
+// change writes or deletes random keys.
+func change(t *testing.T, store *kv.Store, random *rand.Rand, writes int) {
+	for range writes {
+		key := string([]rune{'k', 'a' + random.Int32N(12)})
 		entry, _ := store.Get(t.Context(), key)
-		if i%3 == 2 {
-			_ = store.Delete(t.Context(), key, entry.Version)
+		var err error
+		if entry.Version != 0 && random.IntN(2) == 0 {
+			err = store.Delete(t.Context(), key, entry.Version)
 		} else {
-			_, _ = store.CompareAndSwap(t.Context(), key, []byte{byte(i)}, entry.Version, 0)
+			_, err = store.CompareAndSwap(t.Context(), key, []byte{byte(random.Uint32())}, entry.Version, 0)
 		}
-		if i%50 == 25 {
-			store.BreakWatches()
-			time.Sleep(5 * time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
 		}
 	}
-	_, _ = store.CompareAndSwap(t.Context(), "k-end", nil, 0, 0)
 }
 
-// follow applies events until the watch breaks or the end is seen, and returns
-// the last version.
-func follow(t *testing.T, events <-chan platform.Event, seen map[string][]byte, last, end platform.Version) platform.Version {
+// follow applies events until the watch breaks, and returns the last version.
+func follow(t *testing.T, events <-chan platform.Event, seen map[string][]byte, last platform.Version) platform.Version {
 	for event := range events {
 		if event.Version <= last {
 			t.Errorf("version %d after %d", event.Version, last)
@@ -287,9 +291,6 @@
 		} else {
 			seen[event.Key] = event.Value
 		}
-		if last > end {
-			return last
-		}
 	}
 	return last
 }
--- a/internal/platform/client/wire_test.go
+++ b/internal/platform/client/wire_test.go
@@ -4,12 +4,14 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
 )
 
@@ -29,6 +31,15 @@
 	<-r.Context().Done()
 }
 
+// redirect leads to a page that answers anything.
+func redirect(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/elsewhere" {
+		answering(http.StatusOK, `{"version":9}`)(w, r)
+		return
+	}
+	http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+}
+
 func TestFaultsOnTheWire(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -41,7 +52,7 @@
 		{"gateway's 503", answering(http.StatusServiceUnavailable, "<html>"), platform.ErrUnsure},
 		{"unknown code", answering(http.StatusConflict, `{"code":"new"}`), platform.ErrUnsure},
 		{"garbled answer", answering(http.StatusOK, `{"version":`), platform.ErrUnsure},
-		{"redirect", http.RedirectHandler("/elsewhere", http.StatusTemporaryRedirect).ServeHTTP, platform.ErrUnsure},
+		{"redirect", redirect, platform.ErrUnsure},
 		{"service's own 503", answering(http.StatusServiceUnavailable, `{"code":"unavailable"}`), platform.ErrUnavailable},
 	}
 	for _, c := range cases {
@@ -61,6 +72,21 @@
 	}
 }
 
+func TestCutAnswerBreaksInTheMiddle(t *testing.T) {
+	store := kv.New(1)
+	store.SetFaults(kv.Faults{CutAnswers: 1})
+	body := strings.NewReader(`{"key":"k","expected":0}`)
+	response, err := http.Post(serve(t, kv.Handler(store))+httpapi.PathSwap, "application/json", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK || len(text) == 0 || !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("status %d, answer %q, %v; want a part of an answer", response.StatusCode, text, err)
+	}
+}
+
 func TestRefusedConnectionHasNoEffect(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
@@ -78,8 +104,8 @@
 		t.Run(name, func(t *testing.T) {
 			client := newCaller(serve(t, kv.Handler(kv.New(1))), callTimeout)
 			t.Cleanup(client.Close)
-			question := map[string]any{"key": "k", "value": make([]byte, size), "expected": 0}
-			err := client.write(t.Context(), "/v1/kv/swap", question, &struct{}{})
+			question := httpapi.SwapRequest{Key: "k", Value: make([]byte, size)}
+			err := client.write(t.Context(), httpapi.PathSwap, question, &httpapi.Done{})
 			if !errors.Is(err, platform.ErrTooLarge) {
 				t.Errorf("error %v, want ErrTooLarge", err)
 			}
--- a/internal/standin/kv/store_test.go
+++ b/internal/standin/kv/store_test.go
@@ -30,7 +30,10 @@
 		if err := store.RenewLease(ctx, id); err != nil {
 			t.Fatalf("renewal in time: %v", err)
 		}
-		store.SetFaults(Faults{Delay: time.Millisecond})
+		time.Sleep(900 * time.Millisecond)
+		if _, err := store.Get(ctx, "controller"); err != nil {
+			t.Fatalf("key of a renewed lease: %v", err)
+		}
 		time.Sleep(time.Second) // the holder is paused
 		if event := <-events; !event.Deleted || event.Key != "controller" {
 			t.Errorf("event %+v, want the deletion of the leased key", event)
@@ -105,14 +108,19 @@
 			t.Fatal(err)
 		}
 	}
-	var delivered []platform.Version
-	for event := range events {
-		delivered = append(delivered, event.Version)
+	var last platform.Version
+	for range watchBuffer {
+		last = (<-events).Version
 	}
-	if len(delivered) != watchBuffer {
-		t.Fatalf("%d events before the break, want %d", len(delivered), watchBuffer)
+	select {
+	case event, open := <-events:
+		if open {
+			t.Fatalf("event %+v after the break", event)
+		}
+	default:
+		t.Fatal("the watch stayed open although an event was lost")
 	}
-	resumed, err := store.Watch(ctx, "", delivered[len(delivered)-1])
+	resumed, err := store.Watch(ctx, "", last)
 	if err != nil {
 		t.Fatal(err)
 	}
