Decode the shard table only when its version changed

Change: the manager remembers the version and epoch of the table read or written last.

Conclusion: the table is decoded once a change.

--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -58,6 +58,8 @@
 	wait     time.Duration
 	log      logging.Prefixed
 	known    *Table
+	version  platform.Version     // of the table read or written last
+	stored   uint64               // its epoch
 	unsure   bool                 // a write may still take effect
 	missing  map[string]time.Time // owners that the VM list does not show, since
 	resting  map[int]rest
@@ -135,7 +137,7 @@
 
 // attempt reads the table and makes at most one write.
 func (m *Manager) attempt(ctx context.Context, view *membership.View, viewRead time.Time, chosen []string) error {
-	entry, err := m.read(ctx)
+	version, err := m.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -143,9 +145,9 @@
 	verify := m.ledger.Suspended() && view.HasRouter(m.self) && !m.leaving
 	switch {
 	case !p.empty():
-		err = m.write(ctx, p.apply(m.base(), m.self), entry.Version)
-	case m.known != nil && (m.unsure || verify || m.behind(entry)):
-		err = m.write(ctx, m.known, entry.Version)
+		err = m.write(ctx, p.apply(m.base(), m.self), version)
+	case m.known != nil && (m.unsure || verify || m.behind()):
+		err = m.write(ctx, m.known, version)
 	default:
 		return nil
 	}
@@ -168,31 +170,30 @@
 }
 
 // read gets the table and keeps it if it is newer than the known one.
-func (m *Manager) read(ctx context.Context) (platform.Entry, error) {
+func (m *Manager) read(ctx context.Context) (platform.Version, error) {
 	entry, err := m.kv.Get(ctx, m.key)
 	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{Key: m.key}, nil
+		m.version, m.stored = 0, 0
+		return 0, nil
 	}
 	if err != nil {
-		return entry, errors.Wrap(err, "read shard table")
+		return 0, errors.Wrap(err, "read shard table")
+	}
+	if entry.Version == m.version {
+		return entry.Version, nil
 	}
 	t, err := Decode(entry.Value)
 	if err != nil {
-		return entry, err
+		return 0, err
 	}
+	m.version, m.stored = entry.Version, t.Epoch
 	m.Learn(t)
-	return entry, nil
+	return entry.Version, nil
 }
 
 // behind says whether the service has an older table than this router knows:
 // the read was stale, or the service lost a write.
-func (m *Manager) behind(entry platform.Entry) bool {
-	if entry.Value == nil {
-		return true
-	}
-	t, err := Decode(entry.Value)
-	return err == nil && t.Epoch < m.known.Epoch
-}
+func (m *Manager) behind() bool { return m.stored < m.known.Epoch }
 
 // write replaces the table if the service's version is still the one read.
 func (m *Manager) write(ctx context.Context, next *Table, version platform.Version) error {
@@ -200,7 +201,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = m.kv.CompareAndSwap(ctx, m.key, data, version, 0)
+	written, err := m.kv.CompareAndSwap(ctx, m.key, data, version, 0)
 	if errors.Is(err, platform.ErrUnsure) {
 		m.unsure = true
 		m.levels = nil
@@ -212,6 +213,7 @@
 	m.unsure = false
 	m.levels = nil
 	m.known = next
+	m.version, m.stored = written, next.Epoch
 	return nil
 }
 
@@ -264,7 +266,7 @@
 }
 
 func (m *Manager) handBack(ctx context.Context, levels map[string]int64) error {
-	entry, err := m.read(ctx)
+	version, err := m.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -273,7 +275,7 @@
 		return nil
 	}
 	p := plan{release: held, levels: levels}
-	if err := m.write(ctx, p.apply(m.base(), m.self), entry.Version); err != nil {
+	if err := m.write(ctx, p.apply(m.base(), m.self), version); err != nil {
 		return err
 	}
 	p.log(m.log, m.known.Epoch)
