Test the shard table's manager under faults

Cause: the manager had no tests of its own.

Levels of owned shards are kept out by both Encode and Decode; without one of the two no test fails.

--- /dev/null
+++ b/internal/shard/manager_test.go
@@ -0,0 +1,219 @@
+package shard
+
+import (
+	"context"
+	"io"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+)
+
+const lag = 2 * time.Second
+
+func TestMain(m *testing.M) {
+	if err := logging.Setup(io.Discard, "error", logging.FormatText); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// book is a Ledger that counts its tokens.
+type book struct {
+	levels    map[string]int64
+	kept      int
+	suspended bool
+	confirmed time.Time
+}
+
+func (b *book) Release(uint64, []int) map[string]int64 { return b.levels }
+func (b *book) Keep([]int)                             { b.kept++ }
+func (b *book) Suspended() bool                        { return b.suspended }
+func (b *book) Confirm(seen time.Time)                 { b.confirmed = seen }
+
+func viewOf(addresses ...string) *membership.View {
+	var vms []platform.VM
+	for _, address := range addresses {
+		vms = append(vms, platform.VM{Name: address, Address: address, Group: platform.GroupRouters, State: platform.VMLive})
+	}
+	return membership.NewView(vms)
+}
+
+func newManager(store platform.KV, self string, ledger Ledger) *Manager {
+	return NewManager(Options{Self: self, Environment: "test", KV: store, Ledger: ledger, VMListLag: lag})
+}
+
+// steps makes n rounds of steps, one a second.
+func steps(t *testing.T, n int, view *membership.View, managers ...*Manager) {
+	t.Helper()
+	for range n {
+		for _, m := range managers {
+			if _, err := m.Step(context.Background(), view, time.Now()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func wantHeld(t *testing.T, table *Table, address string, want int) {
+	t.Helper()
+	if got := len(table.Held(address)); got != want {
+		t.Errorf("%s holds %d shards in epoch %d, want %d", address, got, table.Epoch, want)
+	}
+}
+
+func TestShardsOfAnUnlistedOwner(t *testing.T) {
+	const revoked, claimed = lag + revokeMargin, lag + revokeMargin + restTime
+	cases := []struct {
+		name    string
+		after   time.Duration
+		fresh   bool // the view is read again at each step
+		revoked bool
+		claimed bool
+	}{
+		{"listed until now", 0, true, false, false},
+		{"before the wait", revoked - time.Second, true, false, false},
+		{"after the wait", revoked + time.Second, true, true, false},
+		{"after the rest", claimed + 2*time.Second, true, true, true},
+		{"no newer view", claimed + 2*time.Second, false, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := kv.New(1)
+				a, b := newManager(store, "a", nil), newManager(store, "b", nil)
+				steps(t, 3, viewOf("a", "b"), a, b)
+				read := time.Now()
+				for end := read.Add(c.after); !time.Now().After(end); time.Sleep(time.Second) {
+					if c.fresh {
+						read = time.Now()
+					}
+					if _, err := a.Step(context.Background(), viewOf("a"), read); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if got := len(a.known.Held("b")) == 0; got != c.revoked {
+					t.Errorf("revoked: %v, want %v", got, c.revoked)
+				}
+				if got := len(a.known.Held("a")) == Count; got != c.claimed {
+					t.Errorf("claimed: %v, want %v", got, c.claimed)
+				}
+			})
+		})
+	}
+}
+
+func TestNewRouterGetsItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.New(1)
+		ledger := &book{levels: map[string]int64{"badges": 103}}
+		a, b := newManager(store, "a", ledger), newManager(store, "b", nil)
+		steps(t, 2, viewOf("a"), a)
+		steps(t, 2, viewOf("a", "b"), a, b)
+		wantHeld(t, b.known, "a", 32)
+		wantHeld(t, b.known, "b", 32)
+		var tokens int64
+		for i := range b.known.Owners {
+			tokens += b.known.Owners[i].Levels["badges"]
+		}
+		if tokens != 103 {
+			t.Errorf("%d tokens came with the shards, want 103", tokens)
+		}
+	})
+}
+
+func TestTokensAreHandedOverOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.New(1)
+		a, b := newManager(store, "a", nil), newManager(store, "b", nil)
+		steps(t, 2, viewOf("a", "b"), a, b)
+		if err := a.HandBack(context.Background(), map[string]int64{"badges": 10}); err != nil {
+			t.Fatal(err)
+		}
+		steps(t, 1, viewOf("b"), b)
+		wantHeld(t, b.known, "b", Count)
+		again := newManager(store, "b", nil)
+		steps(t, 1, viewOf("b"), again)
+		for i := range again.known.Owners {
+			if len(again.known.Owners[i].Levels) > 0 {
+				t.Fatalf("shard %d brings tokens to a restarted router", i)
+			}
+		}
+	})
+}
+
+func TestOutageKeepsTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.New(1)
+		ledger := &book{}
+		a := newManager(store, "a", ledger)
+		steps(t, 2, viewOf("a"), a)
+		store.SetFaults(kv.Faults{Down: true})
+		ledger.suspended = true
+		table, err := a.Step(context.Background(), viewOf("a", "b"), time.Now())
+		if !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("got error %v, want unavailable", err)
+		}
+		wantHeld(t, table, "a", Count)
+		if !ledger.confirmed.IsZero() {
+			t.Error("confirmed during the outage")
+		}
+	})
+}
+
+// A stale read still shows this router as the owner of shards that it lost.
+func TestStaleReadDoesNotConfirm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.New(1)
+		ledger := &book{}
+		a, b := newManager(store, "a", ledger), newManager(store, "b", nil)
+		steps(t, 2, viewOf("a"), a)
+		steps(t, 8, viewOf("b"), b) // revokes all
+		store.SetFaults(kv.Faults{StaleReads: 1})
+		ledger.suspended = true
+		if _, err := a.Step(context.Background(), viewOf("a", "b"), time.Now()); err == nil {
+			t.Error("a step on a stale read succeeded")
+		}
+		if !ledger.confirmed.IsZero() {
+			t.Error("confirmed on a stale read")
+		}
+		store.SetFaults(kv.Faults{})
+		steps(t, 1, viewOf("a", "b"), a)
+		if ledger.confirmed.IsZero() {
+			t.Error("not confirmed on a true read")
+		}
+		if held := a.known.Held("a"); len(held) > 0 {
+			t.Errorf("holds %v, which were revoked and have not rested", held)
+		}
+	})
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	good, err := Encode(&Table{Epoch: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	future := &Table{Epoch: 1}
+	future.Owners[3] = Owner{Address: "a", SinceEpoch: 2}
+	late, err := Encode(future)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, data := range map[string][]byte{
+		"empty": nil, "noise": []byte("noise"), "cut": good[:len(good)-2],
+		"65 shards": slices.Concat(good, good[2:4]), "owned since a later epoch": late,
+	} {
+		if table, err := Decode(data); err == nil {
+			t.Errorf("%s: decoded as %+v", name, table)
+		}
+	}
+}
