Prove the sidecar under cuts, withdrawals, cancels and a stop

Cause, found by the tests: when a job is ended early, its own error raced with the reason for the end, so that a withdrawn key's stream could read as cancelled; a drain waited for all attempts, also those refused since, so that a router that kept sending held it up; a drain of an idle sidecar returned while requests were still on their way to it.

The change: the reason of an early end goes before the error; a drain waits for the attempts that were present when it began, and then for half a second without an arrival, five seconds at most. An order's fence starts at the engine's own number after a restart.

Tests: a stream cut and read again by a second connection; refusals of Resume; withdrawal and cancel of running and waiting requests; a cancel that overtakes its request; a withdrawal in the middle of an order; a stop under load; old orders to an engine that ignores fences.

--- a/internal/sidecar/buffer/buffer.go
+++ b/internal/sidecar/buffer/buffer.go
@@ -33,6 +33,8 @@
 	ended   bool          // the last frame is in frames
 	readers int           // streams that read now
 	read    bool          // some reader got the last frame
+	running bool          // the job has not returned
+	dropped bool          // can't be read any more
 	changed chan struct{} // closed and replaced when a frame is added
 	abandon *time.Timer   // runs while nobody reads an attempt that has not ended
 	cancel  context.CancelCauseFunc
@@ -186,10 +188,27 @@
 	b.read = true
 }
 
-// settled says whether the attempt has ended, was read to its end and is read
-// by nobody now.
+// Release says that the job has returned.
+func (b *Buffer) Release() {
+	b.mu.Lock()
+	b.running = false
+	b.mu.Unlock()
+	b.table.notify()
+}
+
+func (b *Buffer) markDropped() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropped = true
+}
+
+// settled says whether the job has returned and its answer was read to the end,
+// or can't be read any more.
 func (b *Buffer) settled() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ended && b.read && b.readers == 0
+	if b.running || b.readers > 0 {
+		return false
+	}
+	return b.dropped || b.ended && b.read
 }
--- a/internal/sidecar/buffer/buffer_test.go
+++ b/internal/sidecar/buffer/buffer_test.go
@@ -178,6 +178,7 @@
 		stop()
 		_, _ = readUntil(cut, b, 0, 0)
 		fill(b, 3)
+		b.Release()
 		drained := make(chan error, 1)
 		go func() { drained <- table.Drain(t.Context()) }()
 		synctest.Wait()
--- a/internal/sidecar/buffer/table.go
+++ b/internal/sidecar/buffer/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +57,7 @@
 		workspace: req.Workspace,
 		keyID:     req.KeyId,
 		table:     t,
+		running:   true,
 		changed:   make(chan struct{}),
 		cancel:    cancel,
 	}
@@ -96,7 +99,7 @@
 func (t *Table) Running() []*Buffer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	running := make([]*Buffer, 0, len(t.attempts)-len(t.ended))
+	var running []*Buffer
 	for _, buffer := range t.attempts {
 		if !buffer.Ended() {
 			running = append(running, buffer)
@@ -148,6 +151,7 @@
 	t.finishedBytes -= oldest.size()
 	t.metrics.addBytes(-oldest.size())
 	delete(t.attempts, oldest.key)
+	oldest.markDropped()
 }
 
 func (t *Table) notify() {
@@ -157,12 +161,14 @@
 	t.changed = make(chan struct{})
 }
 
-// Drain waits until every attempt has ended and was read to its end, or its
-// retention is over.
+// Drain waits until the jobs of all present attempts have returned and their
+// answers were read to the end, or their retention is over.
 func (t *Table) Drain(ctx context.Context) error {
+	present := t.present()
 	for {
-		settled, changed := t.settled()
-		if settled {
+		changed := t.nextChange()
+		present = slices.DeleteFunc(present, (*Buffer).settled)
+		if len(present) == 0 {
 			return nil
 		}
 		select {
@@ -173,13 +179,15 @@
 	}
 }
 
-func (t *Table) settled() (bool, <-chan struct{}) {
+func (t *Table) present() []*Buffer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, buffer := range t.attempts {
-		if !buffer.settled() {
-			return false, t.changed
-		}
-	}
-	return true, t.changed
+	return slices.Collect(maps.Values(t.attempts))
+}
+
+// nextChange returns a channel that is closed when an attempt may have settled.
+func (t *Table) nextChange() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
 }
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/logging"
@@ -21,9 +20,16 @@
 	return s.draining.Load() || s.source.Snapshot().Draining
 }
 
-// handBackMargin is the time before the end of a drain at which requests that
-// still wait are handed back to their routers.
-const handBackMargin = 2 * time.Second
+const (
+	// handBackMargin is the time before the end of a drain at which requests
+	// that still wait are handed back to their routers.
+	handBackMargin = 2 * time.Second
+	// quietPeriod without a refused request ends a drain: by then the routers
+	// know that the backend server leaves.
+	quietPeriod = 500 * time.Millisecond
+	// quietLimit bounds the wait for a quiet period.
+	quietLimit = 5 * time.Second
+)
 
 // Drain refuses new work and waits until what was accepted has ended, its
 // answers were read and its replies recorded, or ctx ends. Requests that still
@@ -35,53 +41,32 @@
 		timer := time.AfterFunc(left-min(handBackMargin, left/2), s.queue.HandBack)
 		defer timer.Stop()
 	}
-	if err := s.jobs.wait(ctx); err != nil {
-		return err
-	}
 	if err := s.buffers.Drain(ctx); err != nil {
 		return err
 	}
-	return s.once.Wait(ctx)
-}
-
-// group counts running jobs.
-type group struct {
-	mu      sync.Mutex
-	count   int
-	changed chan struct{} // closed and replaced when count becomes 0
-}
-
-func newGroup() *group { return &group{changed: make(chan struct{})} }
-
-func (g *group) add() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.count++
-}
-
-func (g *group) done() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.count--
-	if g.count == 0 {
-		close(g.changed)
-		g.changed = make(chan struct{})
+	if err := s.once.Wait(ctx); err != nil {
+		return err
 	}
+	s.awaitQuiet(ctx)
+	return nil
 }
 
-// wait returns when no job runs.
-func (g *group) wait(ctx context.Context) error {
+// awaitQuiet waits until no request has arrived for a while, so that a request
+// already on its way gets its refusal and no broken connection.
+func (s *Sidecar) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quietLimit)
+	defer cancel()
+	seen := s.arrivals.Load()
 	for {
-		g.mu.Lock()
-		idle, changed := g.count == 0, g.changed
-		g.mu.Unlock()
-		if idle {
-			return nil
-		}
 		select {
-		case <-changed:
+		case <-time.After(quietPeriod):
 		case <-ctx.Done():
-			return context.Cause(ctx)
+			return
+		}
+		now := s.arrivals.Load()
+		if now == seen {
+			return
 		}
+		seen = now
 	}
 }
--- /dev/null
+++ b/internal/sidecar/faults_test.go
@@ -0,0 +1,339 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcerr"
+
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// gated generates one token each time that step is sent, and its tail when
+// step is closed or its context ends.
+type gated struct {
+	step  chan struct{}
+	calls atomic.Int64
+	ended atomic.Bool // by its context
+}
+
+func (g *gated) Handle(ctx context.Context, j *Job) (Outcome, error) {
+	g.calls.Add(1)
+	j.Emit(&wire.Frame{Head: &wire.Head{Model: "m"}})
+	for n := 1; ; n++ {
+		select {
+		case _, ok := <-g.step:
+			if !ok {
+				return &wire.Frame{Tail: &wire.Tail{FinishReason: "stop"}}, nil
+			}
+			j.Emit(&wire.Frame{Tokens: &wire.Tokens{Text: fmt.Sprint("t", n), Count: 1}})
+		case <-ctx.Done():
+			g.ended.Store(true)
+			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "cancelled")
+		}
+	}
+}
+
+func texts(frames []*wire.Frame) string {
+	var b strings.Builder
+	for _, frame := range frames {
+		b.WriteString(frame.GetTokens().GetText())
+	}
+	return b.String()
+}
+
+func failureOf(t *testing.T, frames []*wire.Frame) (verdict.Code, verdict.Verdict) {
+	t.Helper()
+	failure := frames[len(frames)-1].Failure
+	if failure == nil {
+		t.Fatalf("last frame %v is no failure", frames[len(frames)-1])
+	}
+	return verdict.Code(failure.Code), verdict.Verdict(failure.Verdict)
+}
+
+func resume(t *testing.T, client wire.DRPCBackendClient, req *wire.ResumeRequest) []*wire.Frame {
+	t.Helper()
+	stream, err := client.Resume(context.Background(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return receive(t, stream, 0)
+}
+
+// TestStreamOutlivesItsConnection cuts the connection in the middle of a stream.
+// Each frame must arrive before the engine makes the next one.
+func TestStreamOutlivesItsConnection(t *testing.T) {
+	g := &gated{step: make(chan struct{})}
+	cell := control.NewCell(snapshot(1))
+	address := serve(t, New(Options{Settings: engineSettings(), Source: cell, Executor: g}))
+	ctx, cut := context.WithCancel(context.Background())
+	stream := execute(t, ctx, dial(t, address), generation("r1"))
+	frames := receive(t, stream, 1)
+	g.step <- struct{}{}
+	frames = append(frames, receive(t, stream, 1)...)
+	cut()
+	g.step <- struct{}{}
+	again := execute(t, context.Background(), dial(t, address), generation("r1"))
+	g.step <- struct{}{}
+	if got := texts(receive(t, again, 4)); got != "t1t2t3" {
+		t.Errorf("the attempt sent again reads %q", got)
+	}
+	close(g.step)
+	other := dial(t, address)
+	rest := resume(t, other, &wire.ResumeRequest{RequestId: "r1", Attempt: 1, AfterSequence: 2, Workspace: "north", KeyId: "k1"})
+	if got := texts(append(frames, rest...)); got != "t1t2t3" || rest[len(rest)-1].Tail == nil {
+		t.Errorf("resumed stream reads %q", got)
+	}
+	if calls := g.calls.Load(); calls != 1 {
+		t.Errorf("%d executions", calls)
+	}
+	cases := []struct {
+		name string
+		req  *wire.ResumeRequest
+		code verdict.Code
+	}{
+		{"another workspace", &wire.ResumeRequest{RequestId: "r1", Attempt: 1, Workspace: "south", KeyId: "k2"}, verdict.CodeStreamLost},
+		{"another workspace's key", &wire.ResumeRequest{RequestId: "r1", Attempt: 1, Workspace: "north", KeyId: "k2"}, verdict.CodeForbidden},
+		{"no key", &wire.ResumeRequest{RequestId: "r1", Attempt: 1, Workspace: "north"}, verdict.CodeStreamLost},
+		{"unknown attempt", &wire.ResumeRequest{RequestId: "r1", Attempt: 2, Workspace: "north", KeyId: "k1"}, verdict.CodeStreamLost},
+		{"beyond the end", &wire.ResumeRequest{RequestId: "r1", Attempt: 1, AfterSequence: 99, Workspace: "north", KeyId: "k1"}, verdict.CodeStreamLost},
+	}
+	for _, c := range cases {
+		if code, v := failureOf(t, resume(t, other, c.req)); code != c.code || v != verdict.MayHaveRun {
+			t.Errorf("%s: %s, %s", c.name, code, v)
+		}
+	}
+	cell.Publish(snapshot(2, "k1"))
+	if code, v := failureOf(t, resume(t, other, cases[3].req)); code != verdict.CodeKeyWithdrawn || v != verdict.MayHaveRun {
+		t.Errorf("withdrawn: %s, %s", code, v)
+	}
+}
+
+// TestEarlyEnds ends requests that run and requests that wait.
+func TestEarlyEnds(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(*testing.T, *Sidecar, *control.Cell, wire.DRPCBackendClient)
+		code verdict.Code
+	}{
+		{"withdrawn key", func(_ *testing.T, s *Sidecar, cell *control.Cell, _ wire.DRPCBackendClient) {
+			cell.Publish(snapshot(2, "k1"))
+			s.SnapshotChanged()
+		}, verdict.CodeKeyWithdrawn},
+		{"cancel", func(t *testing.T, _ *Sidecar, _ *control.Cell, client wire.DRPCBackendClient) {
+			for _, id := range []string{"waiting", "running"} {
+				foreign, err := client.Cancel(context.Background(), &wire.CancelRequest{RequestId: id, Attempt: 1, Workspace: "south"})
+				if err != nil || foreign.Found {
+					t.Errorf("another workspace cancelled %s: %v", id, err)
+				}
+				reply, err := client.Cancel(context.Background(), &wire.CancelRequest{RequestId: id, Attempt: 1, Workspace: "north"})
+				if err != nil || !reply.Found {
+					t.Errorf("cancel %s: %v %v", id, reply, err)
+				}
+			}
+		}, verdict.CodeCancelled},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := &gated{step: make(chan struct{})}
+			cell := control.NewCell(snapshot(1))
+			settings := engineSettings()
+			settings.MaxConcurrent = 1
+			s := New(Options{Settings: settings, Source: cell, Executor: g})
+			address := serve(t, s)
+			running := execute(t, context.Background(), dial(t, address), generation("running"))
+			receive(t, running, 1)
+			waiting := execute(t, context.Background(), dial(t, address), generation("waiting"))
+			for s.QueueStatus().Urgent == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			c.end(t, s, cell, dial(t, address))
+			if code, v := failureOf(t, receive(t, running, 0)); code != c.code || v != verdict.MayHaveRun {
+				t.Errorf("running: %s, %s", code, v)
+			}
+			if code, v := failureOf(t, receive(t, waiting, 0)); code != c.code || v != verdict.NotRun {
+				t.Errorf("waiting: %s, %s", code, v)
+			}
+			if err := s.Drain(t.Context()); err != nil {
+				t.Error(err)
+			}
+			if !g.ended.Load() || g.calls.Load() != 1 {
+				t.Errorf("execution ended %v, %d executions", g.ended.Load(), g.calls.Load())
+			}
+		})
+	}
+}
+
+// TestWithdrawalWhileWaiting withdraws a key that only the last check before the
+// execution can see.
+func TestWithdrawalWhileWaiting(t *testing.T) {
+	g := &gated{step: make(chan struct{})}
+	cell := control.NewCell(snapshot(1))
+	settings := engineSettings()
+	settings.MaxConcurrent = 1
+	s := New(Options{Settings: settings, Source: cell, Executor: g})
+	address := serve(t, s)
+	running := execute(t, context.Background(), dial(t, address), generation("running"))
+	receive(t, running, 1)
+	waiting := execute(t, context.Background(), dial(t, address), generation("waiting"))
+	for s.QueueStatus().Urgent == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cell.Publish(snapshot(2, "k1"))
+	close(g.step)
+	if code, v := failureOf(t, receive(t, waiting, 0)); code != verdict.CodeKeyWithdrawn || v != verdict.NotRun {
+		t.Errorf("%s, %s", code, v)
+	}
+	receive(t, running, 0)
+}
+
+// TestCancelOvertakesItsRequest cancels an attempt that has not arrived yet.
+func TestCancelOvertakesItsRequest(t *testing.T) {
+	never := executorFunc(func(context.Context, *Job) (Outcome, error) { panic("ran") })
+	client := dial(t, serve(t, New(Options{Settings: engineSettings(), Source: control.NewCell(snapshot(1)), Executor: never})))
+	reply, err := client.Cancel(context.Background(), &wire.CancelRequest{RequestId: "r1", Attempt: 1, Workspace: "north"})
+	if err != nil || reply.Found {
+		t.Fatalf("%v, %v", reply, err)
+	}
+	if code, v := failureOf(t, receive(t, execute(t, context.Background(), client, generation("r1")), 0)); code != verdict.CodeCancelled || v != verdict.NotRun {
+		t.Errorf("%s, %s", code, v)
+	}
+}
+
+// TestWithdrawalDoesNotCutAnOrder withdraws the key while its order is printed:
+// the caller's stream ends, the order and its record don't.
+func TestWithdrawalDoesNotCutAnOrder(t *testing.T) {
+	printing, finish := make(chan struct{}), make(chan struct{})
+	printer := executorFunc(func(ctx context.Context, _ *Job) (Outcome, error) {
+		close(printing)
+		select {
+		case <-finish:
+			return &wire.Frame{Reply: &wire.Reply{Status: 201, Body: []byte("printed")}}, nil
+		case <-ctx.Done():
+			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "cut")
+		}
+	})
+	cell, store := control.NewCell(snapshot(1)), kv.New(1)
+	s := New(Options{Settings: serviceSettings(), Source: cell, Executor: printer, KV: store, Environment: "test"})
+	client := dial(t, serve(t, s))
+	stream := execute(t, context.Background(), client, badge("r1", "order-1"))
+	<-printing
+	cell.Publish(snapshot(2, "k1"))
+	s.SnapshotChanged()
+	if code, v := failureOf(t, receive(t, stream, 0)); code != verdict.CodeKeyWithdrawn || v != verdict.MayHaveRun {
+		t.Errorf("%s, %s", code, v)
+	}
+	close(finish)
+	if err := s.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := store.List(t.Context(), "once/test/")
+	if err != nil || len(entries) != 1 || !strings.Contains(string(entries[0].Value), "printed") {
+		t.Errorf("records %v, %v", entries, err)
+	}
+}
+
+// TestDrainUnderLoad stops a sidecar while callers send without a break. Each
+// request must end complete or be refused as not run.
+func TestDrainUnderLoad(t *testing.T) {
+	slow := executorFunc(func(ctx context.Context, j *Job) (Outcome, error) {
+		j.Emit(&wire.Frame{Head: &wire.Head{Model: "m"}})
+		time.Sleep(20 * time.Millisecond)
+		return generate(ctx, j)
+	})
+	s := New(Options{Settings: engineSettings(), Source: control.NewCell(snapshot(1)), Executor: slow})
+	address := serve(t, s)
+	var completed, refused, drained atomic.Int64
+	var callers sync.WaitGroup
+	stop := make(chan struct{})
+	for c := range 16 {
+		client := dial(t, address)
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				atStart := drained.Load()
+				frames := receive(t, execute(t, context.Background(), client, generation(fmt.Sprint(c, "-", n))), 0)
+				final := frames[len(frames)-1]
+				switch {
+				case final.Tail != nil && len(frames) == 6 && atStart == 0:
+					completed.Add(1)
+				case final.Failure.GetCode() == string(verdict.CodeDraining) && verdict.Verdict(final.Failure.Verdict) == verdict.NotRun:
+					refused.Add(1)
+					if !final.Failure.Load.Draining {
+						t.Error("the refusal does not tell that the server leaves")
+					}
+				default:
+					t.Errorf("cut, or begun after the drain: %v", final)
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	time.AfterFunc(200*time.Millisecond, func() { close(stop) })
+	time.AfterFunc(50*time.Millisecond, func() { drained.Store(1) })
+	if err := s.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	callers.Wait()
+	if completed.Load() == 0 || refused.Load() == 0 {
+		t.Errorf("%d completed, %d refused", completed.Load(), refused.Load())
+	}
+	if load := s.Load(); load.Running != 0 || load.Queued != 0 || !load.Draining {
+		t.Errorf("load after the drain: %v", load)
+	}
+}
+
+// ordered is an engine that ignores fencing numbers.
+type ordered struct {
+	engine.Engine
+	mu      sync.Mutex
+	applied []uint64
+}
+
+func (o *ordered) Apply(_ context.Context, order engine.Order) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.applied = append(o.applied, order.Fence)
+	return nil
+}
+
+func (o *ordered) State(context.Context) (engine.State, error) {
+	return engine.State{Incarnation: 1, Fence: 3}, nil
+}
+
+func TestOldOrdersAreRefused(t *testing.T) {
+	e := &ordered{}
+	s := New(Options{Settings: engineSettings(), Source: control.NewCell(snapshot(1)), Executor: executorFunc(generate), Engine: e})
+	client := dial(t, serve(t, s))
+	for i, c := range []struct {
+		fence uint64
+		stale bool
+	}{{2, true}, {3, false}, {5, false}, {4, true}, {5, false}, {3, true}} {
+		_, err := client.Order(context.Background(), &wire.OrderRequest{Fence: c.fence, Role: "decode"})
+		if c.stale != (drpcerr.Code(err) == OrderStaleFence) || c.stale != (err != nil) {
+			t.Errorf("order %d with fence %d: %v", i, c.fence, err)
+		}
+	}
+	if fmt.Sprint(e.applied) != "[3 5 5]" {
+		t.Errorf("the engine got %v", e.applied)
+	}
+	if _, err := dial(t, serve(t, New(Options{Settings: serviceSettings(), Source: control.NewCell(snapshot(1))}))).Order(context.Background(), &wire.OrderRequest{}); drpcerr.Code(err) != OrderUnsupported {
+		t.Errorf("order to a plain service: %v", errors.Cause(err))
+	}
+}
--- a/internal/sidecar/fixture_test.go
+++ b/internal/sidecar/fixture_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/wasabigate/wasabigate/internal/config"
@@ -113,6 +115,18 @@
 	return wire.NewDRPCBackendClient(conn)
 }
 
+// execute sends a request. The stream is closed at the end of the test.
+func execute(t *testing.T, ctx context.Context, client wire.DRPCBackendClient, req *wire.ExecuteRequest) receiver {
+	t.Helper()
+	ctx, cancel := context.WithCancel(ctx)
+	t.Cleanup(cancel)
+	stream, err := client.Execute(ctx, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return stream
+}
+
 // receiver is the reading side of a frame stream.
 type receiver interface {
 	Recv() (*wire.Frame, error)
@@ -134,6 +148,9 @@
 		}
 		frames = append(frames, frame)
 		if last(frame) {
+			if _, err := stream.Recv(); !errors.Is(err, io.EOF) {
+				t.Errorf("after the last frame: %v", err)
+			}
 			break
 		}
 	}
--- a/internal/sidecar/once/once_test.go
+++ b/internal/sidecar/once/once_test.go
@@ -297,3 +297,27 @@
 		}
 	})
 }
+
+// TestLateIntent has an intent's write arrive after its call was refused as not
+// run: the caller's retry must still be able to run.
+func TestLateIntent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, s := kv.New(1), &service{}
+		o := New(Options{KV: store, Environment: "test"})
+		if _, err := o.store.leases.current(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		store.SetFaults(kv.Faults{Delay: 5 * time.Second})
+		time.AfterFunc(time.Second, func() { store.SetFaults(kv.Faults{}) })
+		if got := outcomeOf(o.Handle(t.Context(), badge("r1", "ann"), s)); got != "store_unavailable/not-run" {
+			t.Errorf("first: got %q", got)
+		}
+		time.Sleep(10 * time.Second)
+		if got := outcomeOf(o.Handle(t.Context(), badge("r2", "ann"), s)); got != "badge 1" {
+			t.Errorf("retry: got %q", got)
+		}
+		if err := o.Wait(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -24,6 +24,7 @@
 	engine engine.Engine
 	turn   chan struct{} // holds one token; guards fence
 	fence  uint64        // highest fencing number seen
+	known  bool          // the engine's own number was read
 }
 
 func newOrders(e engine.Engine) *orders {
@@ -72,6 +73,9 @@
 		return context.Cause(ctx)
 	}
 	defer func() { o.turn <- struct{}{} }()
+	if err := o.learn(ctx); err != nil {
+		return drpcerr.WithCode(err, OrderFailed)
+	}
 	if order.Fence < o.fence {
 		err := errors.Wrapf(engine.ErrStaleFence, "order %d after %d", order.Fence, o.fence)
 		return drpcerr.WithCode(err, OrderStaleFence)
@@ -83,3 +87,18 @@
 	}
 	return drpcerr.WithCode(err, OrderFailed)
 }
+
+// learn reads the highest fencing number that the engine has seen, so that a
+// sidecar that was restarted doesn't begin at 0.
+func (o *orders) learn(ctx context.Context) error {
+	if o.known {
+		return nil
+	}
+	state, err := o.engine.State(ctx)
+	if err != nil {
+		return err
+	}
+	o.fence = max(o.fence, state.Fence)
+	o.known = true
+	return nil
+}
--- a/internal/sidecar/setup.go
+++ b/internal/sidecar/setup.go
@@ -37,7 +37,7 @@
 
 // New returns a Sidecar. This is where its chain is declared.
 func New(opts Options) *Sidecar {
-	s := &Sidecar{source: opts.Source, executor: opts.Executor, blocks: opts.Blocks, jobs: newGroup()}
+	s := &Sidecar{source: opts.Source, executor: opts.Executor, blocks: opts.Blocks}
 	s.engine = newEngineState(opts.Engine)
 	s.orders = newOrders(opts.Engine)
 	s.buffers = buffer.New(buffer.Options{Settings: opts.Settings, Revisions: s.revisions})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
@@ -31,8 +33,8 @@
 	buffers  *buffer.Table
 	engine   *engineState
 	orders   *orders
-	jobs     *group
 	draining atomic.Bool
+	arrivals atomic.Uint64 // requests that arrived
 }
 
 var _ wire.DRPCBackendServer = (*Sidecar)(nil)
@@ -40,6 +42,7 @@
 // Execute implements wire.DRPCBackendServer. An attempt that is known already is
 // read again instead of run again.
 func (s *Sidecar) Execute(req *wire.ExecuteRequest, stream wire.DRPCBackend_ExecuteStream) error {
+	s.arrivals.Add(1)
 	opened := s.buffers.Open(req)
 	if opened.Context != nil {
 		s.start(opened, req)
@@ -55,10 +58,9 @@
 func (s *Sidecar) start(opened buffer.Opened, req *wire.ExecuteRequest) {
 	j := &Job{Request: req, Received: time.Now(), Snapshot: s.source.Snapshot()}
 	j.Emit = s.emitter(opened.Buffer)
-	s.jobs.add()
 	stop := context.AfterFunc(opened.Context, func() { s.endEarly(opened, j) })
 	go func() {
-		defer s.jobs.done()
+		defer opened.Buffer.Release()
 		outcome, err := s.run(opened, j)
 		stop()
 		opened.Buffer.Finish(s.lastFrame(opened, outcome, err))
@@ -113,12 +115,24 @@
 	return &ended
 }
 
+// withCause returns the reason for which a job was ended early, with the verdict
+// of the error that it ended with.
+func withCause(ctx context.Context, err *verdict.Error) *verdict.Error {
+	var cause *verdict.Error
+	if !errors.As(context.Cause(ctx), &cause) {
+		return err
+	}
+	ended := *cause
+	ended.Verdict = err.Verdict
+	return &ended
+}
+
 // lastFrame makes the last frame of an outcome or error.
 func (s *Sidecar) lastFrame(opened buffer.Opened, outcome job.Outcome, err error) *wire.Frame {
 	key := opened.Buffer.Key()
 	switch {
 	case err != nil:
-		return s.failureFrame(verdict.From(err))
+		return s.failureFrame(withCause(opened.Context, verdict.From(err)))
 	case outcome == nil:
 		return s.failureFrame(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "no outcome"))
 	case outcome.RequestId != "" && outcome.RequestId != key.RequestID:
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -4,19 +4,19 @@
 	"context"
 	"testing"
 
+	"go.uber.org/goleak"
+
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestExecuteOverTheNetwork(t *testing.T) {
 	s := New(Options{Settings: engineSettings(), Source: control.NewCell(snapshot(3)), Executor: executorFunc(generate)})
 	client := dial(t, serve(t, s))
-	stream, err := client.Execute(context.Background(), generation("r1"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	frames := receive(t, stream, 0)
+	frames := receive(t, execute(t, context.Background(), client, generation("r1")), 0)
 	if len(frames) != 5 || frames[4].Tail == nil {
 		t.Fatalf("got %d frames, last %v", len(frames), frames[len(frames)-1])
 	}
@@ -41,10 +41,7 @@
 	store := kv.New(1)
 	for i, id := range []string{"r1", "r2"} {
 		s := New(Options{Settings: serviceSettings(), Source: control.NewCell(snapshot(1)), Executor: printer, KV: store, Environment: "test"})
-		stream, err := dial(t, serve(t, s)).Execute(context.Background(), badge(id, "order-1"))
-		if err != nil {
-			t.Fatal(err)
-		}
+		stream := execute(t, context.Background(), dial(t, serve(t, s)), badge(id, "order-1"))
 		reply := receive(t, stream, 0)[0].Reply
 		if string(reply.GetBody()) != "printed" || reply.GetReplayed() != (i == 1) {
 			t.Errorf("%s: %v", id, reply)
