Measure calls to the platform, and check faults given over HTTP

Cause: each call counts against the platform's rates, and nothing showed how many calls a daemon makes or how they end. A misspelt or impossible fault over HTTP was partly accepted.

Shares outside 0 to 1 and negative rates are refused.

--- a/internal/platform/client/caller.go
+++ b/internal/platform/client/caller.go
@@ -55,6 +55,13 @@
 
 // read makes a call that has no effect.
 func (c caller) read(ctx context.Context, path string, query url.Values, answer any) error {
+	start := time.Now()
+	err := c.get(ctx, path, query, answer)
+	recordCall(ctx, path, start, err)
+	return err
+}
+
+func (c caller) get(ctx context.Context, path string, query url.Values, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	body, err := c.open(ctx, path, query)
@@ -87,6 +94,13 @@
 
 // write makes a call that has an effect.
 func (c caller) write(ctx context.Context, path string, question, answer any) error {
+	start := time.Now()
+	err := c.post(ctx, path, question, answer)
+	recordCall(ctx, path, start, err)
+	return err
+}
+
+func (c caller) post(ctx context.Context, path string, question, answer any) error {
 	body, err := json.Marshal(question)
 	if err != nil {
 		return errors.Wrap(err, path)
--- a/internal/platform/client/watch.go
+++ b/internal/platform/client/watch.go
@@ -34,7 +34,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(k.timeout, cancel)
+	start := time.Now()
 	body, err := k.open(ctx, httpapi.PathWatch, query)
+	recordCall(ctx, httpapi.PathWatch, start, err)
 	if err != nil {
 		timer.Stop()
 		cancel()
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -2,6 +2,7 @@
 package fault
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -48,7 +49,15 @@
 	}
 	*f = Faults(*message.plainFaults)
 	f.Delay = time.Duration(message.Delay)
-	return nil
+	return f.check()
+}
+
+func (f Faults) check() error {
+	return cmp.Or(
+		web.CheckShare("lose_answers", f.LoseAnswers),
+		web.CheckShare("corrupt", f.Corrupt),
+		web.CheckRate("per_second", f.PerSecond),
+	)
 }
 
 // Counts are the calls that a service has met.
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -1,6 +1,7 @@
 package kv
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -67,7 +68,17 @@
 	}
 	*f = Faults(*message.plainFaults)
 	f.Delay = time.Duration(message.Delay)
-	return nil
+	return f.check()
+}
+
+func (f Faults) check() error {
+	return cmp.Or(
+		web.CheckShare("lose_answers", f.LoseAnswers),
+		web.CheckShare("cut_answers", f.CutAnswers),
+		web.CheckShare("stale_reads", f.StaleReads),
+		web.CheckRate("writes_per_second", f.WritesPerSecond),
+		web.CheckRate("reads_per_second", f.ReadsPerSecond),
+	)
 }
 
 // SetFaults replaces the faults.
--- a/internal/standin/web/faults.go
+++ b/internal/standin/web/faults.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
 )
@@ -11,6 +12,22 @@
 // maxFaultsBytes bounds a request to the admin endpoint.
 const maxFaultsBytes = 64 << 10
 
+// CheckShare refuses a share that isn't between 0 and 1.
+func CheckShare(name string, share float64) error {
+	if share < 0 || share > 1 {
+		return errors.Errorf("%s: %v is not a share between 0 and 1", name, share)
+	}
+	return nil
+}
+
+// CheckRate refuses a negative rate.
+func CheckRate(name string, perSecond int) error {
+	if perSecond < 0 {
+		return errors.Errorf("%s: %d is not a rate", name, perSecond)
+	}
+	return nil
+}
+
 // Admin is a service whose faults F are switched on order and whose calls are
 // counted in C.
 type Admin[F, C any] interface {
