Pass documents between daemons as deltas

Cause: every daemon passed each new document on as a whole. Ruled out: fewer peers per push, which slows the spread and leaves the size of each message. Change: a daemon keeps the last 16 envelopes and sends what differs from the one that its peer has, or most likely has; a delta that does not fit is answered by a pull, a damaged one by a pull of the whole.

--- /dev/null
+++ b/internal/control/archive.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+)
+
+const (
+	// archivedRevisions is the number of past revisions that deltas can start
+	// from.
+	archivedRevisions = 16
+	// cachedDeltas is the number of deltas kept, since many peers need the same.
+	cachedDeltas = 32
+)
+
+// document is an envelope on its way between peers: whole, or as a delta to the
+// envelope of revision base.
+type document struct {
+	base uint64 // 0: whole
+	data []byte
+}
+
+// archive keeps the envelopes of the latest revisions, to make and apply deltas.
+// It is safe for concurrent use.
+type archive struct {
+	codec Codec
+
+	mu        sync.Mutex
+	envelopes map[uint64][]byte
+	numbers   []uint64 // in the order of arrival
+	deltas    map[deltaKey][]byte
+}
+
+type deltaKey struct{ base, target uint64 }
+
+func newArchive(codec Codec) *archive {
+	return &archive{
+		codec:     codec,
+		envelopes: make(map[uint64][]byte),
+		deltas:    make(map[deltaKey][]byte),
+	}
+}
+
+// add keeps a revision, in place of the oldest one.
+func (a *archive) add(revision *config.Revision) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.numbers) == archivedRevisions {
+		delete(a.envelopes, a.numbers[0])
+		a.numbers = a.numbers[1:]
+	}
+	a.envelopes[revision.Number] = revision.Envelope
+	a.numbers = append(a.numbers, revision.Number)
+}
+
+// encode returns the revision for a peer that has base: a delta if that is known
+// here, else the whole envelope.
+func (a *archive) encode(base uint64, revision *config.Revision) document {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	from, known := a.envelopes[base]
+	if !known || base == revision.Number {
+		return document{data: revision.Envelope}
+	}
+	key := deltaKey{base, revision.Number}
+	delta, made := a.deltas[key]
+	if !made {
+		delta = a.codec.Delta(from, revision.Envelope)
+		a.keepDelta(key, delta)
+	}
+	return document{base: base, data: delta}
+}
+
+func (a *archive) keepDelta(key deltaKey, delta []byte) {
+	if len(a.deltas) == cachedDeltas {
+		clear(a.deltas)
+	}
+	a.deltas[key] = delta
+}
+
+// decode returns the envelope of a document, or nil if it is a delta to an
+// envelope that is not known here.
+func (a *archive) decode(d document) ([]byte, error) {
+	if d.base == 0 {
+		return d.data, nil
+	}
+	a.mu.Lock()
+	from, known := a.envelopes[d.base]
+	a.mu.Unlock()
+	if !known {
+		return nil, nil
+	}
+	return a.codec.ApplyDelta(from, d.data)
+}
+
+// previous returns the number of the revision that came before the latest one,
+// or 0.
+func (a *archive) previous() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.numbers) < 2 {
+		return 0
+	}
+	return a.numbers[len(a.numbers)-2]
+}
--- /dev/null
+++ b/internal/control/bytes_test.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/configstore"
+	"github.com/wasabigate/wasabigate/internal/shard"
+)
+
+const (
+	// bytesPerSecond is a daemon's budget for control.
+	bytesPerSecond = 10_000
+	// changeInterval is the time between two changes of configuration, at 29,000
+	// a day.
+	changeInterval = 24 * time.Hour / 29_000
+	workspaces     = 270
+)
+
+// largeDocument has as many workspaces and keys as the largest site. Changes
+// differ in one workspace.
+func largeDocument(change int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	text := []byte("[environment]\nname = large\n")
+	for i := range workspaces {
+		rate := 100
+		if i == change%workspaces {
+			rate = 200 + change
+		}
+		text = fmt.Appendf(text, "[workspace w%d]\nrate = %d\nburst = 10000\n", i, rate)
+		text = fmt.Appendf(text, "[key k%d]\nworkspace = w%d\nsha256 = %016x%016x%016x%016x\n",
+			i, i, random.Uint64(), random.Uint64(), random.Uint64(), random.Uint64())
+	}
+	return text
+}
+
+func realCodec() Codec {
+	return Codec{
+		OpenEnvelope: configstore.Open,
+		EncodeTable:  shard.Encode,
+		DecodeTable:  shard.Decode,
+		Delta:        configstore.Delta,
+		ApplyDelta:   configstore.ApplyDelta,
+	}
+}
+
+// accept writes a document to the key-value service.
+func (w *world) accept(t *testing.T, text []byte) {
+	t.Helper()
+	store := configstore.New(w.kv, "large")
+	base, err := store.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Apply(t.Context(), base, text, "test"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestControlTrafficStaysWithinItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.codec, w.configKey = realCodec(), configstore.Key("large")
+		w.accept(t, largeDocument(0))
+		var addresses []string
+		for i := range 4 {
+			addresses = append(addresses, fmt.Sprintf("r%d", i))
+			w.start(t, addresses[i], config.RoleRouter)
+		}
+		for i := range 16 {
+			addresses = append(addresses, fmt.Sprintf("s%d", i))
+			w.start(t, addresses[4+i], config.RoleSidecar)
+		}
+		time.Sleep(10 * time.Second)
+		w.network.resetBytes()
+		const changes = 10
+		for change := range changes {
+			w.accept(t, largeDocument(change+1))
+			time.Sleep(changeInterval)
+		}
+		w.wantEverywhere(t, changes+1)
+		perDaemon := float64(w.network.totalBytes()) / float64(len(addresses)) / (changes * changeInterval).Seconds()
+		t.Logf("%d daemons, a change every %v: %.0f bytes a second and daemon, sent and received", len(addresses), changeInterval, perDaemon)
+		if perDaemon > bytesPerSecond {
+			t.Errorf("%.0f bytes a second and daemon, want %d at most", perDaemon, bytesPerSecond)
+		}
+		w.stop()
+	})
+}
+
+func TestDeltaToAnUnknownBaseIsPulledWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startSystem(t)
+		defer w.stop()
+		w.network.cutOff("s1")
+		for number := uint64(2); number < 3*archivedRevisions; number++ {
+			w.write(t, number)
+			time.Sleep(time.Second)
+		}
+		w.network.join("s1")
+		time.Sleep(inForceWithin)
+		w.wantEverywhere(t, 3*archivedRevisions-1)
+	})
+}
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -8,6 +8,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/shard"
 )
 
 const (
@@ -75,60 +76,95 @@
 // exchange tells the peer what this daemon has, offers a snapshot's documents
 // if one is given, and takes what the peer has that is newer.
 func (l *Loop) exchange(ctx context.Context, address string, offer *Snapshot) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	req := &wire.ExchangeRequest{
-		Revisions: l.Snapshot().Revisions(),
-		Sender:    l.options.Settings.Daemon.RPCAddress,
-		Want:      true,
-	}
+	req := l.request()
 	if offer != nil {
-		req.Document, req.ShardTable = l.encode(offer)
+		l.attach(req, offer)
 	}
-	reply, err := l.options.Peers.Exchange(ctx, address, req)
+	reply, err := l.call(ctx, address, req)
 	if err != nil {
 		logger.Debug(logging.Fields{"peer": address, "error": err.Error()}, "exchange failed")
 		return
 	}
-	l.OfferEnvelope(reply.GetDocument())
 	l.OfferTable(reply.GetShardTable())
+	if !l.offerDocument(document{reply.GetDocumentBase(), reply.GetDocument()}) {
+		l.pullWhole(ctx, address)
+	}
+}
+
+// request returns an Exchange request without documents.
+func (l *Loop) request() *wire.ExchangeRequest {
+	return &wire.ExchangeRequest{
+		Revisions: l.Snapshot().Revisions(),
+		Sender:    l.options.Settings.Daemon.RPCAddress,
+		Want:      true,
+	}
+}
+
+// attach offers a snapshot's documents: the configuration as a delta to the
+// revision before, which the peer most likely has.
+func (l *Loop) attach(req *wire.ExchangeRequest, offer *Snapshot) {
+	if offer.Config != nil {
+		d := l.archive.encode(l.archive.previous(), offer.Config)
+		req.Document, req.DocumentBase = d.data, d.base
+	}
+	req.ShardTable = l.encodeTable(offer.Shards)
+}
+
+func (l *Loop) call(ctx context.Context, address string, req *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return l.options.Peers.Exchange(ctx, address, req)
+}
+
+// pullWhole gets the peer's document as a whole, since its delta did not fit.
+func (l *Loop) pullWhole(ctx context.Context, address string) {
+	req := l.request()
+	req.Revisions.Document = 0
+	reply, err := l.call(ctx, address, req)
+	if err != nil {
+		logger.Debug(logging.Fields{"peer": address, "error": err.Error()}, "whole document not read")
+		return
+	}
+	l.offerDocument(document{reply.GetDocumentBase(), reply.GetDocument()})
 }
 
 // Answer handles a peer's ExchangeRequest.
 func (l *Loop) Answer(req *wire.ExchangeRequest) *wire.ExchangeReply {
-	l.OfferEnvelope(req.GetDocument())
 	l.OfferTable(req.GetShardTable())
-	if len(req.GetDocument()) == 0 {
+	fits := l.offerDocument(document{req.GetDocumentBase(), req.GetDocument()})
+	if !fits || len(req.GetDocument()) == 0 {
 		l.SawRevisions(req.GetSender(), req.GetRevisions())
 	}
 	snapshot := l.Snapshot()
 	reply := &wire.ExchangeReply{Revisions: snapshot.Revisions()}
 	if req.GetWant() {
-		document, table := l.encode(snapshot)
-		if reply.Revisions.GetDocument() > req.GetRevisions().GetDocument() {
-			reply.Document = document
-		}
-		if reply.Revisions.GetShardEpoch() > req.GetRevisions().GetShardEpoch() {
-			reply.ShardTable = table
-		}
+		l.fill(reply, req.GetRevisions(), snapshot)
 	}
 	return reply
 }
 
-// encode returns the serialized document and shard table of a snapshot.
-func (l *Loop) encode(snapshot *Snapshot) (document, table []byte) {
-	if snapshot.Config != nil {
-		document = snapshot.Config.Envelope
+// fill adds to a reply what the snapshot has that is newer than seen.
+func (l *Loop) fill(reply *wire.ExchangeReply, seen *wire.Revisions, snapshot *Snapshot) {
+	if reply.Revisions.GetDocument() > seen.GetDocument() {
+		d := l.archive.encode(seen.GetDocument(), snapshot.Config)
+		reply.Document, reply.DocumentBase = d.data, d.base
 	}
-	if snapshot.Shards == nil {
-		return document, nil
+	if reply.Revisions.GetShardEpoch() > seen.GetShardEpoch() {
+		reply.ShardTable = l.encodeTable(snapshot.Shards)
+	}
+}
+
+// encodeTable returns the serialized shard table, or nil.
+func (l *Loop) encodeTable(table *shard.Table) []byte {
+	if table == nil {
+		return nil
 	}
-	table, err := l.options.Codec.EncodeTable(snapshot.Shards)
+	encoded, err := l.options.Codec.EncodeTable(table)
 	if err != nil {
 		logger.Error(logging.Fields{"error": err.Error()}, "shard table not encoded")
-		return document, nil
+		return nil
 	}
-	return document, table
+	return encoded
 }
 
 // somePeers returns up to n random addresses of other daemons: those of the
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -35,6 +35,9 @@
 	OpenEnvelope func(envelope []byte) (*config.Revision, error)
 	EncodeTable  func(table *shard.Table) ([]byte, error)
 	DecodeTable  func(table []byte) (*shard.Table, error)
+	// Delta returns what a peer that has the envelope base needs to make target.
+	Delta      func(base, target []byte) []byte
+	ApplyDelta func(base, delta []byte) ([]byte, error)
 }
 
 // Options are the parts that a Loop works with.
@@ -56,6 +59,7 @@
 type Loop struct {
 	options Options
 	cell    *Cell
+	archive *archive
 	events  chan message
 	pulls   chan string    // addresses that have something newer
 	pushes  chan *Snapshot // snapshots to push to peers
@@ -87,6 +91,7 @@
 	return &Loop{
 		options: options,
 		cell:    NewCell(empty),
+		archive: newArchive(options.Codec),
 		events:  make(chan message, eventQueue),
 		pulls:   make(chan string, eventQueue),
 		pushes:  make(chan *Snapshot, 1),
@@ -129,6 +134,9 @@
 	if !e.apply(state) {
 		return
 	}
+	if state.Config != before.Config {
+		l.archive.add(state.Config)
+	}
 	published := *state
 	l.cell.Publish(&published)
 	l.announce(&before, &published)
@@ -265,6 +273,21 @@
 	l.send(configSeen{revision})
 }
 
+// offerDocument takes a document from a peer. It says whether the document could
+// be read: a delta to an unknown envelope can't.
+func (l *Loop) offerDocument(d document) bool {
+	envelope, err := l.archive.decode(d)
+	if err != nil {
+		logger.Warn(logging.Fields{"base": d.base, "error": err.Error()}, "delta not applied")
+		return false
+	}
+	if envelope == nil && d.base != 0 {
+		return false
+	}
+	l.OfferEnvelope(envelope)
+	return true
+}
+
 // OfferTable offers a serialized shard table. A broken one is dropped.
 func (l *Loop) OfferTable(encoded []byte) {
 	if len(encoded) == 0 {
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/platform"
@@ -44,15 +46,26 @@
 			}
 			return &shard.Table{Epoch: revision.Number}, nil
 		},
+		Delta:      func(base, target []byte) []byte { return append(base[:8:8], target...) },
+		ApplyDelta: applyNumbers,
 	}
 }
 
+// applyNumbers takes a delta that names its base in the first half.
+func applyNumbers(base, delta []byte) ([]byte, error) {
+	if !bytes.HasPrefix(delta, base) {
+		return nil, errors.New("another base")
+	}
+	return delta[8:], nil
+}
+
 // network connects loops in process. A cut daemon reaches nobody and is reached
 // by nobody.
 type network struct {
 	mu    sync.Mutex
 	loops map[string]*Loop
 	cut   map[string]bool
+	bytes int
 }
 
 // reach returns the loop at address, or nil if self can't reach it.
@@ -71,6 +84,34 @@
 	n.loops[address] = loop
 }
 
+func (n *network) join(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, address)
+}
+
+// count adds a call's bytes, which its sender sends and its receiver receives,
+// or the other way round.
+func (n *network) count(messages ...proto.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, message := range messages {
+		n.bytes += 2 * proto.Size(message)
+	}
+}
+
+func (n *network) resetBytes() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes = 0
+}
+
+func (n *network) totalBytes() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes
+}
+
 func (n *network) cutOff(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -87,7 +128,9 @@
 	if peer == nil {
 		return nil, errors.New("unreachable")
 	}
-	return peer.Answer(req), nil
+	reply := peer.Answer(req)
+	l.network.count(req, reply)
+	return reply, nil
 }
 
 // world is a system of routers and sidecars on a controlled clock.
@@ -96,6 +139,9 @@
 	vms     *vmlist.List
 	network *network
 	cancels map[string]context.CancelFunc
+
+	codec     Codec
+	configKey string
 }
 
 func newWorld() *world {
@@ -104,6 +150,9 @@
 		vms:     vmlist.New(),
 		network: &network{loops: make(map[string]*Loop), cut: make(map[string]bool)},
 		cancels: make(map[string]context.CancelFunc),
+
+		codec:     codec(),
+		configKey: configKey,
 	}
 }
 
@@ -120,10 +169,10 @@
 			Platform: config.PlatformSettings{Timeout: 500 * time.Millisecond},
 		},
 		KV:        w.kv,
-		ConfigKey: configKey,
+		ConfigKey: w.configKey,
 		VMs:       w.vms,
 		Peers:     linkFrom{w.network, address},
-		Codec:     codec(),
+		Codec:     w.codec,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	w.network.add(address, loop)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,6 +122,8 @@
 			OpenEnvelope: configstore.Open,
 			EncodeTable:  shard.Encode,
 			DecodeTable:  shard.Decode,
+			Delta:        configstore.Delta,
+			ApplyDelta:   configstore.ApplyDelta,
 		},
 		OnChange: onChange,
 	}
