--- /dev/null
+++ b/internal/tools/gotest/gotest.go
@@ -0,0 +1,146 @@
+// Package gotest runs "go test" and collects the results of the top-level
+// tests.
+package gotest
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const modulePath = "github.com/wasabigate/wasabigate/"
+
+// Name is a test's name: package.Test, without the module's path, or a package
+// that failed without naming a test.
+type Name string
+
+// Results are the results of a run.
+type Results struct {
+	Passed  []Name
+	Skipped []Name
+	Failed  []Name
+	output  map[Name]*strings.Builder
+	byPkg   map[string]bool // packages with a failed test
+}
+
+// event is a line of "go test -json".
+type event struct {
+	Action  string
+	Package string
+	Test    string
+	Output  string
+}
+
+// Run runs "go test" with the arguments. progress is told of each package that
+// passed; it may be nil. An error means that the tests could not be run.
+func Run(args []string, progress func(pkg string)) (*Results, error) {
+	command := exec.Command("go", append([]string{"test", "-json"}, args...)...)
+	command.Stderr = os.Stderr
+	stdout, err := command.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "go test")
+	}
+	if err := command.Start(); err != nil {
+		return nil, errors.Wrap(err, "go test")
+	}
+	results := &Results{output: make(map[Name]*strings.Builder), byPkg: make(map[string]bool)}
+	if err := results.read(stdout, progress); err != nil {
+		return nil, err
+	}
+	var exit *exec.ExitError
+	if err := command.Wait(); err != nil && !errors.As(err, &exit) {
+		return nil, errors.Wrap(err, "go test")
+	}
+	if exit != nil && len(results.Failed) == 0 {
+		return nil, errors.New("go test failed without naming a test")
+	}
+	return results, nil
+}
+
+// Output returns what a failed test printed.
+func (r *Results) Output(name Name) string {
+	if output := r.output[name]; output != nil {
+		return output.String()
+	}
+	return ""
+}
+
+func (r *Results) read(stdout io.Reader, progress func(pkg string)) error {
+	decoder := json.NewDecoder(stdout)
+	for {
+		var e event
+		err := decoder.Decode(&e)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "output of go test")
+		}
+		r.add(e, progress)
+	}
+}
+
+func (r *Results) add(e event, progress func(pkg string)) {
+	pkg := strings.TrimPrefix(e.Package, modulePath)
+	test, _, nested := strings.Cut(e.Test, "/")
+	name := Name(pkg)
+	if test != "" {
+		name = Name(pkg + "." + test)
+	}
+	switch {
+	case e.Action == "output" || e.Action == "build-output":
+		r.keep(name, e.Output)
+	case nested:
+	case test == "":
+		r.endPackage(pkg, e.Action, progress)
+	case e.Action == "pass":
+		r.Passed = append(r.Passed, name)
+		delete(r.output, name)
+	case e.Action == "skip":
+		r.Skipped = append(r.Skipped, name)
+	case e.Action == "fail":
+		r.Failed = append(r.Failed, name)
+		r.byPkg[pkg] = true
+	}
+}
+
+func (r *Results) keep(name Name, output string) {
+	if r.output[name] == nil {
+		r.output[name] = &strings.Builder{}
+	}
+	r.output[name].WriteString(output)
+}
+
+func (r *Results) endPackage(pkg, action string, progress func(pkg string)) {
+	if action == "pass" && progress != nil {
+		progress(pkg)
+	}
+	if action == "fail" && !r.byPkg[pkg] {
+		r.Failed = append(r.Failed, Name(pkg))
+	}
+}
+
+// Known reads a list of known failures: a line starts with package.Test.
+func Known(path string) (map[Name]bool, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "list of known failures")
+	}
+	defer file.Close()
+	known := make(map[Name]bool)
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		line := strings.TrimSpace(scanner.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, _, _ := strings.Cut(line, "|")
+		known[Name(strings.TrimSpace(name))] = true
+	}
+	return known, errors.Wrap(scanner.Err(), "list of known failures")
+}
