--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DOCUMENT ?= examples/consortium.ini
 SMOKE_SECONDS := 60
 
-.PHONY: build demo smoke test lint generate clean
+.PHONY: build demo smoke promises test lint generate clean
 
 build: ## Builds the programs into bin.
 	$(GO) build -o bin/ ./cmd/... ./internal/tools/smoke
@@ -15,6 +15,9 @@
 smoke: build ## Runs the whole system and checks it from outside.
 	timeout $(SMOKE_SECONDS) scripts/system.sh $(DOCUMENT) scripts/smoke.sh
 
+promises: ## Runs the tests of each promise of docs/PROMISES.md.
+	$(GO) run ./internal/tools/promises
+
 test: lint ## The README's test command: format, vet, staticcheck, tests with -race.
 	$(GO) run ./internal/tools/redtest -known KNOWN-RED.txt -- -race -timeout 15m $(PACKAGES)
 
