Grant one of two large requests that collide

Cause: two requests of 40000 tokens at two owners with 30000 each took their own tokens, found the other owner empty, remembered that, and refused without a second round.

Change: a debit's answer counts the tokens that other requests hold and may still return; up to eight rounds with a jitter that grows.

--- a/internal/limit/acquire.go
+++ b/internal/limit/acquire.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	maxRounds = 4
-	// minJitter and maxJitter bound the pause between two rounds of debits.
+	maxRounds = 8
+	// minJitter and maxJitter bound the pause after the first round of debits; the
+	// upper bound grows with each round.
 	minJitter = time.Millisecond
 	maxJitter = 10 * time.Millisecond
 	// maxRetryAfter is shown when the tokens would not come back by themselves.
@@ -82,7 +83,7 @@
 func (a *attempt) run(ctx context.Context) (Grant, error) {
 	deadline := time.Now().Add(a.local.wait)
 	for round := 1; ; round++ {
-		delay := a.round(ctx)
+		delay := a.round(ctx, round)
 		if a.got == a.cost {
 			return a.grant(), nil
 		}
@@ -98,7 +99,7 @@
 
 // round draws as much as it can. If that is short, it returns the time after
 // which another round may succeed.
-func (a *attempt) round(ctx context.Context) time.Duration {
+func (a *attempt) round(ctx context.Context, round int) time.Duration {
 	now := a.local.now(a.snapshot)
 	a.answered = a.answered || now.spendable && a.state.held != 0
 	reach := a.bucket.survey(now)
@@ -111,6 +112,8 @@
 		a.own = part{mark: a.bucket.place(now.refill)}
 	}
 	a.got = a.own.tokens
+	a.bucket.hold(a.own.tokens)
+	defer a.bucket.hold(-a.own.tokens)
 	for _, o := range a.local.order(reach.orders) {
 		if a.got == a.cost || ctx.Err() != nil {
 			break
@@ -118,7 +121,7 @@
 		a.debit(ctx, o.address)
 	}
 	missing := a.cost - a.bucket.survey(a.local.now(a.snapshot)).total - a.got
-	return max(jitter(), timeFor(missing, reach.rate))
+	return max(jitter(round), timeFor(missing, reach.rate))
 }
 
 // debit asks one owner for what is missing.
@@ -228,8 +231,8 @@
 	return min(maxRetryAfter, max(minJitter, time.Duration(seconds*float64(time.Second))))
 }
 
-func jitter() time.Duration {
-	return minJitter + rand.N(maxJitter-minJitter)
+func jitter(round int) time.Duration {
+	return minJitter + rand.N(time.Duration(round)*maxJitter-minJitter)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -14,6 +14,7 @@
 	whole     share // of the workspace, over all shards
 	own       share // of the shards that this router owns
 	level     int64 // negative: debt
+	held      int64 // taken by requests that may still return it
 	remainder uint64
 	refilled  time.Duration // on the guard's refill clock
 	wanted    time.Duration // time of the last request, since the start
@@ -86,14 +87,22 @@
 	return part{tokens: tokens, mark: b.past.mark}, true
 }
 
-// takeUpTo takes at most tokens, and returns the level that is left.
+// takeUpTo takes at most tokens, and returns what a later request may find.
 func (b *bucket) takeUpTo(now time.Duration, tokens int64) (part, int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.touch(now)
 	taken := max(0, min(tokens, b.level))
 	b.level -= taken
-	return part{tokens: taken, mark: b.past.mark}, b.level
+	return part{tokens: taken, mark: b.past.mark}, b.level + b.held
+}
+
+// hold notes that a request took tokens which it may still return; a negative
+// number ends that.
+func (b *bucket) hold(tokens int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held += tokens
 }
 
 // credit adds tokens that count as having been in the bucket since mark. It
