--- a/internal/limit/history_test.go
+++ b/internal/limit/history_test.go
@@ -116,7 +116,7 @@
 	}
 	w.advance(20 * time.Second)
 	w.spendAll(1000)
-	if excess := w.worst(); excess > 0 {
+	if excess := worst(w.history, badges); excess > 0 {
 		t.Fatalf("admitted %d tokens above burst + rate × length", excess)
 	}
 }
--- a/internal/limit/scenario_test.go
+++ b/internal/limit/scenario_test.go
@@ -78,7 +78,7 @@
 				w.late = c.late
 				c.run(w, w.nodes[0])
 				w.spendAll(1000)
-				if excess := w.worst(); excess > 0 {
+				if excess := worst(w.history, badges); excess > 0 {
 					t.Errorf("admitted %d tokens above burst + rate × length", excess)
 				}
 			})
--- a/internal/limit/world_test.go
+++ b/internal/limit/world_test.go
@@ -286,17 +286,17 @@
 
 // worst returns the largest excess over burst + rate × length of any window, as
 // the fill of one exact bucket that never refuses.
-func (w *world) worst() int64 {
-	slices.SortStableFunc(w.history, func(a, b *admission) int { return a.at.Compare(b.at) })
+func worst(history []*admission, limits config.Workspace) int64 {
+	slices.SortStableFunc(history, func(a, b *admission) int { return a.at.Compare(b.at) })
 	var fill, worst float64
 	var last time.Time
-	for _, a := range w.history {
+	for _, a := range history {
 		if !last.IsZero() {
-			fill = max(0, fill-a.at.Sub(last).Seconds()*float64(w.workspace.Rate))
+			fill = max(0, fill-a.at.Sub(last).Seconds()*float64(limits.Rate))
 		}
 		last = a.at
 		fill += float64(a.tokens)
-		worst = max(worst, fill-float64(a.debt+w.workspace.Burst))
+		worst = max(worst, fill-float64(a.debt+limits.Burst))
 	}
 	return int64(worst)
 }
