--- /dev/null
+++ b/internal/limit/worldnet_test.go
@@ -0,0 +1,103 @@
+package limit
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+func (n *node) reaches(peer *node) bool {
+	return n != peer && peer.runs() && !n.cutPeers && !peer.cutPeers
+}
+
+// call delivers a message to a peer, or loses it, or delays it or its answer.
+func (n *node) call(address string, deliver func(peer *node)) error {
+	i := slices.IndexFunc(n.world.nodes, func(peer *node) bool { return peer.address == address })
+	if i < 0 || !n.reaches(n.world.nodes[i]) {
+		return errUnreachable
+	}
+	w := n.world
+	sent := time.Now()
+	fate := w.random.IntN(20)
+	if fate == 0 && w.faulty {
+		return errUnreachable
+	}
+	if fate == 1 {
+		w.delay()
+	}
+	if !w.nodes[i].runs() {
+		return errUnreachable
+	}
+	deliver(w.nodes[i])
+	if fate == 2 && w.faulty {
+		return errUnreachable
+	}
+	if fate == 3 {
+		w.delay()
+	}
+	if time.Since(sent) > callTimeout && w.random.IntN(2) == 0 {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// delay lets the others work while a message is under way.
+func (w *world) delay() {
+	if !w.faulty || w.depth > 1 {
+		return
+	}
+	w.depth++
+	w.advance(time.Duration(w.random.IntN(400)) * time.Millisecond)
+	for range w.random.IntN(4) {
+		w.acquire(w.nodes[w.random.IntN(len(w.nodes))], 1+w.random.Int64N(20_000))
+	}
+	w.depth--
+}
+
+func (n *node) Addresses() []string { return nil }
+
+func (n *node) Debit(ctx context.Context, address string, req *wire.DebitRequest) (reply *wire.DebitReply, err error) {
+	err = n.call(address, func(peer *node) {
+		reply, _ = peer.local.Debit(ctx, req)
+		for _, d := range reply.Draws {
+			n.debits[req.RequestId] = append(n.debits[req.RequestId], n.world.admission(d.Tokens))
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (n *node) Credit(ctx context.Context, address string, req *wire.CreditRequest) (reply *wire.CreditReply, err error) {
+	err = n.call(address, func(peer *node) { reply, _ = peer.local.Credit(ctx, req) })
+	return reply, err
+}
+
+func (n *node) Levels(ctx context.Context, address string, req *wire.LevelsRequest) (reply *wire.LevelsReply, err error) {
+	err = n.call(address, func(peer *node) { reply, _ = peer.local.Levels(ctx, req) })
+	return reply, err
+}
+
+// reachableKV is the key-value service as seen from a node.
+type reachableKV struct {
+	platform.KV
+	node *node
+}
+
+func (k reachableKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if k.node.cutKV {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return k.KV.Get(ctx, key)
+}
+
+func (k reachableKV) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	if k.node.cutKV {
+		return 0, platform.ErrUnavailable
+	}
+	return k.KV.CompareAndSwap(ctx, key, value, expected, lease)
+}
