Split each bucket over the shards of one class

Cause: with every bucket on all shards, owners are few or each one evens out with all others. Eight owners for 1,500 routers would serve 12,500 debits a second each at the peak.

Ruled out: owners picked for each workspace by hash, since any two owners would then share some workspace and even out with each other.

Change: eight classes of eight shards; a workspace's bucket lies on one class. Up to 64 routers own shards; each evens out with the seven others of its shard's class. A router claims and releases so that its classes stay balanced.

Conclusion: debits at each owner fall by eight at the target size, and small sites see no difference.

--- a/internal/limit/acquire.go
+++ b/internal/limit/acquire.go
@@ -58,10 +58,11 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeCostAboveBurst,
 			"the request needs %d tokens, above the burst of %d", cost, w.Burst)
 	}
-	if !st.owned {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeStoreUnavailable, "no router owns a shard of the buckets")
+	b := st.buckets[workspace]
+	if st.owned&b.home == 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeStoreUnavailable, "no router owns a shard of the bucket")
 	}
-	return st.buckets[workspace], nil
+	return b, nil
 }
 
 // attempt draws one request's tokens from this router and its peers.
@@ -101,7 +102,7 @@
 // which another round may succeed.
 func (a *attempt) round(ctx context.Context, round int) time.Duration {
 	now := a.local.now(a.snapshot)
-	a.answered = a.answered || now.spendable && a.state.held != 0
+	a.answered = a.answered || now.spendable && a.state.held&a.bucket.home != 0
 	reach := a.bucket.survey(now)
 	if reach.total < a.cost {
 		return timeFor(a.cost-reach.total, reach.rate)
@@ -172,7 +173,7 @@
 func (a *attempt) grant() Grant {
 	draws := a.draws
 	if a.own.tokens > 0 {
-		draws = append(draws, a.local.draw(a.state, a.own))
+		draws = append(draws, a.local.draw(a.state, a.bucket, a.own))
 	}
 	return &grant{local: a.local, bucket: a.bucket, mark: a.own.mark, cost: a.cost, draws: draws, borrowed: a.draws}
 }
@@ -186,22 +187,23 @@
 }
 
 func (a *attempt) refusal(delay time.Duration) error {
-	if !a.answered && len(a.state.owners) > 0 && a.local.silent(a.state) {
-		return verdict.New(verdict.NotRun, verdict.CodeStoreUnavailable, "no owner of the buckets' shards answers")
+	if !a.answered && a.local.silent(a.bucket) {
+		return verdict.New(verdict.NotRun, verdict.CodeStoreUnavailable, "no owner of the bucket's shards answers")
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeRateLimited,
 		"workspace %q is over its rate", a.bucket.workspace).WithRetryAfter(delay)
 }
 
-// silent says whether all owners failed lately.
-func (l *Local) silent(st *state) bool {
+// silent says whether the bucket has other owners and all failed lately.
+func (l *Local) silent(b *bucket) bool {
+	orders := b.survey(l.guard.now()).orders
 	now := time.Now()
-	for _, o := range st.owners {
+	for _, o := range orders {
 		if !l.health.isFailing(o.address, now) {
 			return false
 		}
 	}
-	return true
+	return len(orders) > 0
 }
 
 // order puts peers that failed lately last.
--- a/internal/limit/bench_test.go
+++ b/internal/limit/bench_test.go
@@ -53,7 +53,7 @@
 }
 
 func BenchmarkAcquireOwnTokens(b *testing.B) {
-	for _, owners := range []int{1, 3, 8} {
+	for _, owners := range []int{1, 3, 64} {
 		b.Run(fmt.Sprint("owners ", owners), func(b *testing.B) {
 			workspaces := ample(manyWorkspaces)
 			l := New(Options{
@@ -156,7 +156,7 @@
 
 // BenchmarkState reports the memory that a router needs for each workspace.
 func BenchmarkState(b *testing.B) {
-	for _, owners := range []int{1, 3, 8} {
+	for _, owners := range []int{1, 3, 64} {
 		b.Run(fmt.Sprint("owners ", owners), func(b *testing.B) {
 			cell := control.NewCell(snapshotOf(tableOf(1, fleet(owners)...), ample(manyWorkspaces)...))
 			var kept []*Local
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -9,6 +9,7 @@
 // bucket holds the tokens of one workspace in all shards that this router owns.
 type bucket struct {
 	workspace string
+	home      shards
 
 	mu        sync.Mutex
 	whole     share // of the workspace, over all shards
--- a/internal/limit/even.go
+++ b/internal/limit/even.go
@@ -73,7 +73,7 @@
 func (b *bucket) plan(now moment, wants [][]want) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.peers) != len(wants) {
+	if n := len(b.peers); n > 0 && b.peers[n-1].index >= len(wants) {
 		return // the table has just changed
 	}
 	indebted := b.level < 0
@@ -90,7 +90,7 @@
 		p := &b.peers[i]
 		if surplus := p.estimate(now.elapsed) - b.common(now, p.own.burst); surplus > 0 {
 			w := want{bucket: b, tokens: min(surplus, missing), level: b.level, cap: b.own.burst, mark: mark}
-			wants[i] = append(wants[i], w)
+			wants[p.index] = append(wants[p.index], w)
 		}
 	}
 }
--- a/internal/limit/fakes_test.go
+++ b/internal/limit/fakes_test.go
@@ -43,11 +43,11 @@
 	return n[address].Levels(ctx, req)
 }
 
-// tableOf gives the shards to the owners in turn.
+// tableOf gives each owner a range of shards.
 func tableOf(epoch uint64, owners ...string) *shard.Table {
 	t := &shard.Table{Epoch: epoch}
 	for i := range t.Owners {
-		t.Owners[i] = shard.Owner{Address: owners[i%len(owners)], SinceEpoch: epoch}
+		t.Owners[i] = shard.Owner{Address: owners[i*len(owners)/shard.Count], SinceEpoch: epoch}
 	}
 	return t
 }
--- a/internal/limit/grant.go
+++ b/internal/limit/grant.go
@@ -23,17 +23,17 @@
 func (l *Local) grantOwn(st *state, b *bucket, own part) *grant {
 	g := &grant{local: l, bucket: b, mark: own.mark, cost: own.tokens}
 	if own.tokens > 0 {
-		g.single[0] = l.draw(st, own)
+		g.single[0] = l.draw(st, b, own)
 		g.draws = g.single[:]
 	}
 	return g
 }
 
-// draw describes tokens of this router's bucket. The lowest shard stands for
+// draw describes tokens of this router's bucket. Its lowest shard stands for
 // all: shards are given up from the highest on, and revoked all at once.
-func (l *Local) draw(st *state, own part) *wire.Draw {
+func (l *Local) draw(st *state, b *bucket, own part) *wire.Draw {
 	return &wire.Draw{
-		Shard:       st.held.lowest(),
+		Shard:       (st.held & b.home).lowest(),
 		Epoch:       st.epoch,
 		Owner:       l.self,
 		Tokens:      own.tokens,
--- a/internal/limit/local.go
+++ b/internal/limit/local.go
@@ -48,7 +48,7 @@
 	table   *shard.Table
 	epoch   uint64
 	held    shards
-	owned   bool // some shard has an owner
+	owned   shards // those that have an owner
 	owners  []owner
 	buckets map[string]*bucket
 }
@@ -112,14 +112,14 @@
 
 func (l *Local) subtract(st *state, given shards) map[string]int64 {
 	levels := make(map[string]int64, len(st.buckets))
-	if given == 0 {
-		return levels
-	}
 	now := l.guard.now().refill
 	for name, b := range st.buckets {
 		b.mu.Lock()
 		b.touch(now)
-		tokens := max(0, b.level*given.count()/st.held.count())
+		tokens := int64(0)
+		if held := (st.held & b.home).count(); held > 0 {
+			tokens = max(0, b.level*(given&b.home).count()/held)
+		}
 		b.level -= tokens
 		b.mu.Unlock()
 		if tokens > 0 {
@@ -202,7 +202,9 @@
 	seen := map[string]struct{}{"": {}, l.self: {}}
 	for i := range st.table.Owners {
 		address := st.table.Owners[i].Address
-		st.owned = st.owned || address != ""
+		if address != "" {
+			st.owned |= 1 << i
+		}
 		if _, ok := seen[address]; ok {
 			continue
 		}
@@ -233,14 +235,14 @@
 // fit resizes a workspace's bucket, or makes an empty one.
 func (l *Local) fit(b *bucket, st *state, w *config.Workspace, now moment, gained int64) *bucket {
 	if b == nil {
-		b = &bucket{workspace: w.Name, refilled: now.refill, wanted: now.elapsed - activeTime - 1}
+		b = &bucket{workspace: w.Name, home: homeOf(w.Name), refilled: now.refill, wanted: now.elapsed - activeTime - 1}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	whole := share{burst: w.Burst, rate: w.Rate}
-	b.resize(now.refill, whole, st.held.of(whole))
+	b.resize(now.refill, whole, st.held.of(b.home, whole))
 	b.level = max(b.level, min(b.level+gained, b.own.burst))
-	b.peers = peerLevels(b.peers, st.owners, whole)
+	b.peers = b.peerLevels(st.owners)
 	return b
 }
 
--- a/internal/limit/peers.go
+++ b/internal/limit/peers.go
@@ -19,6 +19,7 @@
 // peerLevel is what is known of another owner's part of a bucket.
 type peerLevel struct {
 	address string
+	index   int // in the state's owners
 	own     share
 	level   int64
 	known   bool
@@ -35,16 +36,21 @@
 	return min(p.own.burst, p.level+int64(refill))
 }
 
-// peerLevels carries over what is known of peers that are still owners.
-func peerLevels(old []peerLevel, owners []owner, whole share) []peerLevel {
-	levels := make([]peerLevel, len(owners))
+// peerLevels returns the owners of the workspace's other shards, with what is
+// known of those that were owners before.
+func (b *bucket) peerLevels(owners []owner) []peerLevel {
+	var levels []peerLevel
 	for i, o := range owners {
-		levels[i] = peerLevel{address: o.address, own: o.held.of(whole)}
-		for j := range old {
-			if old[j].address == o.address {
-				levels[i].level, levels[i].known, levels[i].learned = old[j].level, old[j].known, old[j].learned
+		if o.held&b.home == 0 {
+			continue
+		}
+		level := peerLevel{address: o.address, index: i, own: o.held.of(b.home, b.whole)}
+		for _, old := range b.peers {
+			if old.address == o.address {
+				level.level, level.known, level.learned = old.level, old.known, old.learned
 			}
 		}
+		levels = append(levels, level)
 	}
 	return levels
 }
--- a/internal/limit/server.go
+++ b/internal/limit/server.go
@@ -20,7 +20,7 @@
 	taken, level := b.takeUpTo(now.refill, req.Tokens)
 	reply.Level = level
 	if taken.tokens > 0 {
-		reply.Draws = []*wire.Draw{l.draw(st, taken)}
+		reply.Draws = []*wire.Draw{l.draw(st, b, taken)}
 	}
 	return reply, nil
 }
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -39,15 +39,31 @@
 // lowest returns the first shard of a set that is not empty.
 func (s shards) lowest() uint32 { return uint32(bits.TrailingZeros64(uint64(s))) }
 
-// of returns the set's share of whole. The shares of all shards add up to whole.
-func (s shards) of(whole share) share {
-	return share{burst: s.part(whole.burst), rate: s.part(whole.rate)}
+// homeOf returns the shards that a workspace's bucket is split over.
+func homeOf(workspace string) shards {
+	var home shards
+	for i := shard.ClassOf(workspace); i < shard.Count; i += shard.Classes {
+		home |= 1 << i
+	}
+	return home
+}
+
+// of returns the set's share of whole, which is split over the shards of home.
+// The shares of all shards of home add up to whole.
+func (s shards) of(home shards, whole share) share {
+	return share{burst: s.part(home, whole.burst), rate: s.part(home, whole.rate)}
 }
 
-// part splits total over all shards; the first ones get one more each for the
+// part splits total over home; the first shards get one more each for the
 // remainder.
-func (s shards) part(total int64) int64 {
-	remainder := total % shard.Count
-	extra := s & (1<<remainder - 1)
-	return s.count()*(total/shard.Count) + extra.count()
+func (s shards) part(home shards, total int64) int64 {
+	held := (s & home).count()
+	remainder := total % shard.PerClass
+	var extra shards
+	for rest := home; remainder > 0; remainder-- {
+		lowest := rest & -rest
+		extra |= lowest
+		rest &^= lowest
+	}
+	return held*(total/shard.PerClass) + (s & extra).count()
 }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxOwners is the number of routers that own shards.
-	maxOwners = 8
+	maxOwners = Count
 	// levelCarriers is the number of freed shards that the levels are split over.
 	levelCarriers = 4
 )
@@ -86,7 +86,7 @@
 		return p
 	}
 	free := m.claimable()
-	p.claim = free[:min(len(free), target-len(held))]
+	p.claim = pick(free, held, min(len(free), target-len(held)))
 	return p
 }
 
@@ -102,13 +102,47 @@
 	return m.levels
 }
 
-// excess returns the highest shards above target, highest first.
+// excess returns the shards above target, from the classes with the most
+// shards, and of these the highest: the lowest one stands for a router's draws.
 func excess(held []int, target int) []int {
-	released := slices.Clone(held[target:])
-	slices.Reverse(released)
+	kept := slices.Clone(held)
+	var released []int
+	for len(kept) > target {
+		counts := classCounts(kept)
+		last := slices.MaxFunc(kept, func(a, b int) int {
+			return cmp.Or(cmp.Compare(counts[a%Classes], counts[b%Classes]), cmp.Compare(a, b))
+		})
+		kept = slices.DeleteFunc(kept, func(i int) bool { return i == last })
+		released = append(released, last)
+	}
 	return released
 }
 
+// pick returns n free shards, from the classes of which the router has least.
+func pick(free, held []int, n int) []int {
+	free = slices.Clone(free)
+	counts := classCounts(held)
+	var picked []int
+	for range n {
+		next := slices.MinFunc(free, func(a, b int) int {
+			return cmp.Or(cmp.Compare(counts[a%Classes], counts[b%Classes]), cmp.Compare(a, b))
+		})
+		free = slices.DeleteFunc(free, func(i int) bool { return i == next })
+		counts[next%Classes]++
+		picked = append(picked, next)
+	}
+	return picked
+}
+
+// classCounts returns how many of the shards are of each class.
+func classCounts(list []int) [Classes]int {
+	var counts [Classes]int
+	for _, i := range list {
+		counts[i%Classes]++
+	}
+	return counts
+}
+
 // observe notes since when owners are not listed and shards are revoked.
 func (m *Manager) observe(view *membership.View, viewRead time.Time) {
 	now := time.Now()
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -1,10 +1,23 @@
 // Package shard holds the table that says which router owns each shard of the
-// workspaces' token buckets. Every workspace's bucket is split over the same
-// Count shards.
+// workspaces' token buckets. A workspace's bucket is split over the shards of
+// one class, so that it lies on few routers however many there are.
 package shard
 
-// Count is the number of shards of each bucket.
-const Count = 64
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// Count is the number of shards.
+	Count = 64
+	// Classes is the number of classes. Shard i is of class i modulo Classes.
+	Classes = 8
+	// PerClass is the number of shards that a bucket is split over.
+	PerClass = Count / Classes
+)
+
+// ClassOf returns the class of a workspace's shards.
+func ClassOf(workspace string) int {
+	return int(xxhash.Sum64String(workspace) % Classes)
+}
 
 // Table is one epoch of the shard table. It is immutable.
 type Table struct {
