Let a workspace save up half a second of idle time

Cause: a workspace inside its rate that had no request waiting started at the counter of the one that flooded, so that its own clumps of requests then took turns with the flood.

The change: an idle workspace starts where the lane was half a second to one second earlier.

A request whose slot comes at its deadline is refused, and a stop that is too short for the queue hands back what waits: tests for both, each seen to fail without its mechanism.

--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -299,6 +299,31 @@
 	}
 }
 
+// TestStopTooShortForTheQueue hands back what waits and reports what still runs.
+func TestStopTooShortForTheQueue(t *testing.T) {
+	g := &gated{step: make(chan struct{})}
+	settings := engineSettings()
+	settings.MaxConcurrent = 1
+	s := New(Options{Settings: settings, Source: control.NewCell(snapshot(1)), Executor: g})
+	address := serve(t, s)
+	running := execute(t, context.Background(), dial(t, address), generation("running"))
+	receive(t, running, 1)
+	waiting := execute(t, context.Background(), dial(t, address), generation("waiting"))
+	for s.QueueStatus().Urgent == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	if err := s.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drain with a running request: %v", err)
+	}
+	if code, v := failureOf(t, receive(t, waiting, 0)); code != verdict.CodeDraining || v != verdict.NotRun {
+		t.Errorf("%s, %s", code, v)
+	}
+	close(g.step)
+	receive(t, running, 0)
+}
+
 // ordered is an engine that ignores fencing numbers.
 type ordered struct {
 	engine.Engine
--- a/internal/sidecar/queue/lane.go
+++ b/internal/sidecar/queue/lane.go
@@ -6,6 +6,10 @@
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
+// idleCredit is the service time that a workspace may save up while it is idle:
+// requests that it sends inside its rate come in clumps.
+const idleCredit = 500 * time.Millisecond
+
 // lanes are indexed by class.
 const (
 	laneUrgent = iota
@@ -73,6 +77,7 @@
 	flows   map[string]*flow
 	backlog []*flow // flows with waiting requests, in no order
 	floor   float64 // counter of the flow served last; only grows
+	marks   marks   // of floor
 	waiting int
 	running int
 	// indebted says that idle flows are kept for the tokens that they were served
@@ -81,22 +86,40 @@
 	service  average // time that a request occupies a slot
 }
 
-// flow returns the workspace's flow. A flow that was idle starts at the counter
-// of those that are served now, so that idle time can't be saved up.
+// marks remembers floor as it was one to two times idleCredit ago.
+type marks struct {
+	at     time.Time
+	newer  float64
+	former float64
+}
+
+func (m *marks) update(now time.Time, floor float64) {
+	if now.Sub(m.at) < idleCredit {
+		return
+	}
+	m.former = m.newer
+	m.newer = floor
+	m.at = now
+}
+
+// flow returns the workspace's flow.
 func (l *lane) flow(workspace string, weight int64) *flow {
 	f, ok := l.flows[workspace]
 	if !ok {
-		f = &flow{workspace: workspace, counter: l.floor}
+		f = &flow{workspace: workspace}
 		l.flows[workspace] = f
 	}
 	f.weight = float64(max(weight, 1))
 	return f
 }
 
+// push adds a request. A flow that was idle starts a little below the counter of
+// those that are served now, so that little idle time can be saved up.
 func (l *lane) push(w *waiter) {
 	f := w.flow
 	if len(f.waiting) == 0 {
-		f.counter = max(f.counter, l.floor)
+		l.marks.update(w.enqueued, l.floor)
+		f.counter = max(f.counter, l.marks.former)
 		l.backlog = append(l.backlog, f)
 	}
 	f.waiting = append(f.waiting, w)
@@ -119,8 +142,9 @@
 }
 
 // take removes the first request of a flow.
-func (l *lane) take(f *flow) *waiter {
+func (l *lane) take(f *flow, now time.Time) *waiter {
 	w := f.pop()
+	l.marks.update(now, l.floor)
 	l.floor = max(l.floor, f.counter)
 	l.taken(f)
 	return w
@@ -160,7 +184,7 @@
 	switch {
 	case l.waiting == 0 && l.indebted:
 		l.forgetIdle()
-	case l.waiting == 0 || f.counter <= l.floor:
+	case l.waiting == 0 || f.counter <= l.marks.former:
 		delete(l.flows, f.workspace)
 	default:
 		l.indebted = true
--- a/internal/sidecar/queue/queue.go
+++ b/internal/sidecar/queue/queue.go
@@ -162,7 +162,7 @@
 		if f == nil {
 			return
 		}
-		w := l.take(f)
+		w := l.take(f, now)
 		f.running++
 		f.charge(w.prompt)
 		l.running++
--- a/internal/sidecar/queue/queue_test.go
+++ b/internal/sidecar/queue/queue_test.go
@@ -176,6 +176,7 @@
 	}{
 		{"expected wait, at arrival", 50, append(repeat(20, 0, patient), hurried), verdict.CodeOverloaded, 0, 20},
 		{"nothing measured, at the deadline", 50, append(repeat(20, 0, patient), early), verdict.CodeOverloaded, 300 * time.Millisecond, 20},
+		{"a slot that comes at the deadline", 50, []arrival{patient, {workspace: "a", at: time.Millisecond, patience: 999 * time.Millisecond}}, verdict.CodeOverloaded, time.Second, 1},
 		{"a neighbour's flood does not count in full", 50, append(repeat(30, 0, patient), arrival{workspace: "b", at: 5500 * time.Millisecond, patience: 3 * time.Second}), "", 0, 31},
 		{"queue full of one's own", 5, append(repeat(6, 0, patient), arrival{workspace: "a", at: time.Millisecond, patience: time.Hour}), verdict.CodeOverloaded, 0, 6},
 		{"a neighbour's flood makes room", 5, append(repeat(6, 0, patient), arrival{workspace: "b", at: time.Millisecond, patience: time.Hour}), "", 0, 6},
@@ -216,10 +217,12 @@
 // neighbour sends five times its own: its p99 may be 1.5 times as long.
 func TestNeighbourBurst(t *testing.T) {
 	const perSecond = 6 // requests of each of five workspaces; four slots carry 40
-	latency := func(t *testing.T, burst int) time.Duration {
-		rng := rand.New(rand.NewPCG(7, 7))
+	latency := func(t *testing.T, seed uint64, burst int) time.Duration {
+		rng := rand.New(rand.NewPCG(seed, 7))
 		var arrivals []arrival
+		rates := make(map[string]int64)
 		for w := range 5 {
+			rates[fmt.Sprint("w", w)] = perSecond * 100
 			rate := float64(perSecond)
 			if w == 0 {
 				rate *= float64(burst)
@@ -230,7 +233,7 @@
 			}
 		}
 		var took []time.Duration
-		for _, r := range simulate(t.Context(), newQueue(4), nil, arrivals) {
+		for _, r := range simulate(t.Context(), newQueue(4), rates, arrivals) {
 			if r.workspace == "w0" {
 				continue
 			}
@@ -242,14 +245,15 @@
 		slices.SortFunc(took, cmp.Compare[time.Duration])
 		return took[len(took)*99/100]
 	}
-	synctest.Test(t, func(t *testing.T) {
-		calm, burst := latency(t, 1), latency(t, 5)
-		t.Logf("p99 of the others: calm %v, burst %v", calm, burst)
-		if burst > calm*3/2 {
-			t.Errorf("p99 %v in calm, %v during a neighbour's burst", calm, burst)
-		}
-		time.Sleep(time.Minute)
-	})
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			calm, burst := latency(t, seed, 1), latency(t, seed, 5)
+			if burst > calm*3/2 {
+				t.Errorf("seed %d: p99 %v in calm, %v during a neighbour's burst", seed, calm, burst)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
 }
 
 func TestUrgentFindsAReservedSlot(t *testing.T) {
