Carry the load on replies of plain services too

Cause: only heads, tails and failures carried a load report. A router heard of a plain service's load from refusals alone, so that one refusal under load made the server look busy until the next one, and its leaving was told late.

An engine's report older than ten seconds no longer claims weights.

--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -90,6 +90,8 @@
 		return frame.GetHead().GetLoad()
 	case frame.GetTail() != nil:
 		return frame.GetTail().GetLoad()
+	case frame.GetReply() != nil:
+		return frame.GetReply().GetLoad()
 	case frame.GetFailure() != nil:
 		return frame.GetFailure().GetLoad()
 	default:
--- a/internal/sidecar/enginestate.go
+++ b/internal/sidecar/enginestate.go
@@ -37,18 +37,26 @@
 	s.refreshIfOld()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fetched.IsZero() || time.Since(s.fetched) > stateExpiry {
+	if s.expiredLocked() {
 		return nil
 	}
 	return s.weights
 }
 
+// expiredLocked says whether the last report no longer counts.
+func (s *engineState) expiredLocked() bool {
+	return s.fetched.IsZero() || time.Since(s.fetched) > stateExpiry
+}
+
 // fill adds the engine's report to a load report.
 func (s *engineState) fill(load *wire.Load) {
 	s.refreshIfOld()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load.Incarnation = s.state.Incarnation
+	if s.expiredLocked() {
+		return
+	}
 	load.PrefillRate = s.state.PrefillRate
 	load.DecodeStepUs = s.state.DecodeStep.Microseconds()
 	load.Loaded = s.weights
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -141,6 +141,9 @@
 	if outcome.Tail != nil {
 		outcome.Tail.Load = s.loadAfter(outcome.Tail.Load)
 	}
+	if outcome.Reply != nil {
+		outcome.Reply.Load = s.Load()
+	}
 	if outcome.Failure != nil {
 		outcome.Failure.Load = s.Load()
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -46,6 +46,9 @@
 		if string(reply.GetBody()) != "printed" || reply.GetReplayed() != (i == 1) {
 			t.Errorf("%s: %v", id, reply)
 		}
+		if reply.GetLoad().GetMaxRunning() == 0 {
+			t.Errorf("%s: the reply carries no load", id)
+		}
 	}
 	if calls := printer.calls.Load(); calls != 1 {
 		t.Errorf("%d calls", calls)
