Check the histories of racing calls, and measure a frame's cost

The racing duplicates' answers are checked with porcupine: a replay only after the run, at most one run, nothing but refusals otherwise. This replaces the comparison of the answers' bodies, which it contains.

The bound on finished frames counted too little for it: 384 bytes a frame besides its text now, instead of 256.

--- /dev/null
+++ b/internal/sidecar/buffer/bench_test.go
@@ -0,0 +1,25 @@
+package buffer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// BenchmarkStream measures one frame of a stream of 200 that is written, read
+// and kept.
+func BenchmarkStream(b *testing.B) {
+	const frames = 200
+	table := newTable()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		opened := table.Open(&wire.ExecuteRequest{RequestId: fmt.Sprint("r", n), Attempt: 1})
+		fill(opened.Buffer, frames-2)
+		if err := opened.Buffer.Read(b.Context(), 0, func(*wire.Frame) error { return nil }); err != nil {
+			b.Fatal(err)
+		}
+		opened.Buffer.Release()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/frames, "ns/frame")
+}
--- a/internal/sidecar/buffer/buffer.go
+++ b/internal/sidecar/buffer/buffer.go
@@ -12,7 +12,7 @@
 )
 
 // frameOverhead is what a frame takes in memory besides its bytes.
-const frameOverhead = 256
+const frameOverhead = 384
 
 // Key names an attempt of a request.
 type Key struct {
--- a/internal/sidecar/once/once_test.go
+++ b/internal/sidecar/once/once_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
@@ -184,6 +187,23 @@
 	}
 }
 
+// callModel is a call that runs at most once, as its callers see it: the state
+// says whether it has run, and an output is what outcomeOf describes.
+var callModel = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, _, output any) (bool, any) {
+		switch output {
+		case "badge 1":
+			return state == false, true
+		case "replayed badge 1":
+			return state == true, true
+		default:
+			refused := strings.HasSuffix(output.(string), "-run")
+			return refused, state
+		}
+	},
+}
+
 // TestRacingDuplicates sends the same call through two sidecars at once while
 // the service loses answers and shows stale reads.
 func TestRacingDuplicates(t *testing.T) {
@@ -196,14 +216,14 @@
 			}}
 			store.SetFaults(kv.Faults{Delay: 5 * time.Millisecond, LoseAnswers: 0.4, StaleReads: 0.3})
 			sidecars := []*Once{New(Options{KV: store, Environment: "test"}), New(Options{KV: store, Environment: "test"})}
+			history := make([]porcupine.Operation, attempts)
 			var callers sync.WaitGroup
 			for i := range attempts {
 				callers.Go(func() {
 					time.Sleep(time.Duration(i) * 10 * time.Millisecond)
-					outcome, err := sidecars[i%2].Handle(t.Context(), badge(fmt.Sprint("r", i), "ann"), s)
-					if err == nil && string(outcome.Reply.Body) != "badge 1" {
-						t.Errorf("seed %d: answer %q", seed, outcome.Reply.Body)
-					}
+					sent := time.Now().UnixNano()
+					output := outcomeOf(sidecars[i%2].Handle(t.Context(), badge(fmt.Sprint("r", i), "ann"), s))
+					history[i] = porcupine.Operation{ClientId: i, Call: sent, Output: output, Return: time.Now().UnixNano()}
 				})
 			}
 			callers.Wait()
@@ -212,8 +232,8 @@
 					t.Error(err)
 				}
 			}
-			if s.calls > 1 {
-				t.Errorf("seed %d: executed %d times", seed, s.calls)
+			if s.calls > 1 || !porcupine.CheckOperations(callModel, history) {
+				t.Errorf("seed %d: executed %d times, answers %v", seed, s.calls, history)
 			}
 		})
 	}
