Use mutual TLS between daemons and TLS towards callers

Cause: the daemon listened and dialed in plain text whatever [tls] said. Change: the rpc listener, the dialer and the HTTP listener use the configured files, which are read again when they change. The dialer takes a function, since a fixed tls.Config would keep the first authority.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/shard"
+	"github.com/wasabigate/wasabigate/internal/tlsconf"
 	"github.com/wasabigate/wasabigate/internal/version"
 )
 
@@ -37,6 +38,7 @@
 	settings *config.Settings
 	kv       platform.KV
 	dialer   *rpc.Dialer
+	secure   *tlsconf.Files
 	metrics  http.Handler
 	loop     *control.Loop
 	mux      *drpcmux.Mux
@@ -66,10 +68,15 @@
 	if err != nil {
 		return err
 	}
+	secure, err := tlsconf.Load(settings.TLS)
+	if err != nil {
+		return err
+	}
 	b := &base{
 		settings: settings,
+		secure:   secure,
 		kv:       client.NewKV(settings.Platform.KeyValue, settings.Platform.Timeout),
-		dialer:   rpc.NewDialer(nil),
+		dialer:   rpc.NewDialerFunc(secure.DialContext),
 		metrics:  metricsHandler,
 		mux:      drpcmux.New(),
 	}
@@ -137,14 +144,14 @@
 	if err != nil {
 		return errors.Wrap(err, "HTTP listener")
 	}
-	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: readHeaderTimeout, TLSConfig: b.secure.Callers()}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { b.loop.Run(background); return nil })
 	group.Go(func() error { return p.run(background) })
-	group.Go(func() error { return rpc.Serve(background, rpcListener, b.mux, nil, logRPCError) })
-	group.Go(func() error { return ignoreClosed(server.Serve(httpListener)) })
+	group.Go(func() error { return rpc.Serve(background, rpcListener, b.mux, b.secure.Server(), logRPCError) })
+	group.Go(func() error { return ignoreClosed(serveHTTP(server, httpListener)) })
 	logger.Info(logging.Fields{"role": string(b.settings.Daemon.Role), "rpc": b.settings.Daemon.RPCAddress, "http": p.httpAddress()}, "daemon started")
 	select {
 	case <-ctx.Done():
@@ -171,6 +178,14 @@
 	logger.Info(nil, "drained")
 }
 
+// serveHTTP serves TLS if the server has a configuration for it.
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig == nil {
+		return server.Serve(listener)
+	}
+	return server.ServeTLS(listener, "", "")
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -39,20 +39,33 @@
 // Conn is a connection to a daemon. Dialing happens at the first call.
 type Conn = drpc.Conn
 
+// DialFunc opens a connection. It returns after the TLS handshake if there is
+// one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dialer gives out connections to other daemons.
 type Dialer struct {
-	pool   *drpcpool.Pool[string, drpcpool.Conn]
-	secure *tls.Config // nil: plain text
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+	open DialFunc
 }
 
 // NewDialer returns a Dialer. secure is nil for plain text.
 func NewDialer(secure *tls.Config) *Dialer {
+	if secure == nil {
+		return NewDialerFunc((&net.Dialer{}).DialContext)
+	}
+	return NewDialerFunc((&tls.Dialer{Config: secure}).DialContext)
+}
+
+// NewDialerFunc returns a Dialer that opens its connections with the given
+// function.
+func NewDialerFunc(open DialFunc) *Dialer {
 	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleConnExpiration,
 		Capacity:    idleConns,
 		KeyCapacity: idleConnsPerPeer,
 	})
-	return &Dialer{pool: pool, secure: secure}
+	return &Dialer{pool: pool, open: open}
 }
 
 // Conn returns a pooled connection to address. An error of a call on it that
@@ -70,20 +83,13 @@
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := d.dialTransport(ctx, address)
+	raw, err := d.open(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(ErrDial, "%s: %v", address, err)
 	}
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
-func (d *Dialer) dialTransport(ctx context.Context, address string) (net.Conn, error) {
-	if d.secure == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	}
-	return (&tls.Dialer{Config: d.secure}).DialContext(ctx, "tcp", address)
-}
-
 // Serve serves handler on listener until ctx ends. secure is nil for plain
 // text. onError may be nil.
 func Serve(ctx context.Context, listener net.Listener, handler drpc.Handler, secure *tls.Config, onError func(error)) error {
--- a/internal/systemtest/client_test.go
+++ b/internal/systemtest/client_test.go
@@ -40,7 +40,7 @@
 	if lastEventID != "" {
 		req.Header.Set("Last-Event-ID", lastEventID)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.caller.Do(req)
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +125,7 @@
 	if idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", idempotencyKey)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.caller.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "call")
 	}
--- a/internal/systemtest/keys_test.go
+++ b/internal/systemtest/keys_test.go
@@ -117,7 +117,7 @@
 		value = "Bearer " + s.key
 	}
 	req.Header.Set(header, value)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.caller.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -42,6 +42,11 @@
 	document string
 	// sidecar is added to the sidecars' settings.
 	sidecar string
+	// certificates is the directory of the daemons' certificates; empty: plain
+	// text.
+	certificates string
+	// weightStore is the base URL of the weight store; empty: none.
+	weightStore string
 }
 
 // system is a running system.
@@ -49,6 +54,7 @@
 	kv       *kv.Store
 	vms      *vmlist.List
 	store    *configstore.Store
+	caller   *http.Client
 	key      string // of workspace north
 	otherKey string // of workspace south
 	routers  []*router
@@ -109,6 +115,7 @@
 	s := &system{
 		kv:       kv.New(1),
 		vms:      vmlist.New(),
+		caller:   http.DefaultClient,
 		key:      config.NewKey("north-1"),
 		otherKey: config.NewKey("south-1"),
 	}
@@ -117,7 +124,13 @@
 	kvURL := serveHTTP(t, kv.Handler(s.kv))
 	vmsURL := serveHTTP(t, vmlist.Handler(s.vms))
 	settings := func(name, role, address string) string {
-		return fmt.Sprintf(daemonSettings, name, role, environment, address, kvURL, vmsURL, p.vmListLag+100*time.Millisecond)
+		return fmt.Sprintf(daemonSettings, name, role, environment, address, kvURL, vmsURL,
+			p.vmListLag+100*time.Millisecond, p.weightStore, tlsSection(p.certificates))
+	}
+	scheme := "http://"
+	if p.certificates != "" {
+		scheme = "https://"
+		s.caller = secureClient(t, p.certificates)
 	}
 	for i := range p.engines {
 		s.addEngine(t, p, i, settings)
@@ -126,7 +139,7 @@
 		s.addService(t, p, i, settings)
 	}
 	for i := range p.routers {
-		s.addRouter(t, i, settings)
+		s.addRouter(t, i, scheme, settings)
 	}
 	s.vms.SetLag(p.vmListLag)
 	for _, r := range s.routers {
@@ -147,8 +160,9 @@
 key_value = %s
 vm_list = %s
 vm_list_lag = %s
+weight_store = %s
 [tls]
-plaintext = yes
+%s
 [log]
 level = info
 `
@@ -256,12 +270,12 @@
 	return v
 }
 
-func (s *system) addRouter(t *testing.T, i int, settings settingsFor) {
+func (s *system) addRouter(t *testing.T, i int, scheme string, settings settingsFor) {
 	t.Helper()
 	address, httpAddress := freeAddress(t), freeAddress(t)
 	name := fmt.Sprintf("router-%d", i)
 	text := fmt.Sprintf(settings(name, "router", address), s.peersSetting()) + "[router]\nhttp_address = " + httpAddress + "\n"
-	r := &router{process: newProcess(t, name, text), url: "http://" + httpAddress}
+	r := &router{process: newProcess(t, name, text), url: scheme + httpAddress}
 	s.vms.Set(platform.VM{Name: name, Address: address, AvailabilityZone: "zone-1", Group: platform.GroupRouters, State: platform.VMLive})
 	s.routers = append(s.routers, r)
 }
@@ -295,7 +309,7 @@
 		return 0
 	}
 	req.Header.Set("Authorization", "Bearer "+s.key)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.caller.Do(req)
 	if err != nil {
 		return 0
 	}
