--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -26,6 +26,24 @@
 	return client.Digest(ctx, &wire.DigestRequest{MaxBlocks: maxBlocks})
 }
 
+// controllerServers reaches the sidecars of engines. It implements
+// controller.Servers.
+type controllerServers struct {
+	dialer *rpc.Dialer
+}
+
+func (c controllerServers) client(ctx context.Context, address string) wire.DRPCBackendClient {
+	return wire.NewDRPCBackendClient(c.dialer.Conn(ctx, address))
+}
+
+func (c controllerServers) GetLoad(ctx context.Context, address string) (*wire.Load, error) {
+	return c.client(ctx, address).GetLoad(ctx, &wire.LoadRequest{})
+}
+
+func (c controllerServers) Order(ctx context.Context, address string, req *wire.OrderRequest) (*wire.OrderReply, error) {
+	return c.client(ctx, address).Order(ctx, req)
+}
+
 func (p limitPeers) Addresses() []string {
 	view := p.source.Snapshot().View
 	addresses := make([]string, 0, len(view.Routers))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -11,11 +11,13 @@
 	"github.com/wasabigate/wasabigate/internal/auth"
 	"github.com/wasabigate/wasabigate/internal/classify"
 	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/controller"
 	"github.com/wasabigate/wasabigate/internal/dispatch"
 	"github.com/wasabigate/wasabigate/internal/httpapi"
 	"github.com/wasabigate/wasabigate/internal/inflight"
 	"github.com/wasabigate/wasabigate/internal/limit"
 	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/platform/client"
 	"github.com/wasabigate/wasabigate/internal/prefix"
 	"github.com/wasabigate/wasabigate/internal/relay"
 	"github.com/wasabigate/wasabigate/internal/request"
@@ -30,11 +32,12 @@
 
 // router is the part of a router.
 type router struct {
-	base      *base
-	inflight  *inflight.Registry
-	limiter   *limit.Local
-	refresher *route.Refresher
-	server    *httpapi.Server
+	base       *base
+	inflight   *inflight.Registry
+	limiter    *limit.Local
+	refresher  *route.Refresher
+	controller *controller.Controller
+	server     *httpapi.Server
 }
 
 func newLimiter(b *base, source control.Source) *limit.Local {
@@ -56,9 +59,24 @@
 	})
 }
 
+func newController(b *base) *controller.Controller {
+	options := controller.Options{
+		Self:        b.settings.Daemon.RPCAddress,
+		Environment: b.settings.Daemon.Environment,
+		KV:          b.kv,
+		Source:      b.loop,
+		Servers:     controllerServers{dialer: b.dialer},
+		Timeout:     b.settings.Platform.Timeout,
+	}
+	if url := b.settings.Platform.WeightStore; url != "" {
+		options.Weights = client.NewWeightStore(url, b.settings.Platform.Timeout)
+	}
+	return controller.New(options)
+}
+
 // newRouter builds the router's filter chain.
 func newRouter(b *base, limiter *limit.Local) (*router, error) {
-	r := &router{base: b, inflight: &inflight.Registry{}, limiter: limiter}
+	r := &router{base: b, inflight: &inflight.Registry{}, limiter: limiter, controller: newController(b)}
 	routing, err := route.New(b.settings, b.loop, route.NewTracker(), prefix.NewIndex(b.settings.Router.PrefixEntries))
 	if err != nil {
 		return nil, err
@@ -99,6 +117,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { r.limiter.Run(ctx) })
 	group.Go(func() { r.refresher.Run(ctx) })
+	group.Go(func() { r.controller.Run(ctx) })
 	group.Wait()
 	return nil
 }
@@ -114,6 +133,7 @@
 func (r *router) Describe(status *wire.StatusReply) {
 	snapshot := r.base.loop.Snapshot()
 	status.Inflight = uint32(r.inflight.Len())
+	status.Controller = r.controller.Holding()
 	if snapshot.Shards != nil {
 		status.Shards = uint32(len(snapshot.Shards.Held(r.base.settings.Daemon.RPCAddress)))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -163,9 +163,7 @@
 		"server":  s.req.Target.Name,
 		"error":   err.Error(),
 	}, "attempt failed, another follows")
-	if s.req.Target.Address != "" {
-		s.req.Failed = append(s.req.Failed, s.req.Target.Address)
-	}
+	s.req.NoteFailure(verdict.From(err).Code)
 	s.req.Snapshot = s.filter.source.Snapshot()
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -11,6 +11,7 @@
 	"github.com/wasabigate/wasabigate/internal/pipeline"
 	"github.com/wasabigate/wasabigate/internal/prefix"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
 // Request is a caller's request on its way through the chain. One goroutine
@@ -53,6 +54,10 @@
 	// Failed are the rpc addresses of backend servers that failed this request.
 	Failed []string
 
+	// Mismatched is the rpc address of the backend server that last refused the
+	// request because it does not hold the weights.
+	Mismatched string
+
 	// ResumeToken is set when the caller reconnects to a running stream.
 	ResumeToken string
 }
@@ -70,12 +75,24 @@
 	Stop           []string
 	Chat           bool
 	Streamed       bool
-	WeightsVersion string // set by classify; fixed for the whole stream
+	WeightsVersion string // the document's, set by classify; route may fall back to another until the stream has begun
 
 	// Blocks are the block hashes of the prompt under Seed's salt, set by route.
 	Blocks []uint64
 }
 
+// Begun says whether a part of the completion was sent to the caller, so that
+// the weights version is fixed.
+func (g *Generation) Begun() bool { return g.ResumeTokens > 0 || g.Resume != "" }
+
+// UseWeights sets the weights version. The blocks of another one don't count.
+func (g *Generation) UseWeights(version string) {
+	if g.WeightsVersion != version {
+		g.WeightsVersion = version
+		g.Blocks = g.Blocks[:0]
+	}
+}
+
 // CacheSeed returns what separates this request's cache entries from others.
 func (r *Request) CacheSeed() prefix.Seed {
 	return prefix.Seed{
@@ -86,6 +103,18 @@
 	}
 }
 
+// NoteFailure keeps the next attempt away from the target. A backend server that
+// lacks the weights may still serve the request with another version.
+func (r *Request) NoteFailure(code verdict.Code) {
+	if code == verdict.CodeWeightsMismatch && r.Generation != nil && !r.Generation.Begun() {
+		r.Mismatched = r.Target.Address
+		return
+	}
+	if r.Target.Address != "" {
+		r.Failed = append(r.Failed, r.Target.Address)
+	}
+}
+
 // HasFailed says whether the backend server at address failed this request.
 func (r *Request) HasFailed(address string) bool {
 	for _, failed := range r.Failed {
--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -52,7 +52,7 @@
 func (weightsFilter) name() string { return "weights" }
 
 func (weightsFilter) keep(d *decision, c *Candidate) bool {
-	return d.req.Generation == nil || c.load.holds(d.req.Generation)
+	return d.req.Generation == nil || c.load.holds(d.req, c.Server.Address)
 }
 
 // scorer returns a part of the expected time to the first token.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -41,6 +41,7 @@
 	tracker *Tracker
 	index   Index
 	spaces  sync.Pool // of *space
+	shares  shares
 
 	started time.Time
 	warm    chan struct{} // closed when the index knows what engines hold
@@ -104,8 +105,7 @@
 	}
 	s := f.spaces.Get().(*space)
 	defer f.spaces.Put(s)
-	f.prepare(s, req)
-	f.gather(s, servers, view.Ring(group))
+	f.gatherAny(s, req, servers, view.Ring(group))
 	d := &s.decision
 	if len(d.candidates) == 0 {
 		return request.Target{}, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of group %q can take the request", group).
@@ -126,6 +126,23 @@
 	return req.Route.Group
 }
 
+// gatherAny fills in the candidates for the best weights version that has any.
+func (f *Filter) gatherAny(s *space, req *request.Request, servers []membership.Server, ring *membership.Ring) {
+	if req.Generation == nil {
+		f.prepare(s, req)
+		f.gather(s, servers, ring)
+		return
+	}
+	for _, version := range f.versions(req, servers) {
+		req.Generation.UseWeights(version)
+		f.prepare(s, req)
+		f.gather(s, servers, ring)
+		if len(s.decision.candidates) > 0 {
+			return
+		}
+	}
+}
+
 // prepare computes the request's block hashes and looks up who holds them.
 func (f *Filter) prepare(s *space, req *request.Request) {
 	s.holders = s.holders[:0]
@@ -196,6 +213,10 @@
 	if load := loadOf(frame); load != nil {
 		f.learnLoad(target.Address, load)
 	}
+	if req.Generation != nil && frame.GetFailure().GetCode() == string(verdict.CodeWeightsMismatch) {
+		f.tracker.server(target.Address).lacks(weightsOf(req.Generation.Model, req.Generation.WeightsVersion))
+		f.forgetShares()
+	}
 	if frame.GetTail() != nil && req.Generation != nil {
 		f.index.Learn(req.Generation.Blocks, target.Address, f.tracker.server(target.Address).incarnation())
 	}
--- a/internal/route/setup.go
+++ b/internal/route/setup.go
@@ -22,6 +22,7 @@
 		started: time.Now(),
 		warm:    make(chan struct{}),
 	}
+	f.shares.counts = make(map[*config.Model]share)
 	f.spaces.New = func() any { return &space{} }
 	return f, nil
 }
--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
@@ -36,6 +36,7 @@
 	load       *wire.Load
 	receivedAt time.Time
 	given      int64
+	lacks      []platform.Weights // disproved by a refusal since the report
 }
 
 // NewTracker returns an empty Tracker.
@@ -152,17 +153,3 @@
 	}
 	return last.load.GetIncarnation()
 }
-
-// holds says whether the engine reported the weights, or nothing of its weights.
-func (s *serverLoad) holds(g *request.Generation) bool {
-	last := s.report.Load()
-	if last == nil || len(last.load.GetLoaded()) == 0 {
-		return true
-	}
-	for _, loaded := range last.load.GetLoaded() {
-		if loaded.GetModel() == g.Model.Base && loaded.GetAdapter() == g.Model.Adapter && loaded.GetVersion() == g.WeightsVersion {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/sidecar/enginestate.go
+++ b/internal/sidecar/enginestate.go
@@ -51,7 +51,16 @@
 	load.Incarnation = s.state.Incarnation
 	load.PrefillRate = s.state.PrefillRate
 	load.DecodeStepUs = s.state.DecodeStep.Microseconds()
-	load.Loaded = s.weights
+	if time.Since(s.fetched) <= stateExpiry {
+		load.Loaded = s.weights
+	}
+}
+
+// incarnation returns the engine's incarnation, 0 if not known.
+func (s *engineState) incarnation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Incarnation
 }
 
 // observe notes an incarnation seen in an answer. What was known of another one
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -15,19 +15,22 @@
 const (
 	OrderStaleFence  = 101 // the order's fencing number is old
 	OrderUnsupported = 102 // there is no engine that takes orders
-	OrderFailed      = 103 // the engine did not carry out the order
+	OrderFailed      = 103 // the engine refused the order; it has no effect
+	OrderUnknown     = 104 // the engine did not answer; the order may have an effect
+	OrderBusy        = 105 // streams use the weights to unload; the order has no effect
 )
 
 // orders passes orders to the engine, one at a time, and refuses those of an
 // earlier controller also if the engine ignores fencing numbers.
 type orders struct {
 	engine engine.Engine
+	usage  *weightsUsage
 	turn   chan struct{} // holds one token; guards fence
 	fence  uint64        // highest fencing number seen
 }
 
-func newOrders(e engine.Engine) *orders {
-	o := &orders{engine: e, turn: make(chan struct{}, 1)}
+func newOrders(e engine.Engine, usage *weightsUsage) *orders {
+	o := &orders{engine: e, usage: usage, turn: make(chan struct{}, 1)}
 	o.turn <- struct{}{}
 	return o
 }
@@ -77,9 +80,37 @@
 		return drpcerr.WithCode(err, OrderStaleFence)
 	}
 	o.fence = order.Fence
+	if order.Unload != nil {
+		return o.unload(ctx, order)
+	}
+	err := o.engine.Apply(ctx, order)
+	if err == nil && order.Load != nil {
+		o.usage.restore(*order.Load)
+	}
+	return coded(err)
+}
+
+// unload keeps new requests away from the weights, and gives the order when no
+// request uses them any more.
+func (o *orders) unload(ctx context.Context, order engine.Order) error {
+	if err := o.usage.retire(ctx, *order.Unload); err != nil {
+		return drpcerr.WithCode(err, OrderBusy)
+	}
 	err := o.engine.Apply(ctx, order)
-	if errors.Is(err, engine.ErrStaleFence) {
+	if err != nil {
+		o.usage.restore(*order.Unload)
+	}
+	return coded(err)
+}
+
+// coded adds the code that tells the controller what became of an order.
+func coded(err error) error {
+	switch {
+	case errors.Is(err, engine.ErrStaleFence):
 		return drpcerr.WithCode(err, OrderStaleFence)
+	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrUnreachable):
+		return drpcerr.WithCode(err, OrderFailed)
+	default:
+		return drpcerr.WithCode(err, OrderUnknown)
 	}
-	return drpcerr.WithCode(err, OrderFailed)
 }
--- a/internal/sidecar/setup.go
+++ b/internal/sidecar/setup.go
@@ -39,7 +39,8 @@
 func New(opts Options) *Sidecar {
 	s := &Sidecar{source: opts.Source, executor: opts.Executor, blocks: opts.Blocks, jobs: newGroup()}
 	s.engine = newEngineState(opts.Engine)
-	s.orders = newOrders(opts.Engine)
+	s.usage = newWeightsUsage(s.engine.incarnation)
+	s.orders = newOrders(opts.Engine, s.usage)
 	s.buffers = buffer.New(buffer.Options{Settings: opts.Settings, Revisions: s.revisions})
 	s.queue = queue.New(opts.Settings)
 	s.once = once.New(once.Options{KV: opts.KV, Environment: opts.Environment})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -31,6 +31,7 @@
 	buffers  *buffer.Table
 	engine   *engineState
 	orders   *orders
+	usage    *weightsUsage
 	jobs     *group
 	draining atomic.Bool
 }
@@ -69,6 +70,13 @@
 	if opened.Cancelled {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "cancelled before it arrived")
 	}
+	if generation := j.Request.Generation; generation != nil {
+		weights := weightsOf(&wire.Weights{Model: generation.Model, Adapter: generation.Adapter, Version: generation.WeightsVersion})
+		if !s.usage.enter(*weights) {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeWeightsMismatch, "weights %q of model %q are being unloaded", weights.Version, weights.Model)
+		}
+		defer s.usage.leave(*weights)
+	}
 	return s.chain.Handle(opened.Context, j)
 }
 
@@ -212,6 +220,7 @@
 func (s *Sidecar) Load() *wire.Load {
 	load := &wire.Load{MaxRunning: uint32(s.queue.Slots())}
 	s.engine.fill(load)
+	load.Loaded = s.usage.withoutRetired(load.Loaded)
 	s.queue.Load(load)
 	load.Draining = s.leaving()
 	return load
