--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -131,7 +131,7 @@
 
 // give gives the orders that are due.
 func (c *Controller) give(ctx context.Context, wanted desired) {
-	p := &planner{now: time.Now(), wanted: wanted, groups: c.groups()}
+	p := &planner{wanted: wanted, groups: c.groups()}
 	p.available = func(w weights) bool { return c.isAvailable(ctx, w) }
 	for _, l := range c.loads {
 		p.running = append(p.running, l.load)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,9 +1,6 @@
 package controller
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // maxLoads is the number of weight loads that may run at once in an environment.
 const maxLoads = 2
@@ -25,7 +22,6 @@
 
 // planner finds the orders that may be given now.
 type planner struct {
-	now       time.Time
 	wanted    desired
 	groups    map[string][]*server // by group, in the order of names
 	running   []load               // loads that may be running
@@ -83,7 +79,7 @@
 }
 
 func (p *planner) mayLoad(s *server, w weights) bool {
-	return s.ready(p.now) && !s.holds(w) && !p.isRunningAt(s, w) && p.available(w) &&
+	return s.ready() && !s.holds(w) && !p.isRunningAt(s, w) && p.available(w) &&
 		(!s.refused[w] || !s.holdsOther(w))
 }
 
@@ -99,7 +95,7 @@
 func (p *planner) planUnloads(servers []*server, wanted []weights, w weights) {
 	for _, s := range servers {
 		for _, old := range s.loaded {
-			if baseOf(old) != baseOf(w) || slices.Contains(wanted, old) || !s.ready(p.now) {
+			if baseOf(old) != baseOf(w) || slices.Contains(wanted, old) || !s.ready() {
 				continue
 			}
 			if p.isReplaced(servers, s, w) || p.needsRoom(servers, s, w) {
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -34,7 +34,7 @@
 	refused     map[weights]bool // weights that the engine would not hold beside others
 	giving      *order           // order that is on its way
 	calling     bool             // a call is on its way
-	due         time.Time        // of the next call
+	due         time.Time        // of the next report
 	failures    int
 }
 
@@ -46,9 +46,7 @@
 func (s *server) reporting() bool { return s.fenced && s.reported && !s.leaving }
 
 // ready says whether the server may be given an order.
-func (s *server) ready(now time.Time) bool {
-	return s.reporting() && s.giving == nil && !s.calling && s.failures == 0 && !now.Before(s.due)
-}
+func (s *server) ready() bool { return s.reporting() && s.giving == nil && !s.calling }
 
 // holds says whether the server holds w and is not about to lose it.
 func (s *server) holds(w weights) bool {
