Import kept pieces of KV cache beside the engine

Engines evict within seconds, and nothing used the store of kept KV cache: each missed prefix was computed again. The new filter at the end of the sidecar's chain imports the pieces that the engine lacks when that takes less than half of the time to compute them, and exports pieces that were used twice.

BlockSource of package sidecar now includes Depth, which the cache index had.

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -11,6 +11,8 @@
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/engine/client"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	platformclient "github.com/wasabigate/wasabigate/internal/platform/client"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar"
 	"github.com/wasabigate/wasabigate/internal/sidecar/cacheindex"
@@ -42,6 +44,7 @@
 		p.index = cacheindex.New()
 		options.Engine = backend
 		options.Blocks = p.index
+		options.PieceStore = newPieceStore(&b.settings.Platform)
 		options.Executor = execute.New(backend, nil)
 	} else {
 		options.Executor = execute.New(nil, client.NewService(settings.BackendURL))
@@ -50,6 +53,14 @@
 	return p, errors.Wrap(wire.DRPCRegisterBackend(b.mux, p.sidecar), "backend service")
 }
 
+// newPieceStore returns nil if there is no store of kept KV cache.
+func newPieceStore(settings *config.PlatformSettings) platform.PieceStore {
+	if settings.PieceStore == "" {
+		return nil
+	}
+	return platformclient.NewPieceStore(settings.PieceStore, settings.Timeout)
+}
+
 func (p *sidecarPart) httpAddress() string { return p.base.settings.Daemon.AdminAddress }
 
 // handler serves health and metrics.
--- /dev/null
+++ b/internal/sidecar/pieces/pieces.go
@@ -0,0 +1,54 @@
+package pieces
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
+
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+)
+
+var logger = logging.For("pieces")
+
+// Pieces is the filter. It is safe for concurrent use.
+type Pieces struct {
+	store  platform.PieceStore
+	engine engine.Engine
+	index  Index
+	load   func() *wire.Load
+
+	memory     *memory
+	cost       cost
+	imports    singleflight.Group // by piece
+	exporting  *semaphore.Weighted
+	exports    *rate.Limiter
+	background sync.WaitGroup
+}
+
+// Name implements job.Filter.
+func (p *Pieces) Name() string { return "pieces" }
+
+// Handle implements job.Filter. It never refuses.
+func (p *Pieces) Handle(ctx context.Context, j *job.Job, next job.Handler) (job.Outcome, error) {
+	r := newPrompt(j.Request)
+	if r == nil {
+		return next.Handle(ctx, j)
+	}
+	p.importMissing(ctx, j, r)
+	outcome, err := next.Handle(ctx, j)
+	if err == nil && outcome != nil && outcome.Tail != nil {
+		p.memory.used(r, outcome.Tail.Load.GetIncarnation())
+		p.exportHot(r)
+	}
+	return outcome, err
+}
+
+// Wait waits until nothing is being exported.
+func (p *Pieces) Wait() { p.background.Wait() }
--- a/internal/sidecar/setup.go
+++ b/internal/sidecar/setup.go
@@ -10,6 +10,7 @@
 	"github.com/wasabigate/wasabigate/internal/sidecar/buffer"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
 	"github.com/wasabigate/wasabigate/internal/sidecar/once"
+	"github.com/wasabigate/wasabigate/internal/sidecar/pieces"
 	"github.com/wasabigate/wasabigate/internal/sidecar/queue"
 	"github.com/wasabigate/wasabigate/internal/sidecar/verify"
 )
@@ -19,6 +20,7 @@
 	// Digest returns the engine's incarnation and at most maxBlocks block hashes,
 	// most recently used first.
 	Digest(maxBlocks int) *wire.DigestReply
+	pieces.Index
 }
 
 // Options configure a Sidecar.
@@ -30,6 +32,8 @@
 	Engine      engine.Engine // nil beside plain services
 	Environment string
 	Blocks      BlockSource // nil beside plain services
+	// PieceStore holds kept KV cache; nil: none. It needs Engine and Blocks.
+	PieceStore platform.PieceStore
 	// OnRevisions is told of revisions on messages that are newer than the
 	// snapshot's, so that the control loop fetches them. May be nil.
 	OnRevisions func(*wire.Revisions)
@@ -51,6 +55,12 @@
 		Loaded:      s.engine.loaded,
 	})
 	last := pipeline.HandlerFunc[*job.Job, job.Outcome](s.execute)
-	s.chain = pipeline.Chain(last, job.Filter(s.verify), job.Filter(s.queue), job.Filter(s.once))
+	filters := []job.Filter{s.verify, s.queue, s.once}
+	if opts.PieceStore != nil {
+		filters = append(filters, pieces.New(pieces.Options{
+			Store: opts.PieceStore, Engine: opts.Engine, Index: opts.Blocks, Load: s.Load,
+		}))
+	}
+	s.chain = pipeline.Chain(last, filters...)
 	return s
 }
