Read each revision of the document once

Every copy that peers pushed was decompressed and parsed, 2.8 ms each, before its number was looked at, and the value in the key-value service was parsed at each reading. Ruled out: the idle cost, 0.62 to 0.85% at 1 to 8 routers and 1 to 8 engines. Change: a message's revision number and a value's version decide whether it is read.

--- a/internal/control/archive.go
+++ b/internal/control/archive.go
@@ -17,8 +17,9 @@
 // document is an envelope on its way between peers: whole, or as a delta to the
 // envelope of revision base.
 type document struct {
-	base uint64 // 0: whole
-	data []byte
+	number uint64 // revision
+	base   uint64 // 0: whole
+	data   []byte
 }
 
 // archive keeps the envelopes of the latest revisions, to make and apply deltas.
@@ -61,7 +62,7 @@
 	defer a.mu.Unlock()
 	from, known := a.envelopes[base]
 	if !known || base == revision.Number {
-		return document{data: revision.Envelope}
+		return document{number: revision.Number, data: revision.Envelope}
 	}
 	key := deltaKey{base, revision.Number}
 	delta, made := a.deltas[key]
@@ -69,7 +70,7 @@
 		delta = a.codec.Delta(from, revision.Envelope)
 		a.keepDelta(key, delta)
 	}
-	return document{base: base, data: delta}
+	return document{number: revision.Number, base: base, data: delta}
 }
 
 func (a *archive) keepDelta(key deltaKey, delta []byte) {
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -86,7 +86,7 @@
 		return
 	}
 	l.OfferTable(reply.GetShardTable())
-	if !l.offerDocument(document{reply.GetDocumentBase(), reply.GetDocument()}) {
+	if !l.offerDocument(documentIn(reply)) {
 		l.pullWhole(ctx, address)
 	}
 }
@@ -106,6 +106,7 @@
 	if offer.Config != nil {
 		d := l.archive.encode(l.archive.previous(), offer.Config)
 		req.Document, req.DocumentBase = d.data, d.base
+		req.Revisions.Document = d.number
 	}
 	req.ShardTable = l.encodeTable(offer.Shards)
 }
@@ -125,13 +126,29 @@
 		logger.Debug(logging.Fields{"peer": address, "error": err.Error()}, "whole document not read")
 		return
 	}
-	l.offerDocument(document{reply.GetDocumentBase(), reply.GetDocument()})
+	l.offerDocument(documentIn(reply))
+}
+
+// documentCarrier is a message that may carry a document of its sender's
+// revision.
+type documentCarrier interface {
+	GetRevisions() *wire.Revisions
+	GetDocumentBase() uint64
+	GetDocument() []byte
+}
+
+func documentIn(message documentCarrier) document {
+	return document{
+		number: message.GetRevisions().GetDocument(),
+		base:   message.GetDocumentBase(),
+		data:   message.GetDocument(),
+	}
 }
 
 // Answer handles a peer's ExchangeRequest.
 func (l *Loop) Answer(req *wire.ExchangeRequest) *wire.ExchangeReply {
 	l.OfferTable(req.GetShardTable())
-	fits := l.offerDocument(document{req.GetDocumentBase(), req.GetDocument()})
+	fits := l.offerDocument(documentIn(req))
 	if !fits || len(req.GetDocument()) == 0 {
 		l.SawRevisions(req.GetSender(), req.GetRevisions())
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -276,6 +276,9 @@
 // offerDocument takes a document from a peer. It says whether the document could
 // be read: a delta to an unknown envelope can't.
 func (l *Loop) offerDocument(d document) bool {
+	if l.has(d.number) {
+		return true
+	}
 	envelope, err := l.archive.decode(d)
 	if err != nil {
 		logger.Warn(logging.Fields{"base": d.base, "error": err.Error()}, "delta not applied")
@@ -288,6 +291,13 @@
 	return true
 }
 
+// has says whether the document of that revision or a higher one is known, so
+// that another copy need not be read.
+func (l *Loop) has(number uint64) bool {
+	current := l.Snapshot().Config
+	return current != nil && number <= current.Number
+}
+
 // OfferTable offers a serialized shard table. A broken one is dropped.
 func (l *Loop) OfferTable(encoded []byte) {
 	if len(encoded) == 0 {
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -137,6 +137,7 @@
 // read only until they know a document.
 func (l *Loop) followConfig(ctx context.Context) {
 	retry := retryMin
+	var read platform.Version // of the value that was read last
 	for {
 		if l.hasConfig() && !l.watches() {
 			if !l.waitForChange(ctx) {
@@ -144,7 +145,9 @@
 			}
 			continue
 		}
-		if err := l.watchConfigOnce(ctx); err != nil {
+		var err error
+		read, err = l.watchConfigOnce(ctx, read)
+		if err != nil {
 			logger.Debug(logging.Fields{"error": err.Error()}, "document not read from the key-value service")
 			retry = min(2*retry, retryMax)
 		} else {
@@ -176,36 +179,37 @@
 }
 
 // watchConfigOnce reads the document and then follows its changes until the
-// watch breaks, or it is time to read again.
-func (l *Loop) watchConfigOnce(ctx context.Context) error {
+// watch breaks, or it is time to read again. A value of the version read is known
+// already. It returns the version of the last value seen.
+func (l *Loop) watchConfigOnce(ctx context.Context, read platform.Version) (platform.Version, error) {
 	entry, err := l.readConfig(ctx)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
+		return read, err
+	}
+	if entry.Version != read {
+		l.OfferEnvelope(entry.Value)
+		read = entry.Version
 	}
 	if !l.watches() {
-		return nil
+		return read, nil
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, jittered(configReadInterval))
 	defer cancel()
 	events, err := l.options.KV.Watch(watchCtx, l.options.ConfigKey, entry.Version)
 	if err != nil {
-		return err
+		return read, err
 	}
 	for change := range events {
 		if change.Key == l.options.ConfigKey && !change.Deleted {
 			l.OfferEnvelope(change.Value)
+			read = change.Version
 		}
 	}
-	return nil
+	return read, nil
 }
 
 func (l *Loop) readConfig(ctx context.Context) (platform.Entry, error) {
 	callCtx, cancel := context.WithTimeout(ctx, l.options.Settings.Platform.Timeout)
 	defer cancel()
-	entry, err := l.options.KV.Get(callCtx, l.options.ConfigKey)
-	if err != nil {
-		return platform.Entry{}, err
-	}
-	l.OfferEnvelope(entry.Value)
-	return entry, nil
+	return l.options.KV.Get(callCtx, l.options.ConfigKey)
 }
