Give each test process a loopback address of its own

Cause: two tests failed once with "address already in use": a port that was free when it was picked had become another connection's or process's. Ruled out: the daemons, which had not started yet. Change: listeners of the tests lie on an address of 127.0.0.0/8 that is the test process's own; connections leave from others.

--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -340,9 +341,14 @@
 	return server.URL
 }
 
+// testHost is this test process's own loopback address. A port that is free on
+// it stays free: connections leave from other addresses, and other test processes
+// have other hosts.
+var testHost = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", testHost+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/systemtest/tls_test.go
+++ b/internal/systemtest/tls_test.go
@@ -26,7 +26,7 @@
 func newCertificates(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
-	if err := certs.Write(dir, []string{"127.0.0.1"}); err != nil {
+	if err := certs.Write(dir, []string{testHost}); err != nil {
 		t.Fatal(err)
 	}
 	return dir
@@ -161,7 +161,7 @@
 		before[address] = serial(t, files, address)
 	}
 	load := s.startLoad(func(int) *router { return s.routers[0] })
-	if err := certs.Write(dir, []string{"127.0.0.1"}); err != nil {
+	if err := certs.Write(dir, []string{testHost}); err != nil {
 		t.Fatal(err)
 	}
 	for _, address := range addresses {
