Give shards only to routers that ask for them

Cause: an owner released shards for every listed router. One whose process did not run never claimed them, and their rate was lost for as long as its VM was listed.

Ruled out: leaving out routers that hold nothing, since a new one would never get a part.

Change: a router with too few shards enters itself in the table; owners release for those that wait, for ten seconds at most. Rebalancing takes one step and one write more.

Conclusion: a listed router without a process gets no part, and one that crashes while it waits gives it back after the limit.

--- a/internal/shard/codec.go
+++ b/internal/shard/codec.go
@@ -17,7 +17,7 @@
 // Encode serializes the table. Levels are kept for free shards only: whoever
 // claims a shard takes them out, so that they are handed over once.
 func Encode(t *Table) ([]byte, error) {
-	message := &wire.ShardTable{Epoch: t.Epoch, Shards: make([]*wire.ShardOwner, Count)}
+	message := &wire.ShardTable{Epoch: t.Epoch, Shards: make([]*wire.ShardOwner, Count), Waiting: t.Waiting}
 	for i := range t.Owners {
 		message.Shards[i] = encodeOwner(&t.Owners[i])
 	}
@@ -52,7 +52,7 @@
 		return nil, errors.Errorf("shard table of epoch %d has %d shards instead of %d",
 			message.Epoch, len(message.Shards), Count)
 	}
-	t := &Table{Epoch: message.Epoch}
+	t := &Table{Epoch: message.Epoch, Waiting: message.Waiting}
 	for i, shard := range message.Shards {
 		o := Owner{Address: shard.GetAddress(), SinceEpoch: shard.GetSinceEpoch(), Revoked: shard.GetRevoked()}
 		if o.SinceEpoch > t.Epoch {
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -20,6 +20,8 @@
 	// restTime is how long a revoked shard rests before it is claimed. Sidecars
 	// learn the new epoch meanwhile and refuse the former owner.
 	restTime = 5 * time.Second
+	// waitLimit is how long shards are released for a router that waits for them.
+	waitLimit = 10 * time.Second
 	// idleReadInterval is how often a router without shards reads the table.
 	idleReadInterval = 30 * time.Second
 	maxAttempts      = 5
@@ -55,7 +57,7 @@
 	key      string
 	kv       platform.KV
 	ledger   Ledger
-	wait     time.Duration
+	grace    time.Duration // until an unlisted owner's shards are revoked
 	log      logging.Prefixed
 	known    *Table
 	version  platform.Version     // of the table read or written last
@@ -63,6 +65,7 @@
 	unsure   bool                 // a write may still take effect
 	missing  map[string]time.Time // owners that the VM list does not show, since
 	resting  map[int]rest
+	waiting  map[string]time.Time // routers that wait for shards, since
 	nextRead time.Time
 	leaving  bool
 	released []int            // shards released for a write that is not settled
@@ -86,10 +89,11 @@
 		key:     Key(options.Environment),
 		kv:      options.KV,
 		ledger:  ledger,
-		wait:    options.VMListLag + revokeMargin,
+		grace:   options.VMListLag + revokeMargin,
 		log:     logging.For("shard"),
 		missing: make(map[string]time.Time),
 		resting: make(map[int]rest),
+		waiting: make(map[string]time.Time),
 	}
 }
 
@@ -274,7 +278,7 @@
 	if len(held) == 0 {
 		return nil
 	}
-	p := plan{release: held, levels: levels}
+	p := plan{release: held, levels: levels, waiting: m.otherWaiters()}
 	if err := m.write(ctx, p.apply(m.base(), m.self), version); err != nil {
 		return err
 	}
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -131,6 +131,21 @@
 	})
 }
 
+func TestRouterWithoutProcessGetsNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newManager(kv.New(1), "a", nil), (*Manager)(nil)
+		steps(t, 3, viewOf("a", "b"), a)
+		wantHeld(t, a.known, "a", Count)
+		b = newManager(a.kv, "b", nil)
+		steps(t, 1, viewOf("a", "b"), b, a)
+		wantHeld(t, a.known, "a", Count/2)
+		steps(t, int(waitLimit/time.Second)+1, viewOf("a", "b"), a) // b has crashed
+		wantHeld(t, a.known, "a", Count)
+		steps(t, 15, viewOf("a", "b"), b, a)
+		wantHeld(t, a.known, "b", Count/2)
+	})
+}
+
 func TestTokensAreHandedOverOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := kv.New(1)
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -24,16 +24,19 @@
 	release []int
 	claim   []int
 	levels  map[string]int64 // go with the released shards
+	waiting []string         // of the next table
+	waits   bool             // this router begins to wait
 }
 
 func (p *plan) empty() bool {
-	return len(p.revoke)+len(p.release)+len(p.claim) == 0
+	return len(p.revoke)+len(p.release)+len(p.claim) == 0 && !p.waits
 }
 
 // apply returns the next table.
 func (p *plan) apply(t *Table, self string) *Table {
 	next := *t
 	next.Epoch++
+	next.Waiting = p.waiting
 	for _, i := range p.revoke {
 		next.Owners[i] = Owner{SinceEpoch: next.Epoch, Revoked: true}
 	}
@@ -79,7 +82,8 @@
 	}
 	p.revoke = m.revocable(viewRead)
 	held := m.base().Held(m.self)
-	target := targetOf(chosen, m.self)
+	target := targetOf(m.active(chosen), m.self)
+	p.waiting = m.otherWaiters()
 	if len(held) > target {
 		p.release = excess(held, target)
 		p.levels = m.withdraw(p.release)
@@ -87,9 +91,43 @@
 	}
 	free := m.claimable()
 	p.claim = pick(free, held, min(len(free), target-len(held)))
+	if len(held)+len(p.claim) < target {
+		m.wait(&p)
+	}
 	return p
 }
 
+// wait enters this router among those that wait. After the limit it withdraws
+// for one step, so that the others count anew.
+func (m *Manager) wait(p *plan) {
+	since, waits := m.waiting[m.self]
+	expired := waits && time.Since(since) >= waitLimit
+	p.waits = !waits || expired
+	if !expired {
+		p.waiting = append(p.waiting, m.self)
+	}
+}
+
+// active returns the chosen routers that own shards or wait for some. A listed
+// router whose process does not run gets no part.
+func (m *Manager) active(chosen []string) []string {
+	waiters := m.otherWaiters()
+	return slices.DeleteFunc(slices.Clone(chosen), func(address string) bool {
+		return address != m.self && !slices.Contains(waiters, address) && len(m.base().Held(address)) == 0
+	})
+}
+
+// otherWaiters returns the other routers that have not waited for too long.
+func (m *Manager) otherWaiters() []string {
+	var waiters []string
+	for _, address := range m.base().Waiting {
+		if address != m.self && time.Since(m.waiting[address]) < waitLimit {
+			waiters = append(waiters, address)
+		}
+	}
+	return waiters
+}
+
 // withdraw takes shards out of use and returns the tokens that go with them.
 func (m *Manager) withdraw(list []int) map[string]int64 {
 	m.released = append(m.released, list...)
@@ -159,6 +197,7 @@
 			m.missing[o.Address] = viewRead
 		}
 	}
+	m.observeWaiting(now)
 	for address := range m.missing {
 		if _, ok := present[address]; !ok || view.HasRouter(address) {
 			delete(m.missing, address)
@@ -166,12 +205,26 @@
 	}
 }
 
+// observeWaiting notes since when other routers wait.
+func (m *Manager) observeWaiting(now time.Time) {
+	for address := range m.waiting {
+		if !slices.Contains(m.base().Waiting, address) {
+			delete(m.waiting, address)
+		}
+	}
+	for _, address := range m.base().Waiting {
+		if _, ok := m.waiting[address]; !ok {
+			m.waiting[address] = now
+		}
+	}
+}
+
 // revocable returns the shards of owners that were unlisted for long enough.
 func (m *Manager) revocable(viewRead time.Time) []int {
 	var list []int
 	for i := range m.base().Owners {
 		since, ok := m.missing[m.base().Owners[i].Address]
-		if ok && viewRead.Sub(since) >= m.wait {
+		if ok && viewRead.Sub(since) >= m.grace {
 			list = append(list, i)
 		}
 	}
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -21,8 +21,9 @@
 
 // Table is one epoch of the shard table. It is immutable.
 type Table struct {
-	Epoch  uint64
-	Owners [Count]Owner
+	Epoch   uint64
+	Owners  [Count]Owner
+	Waiting []string // rpc addresses of routers that own fewer shards than their part
 }
 
 // Owner is the owner of a shard.
