--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,236 @@
+package controller
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/fault"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	weightstore "github.com/wasabigate/wasabigate/internal/standin/weights"
+)
+
+const (
+	// takeoverWithin bounds the time until another router holds a lapsed lease.
+	takeoverWithin = leaseTTL + 2*acquireInterval
+	rolloutWithin  = time.Minute
+)
+
+func TestRollout(t *testing.T) {
+	cases := []struct {
+		name    string
+		engines int
+		single  bool // engines hold one version at a time
+		want    string
+	}{
+		{"loaded beside the old version", 5, false, "v2"},
+		{"one engine", 1, false, "v2"},
+		{"engines hold one version", 5, true, "v2"},
+		{"two engines hold one version", 2, true, "v2"},
+		{"one engine holds one version", 1, true, "v1"}, // its model would not be served meanwhile
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, c.engines, c.single, func(w *world) {
+				a := w.start("a", nil, nil)
+				w.eventually(takeoverWithin, "a controller", a.Holding)
+				a.Publish(w.snapshot("v2"))
+				time.Sleep(rolloutWithin)
+				if !w.allHold(c.want) {
+					t.Errorf("the engines hold %v", w.engines[0].loaded())
+				}
+				if c.want == "v2" && w.begun() != c.engines {
+					t.Errorf("%d loads for %d engines", w.begun(), c.engines)
+				}
+			})
+		})
+	}
+}
+
+func TestUnreachableServerDoesNotHoldUpTheOthers(t *testing.T) {
+	inWorld(t, 4, false, func(w *world) {
+		w.cutOff(address(0))
+		a := w.start("a", nil, nil)
+		a.Publish(w.snapshot("v2"))
+		time.Sleep(rolloutWithin)
+		for _, e := range w.engines[1:] {
+			if got := e.loaded(); len(got) != 1 || got[0] != "v2" {
+				t.Errorf("a reachable engine holds %v", got)
+			}
+		}
+		w.cutOff("")
+		w.eventually(rolloutWithin, "the last engine follows", func() bool { return w.allHold("v2") })
+	})
+}
+
+func TestPausedHolderGivesNoOrder(t *testing.T) {
+	inWorld(t, 3, false, func(w *world) {
+		a := w.start("a", nil, nil)
+		w.eventually(takeoverWithin, "a holds", a.Holding)
+		a.pause()
+		time.Sleep(leaseTTL + acquireInterval)
+		if a.Holding() {
+			t.Error("the paused router takes itself for the controller after its lease")
+		}
+		b := w.start("b", nil, nil)
+		w.eventually(takeoverWithin, "b holds", b.Holding)
+		a.Publish(w.snapshot("v3"))
+		a.unpause()
+		time.Sleep(rolloutWithin)
+		if !w.allHold("v1") || w.begun() != 0 {
+			t.Errorf("the paused router ordered %d loads", w.begun())
+		}
+	})
+}
+
+func TestLateOrderIsRefused(t *testing.T) {
+	inWorld(t, 3, false, func(w *world) {
+		a := w.start("a", nil, nil)
+		w.eventually(takeoverWithin, "a holds", a.Holding)
+		time.Sleep(2 * pollInterval)
+		a.delayOrders(3 * leaseTTL)
+		a.Publish(w.snapshot("v3"))
+		time.Sleep(pollInterval) // the orders are under way
+		a.pause()
+		b := w.start("b", nil, nil)
+		w.eventually(takeoverWithin, "b holds", b.Holding)
+		time.Sleep(2 * rolloutWithin) // the late orders arrive
+		if !w.allHold("v1") || w.begun() != 0 {
+			t.Errorf("%d late loads ran", w.begun())
+		}
+		a.unpause()
+	})
+}
+
+func TestLoadsOfAnEarlierHolderCount(t *testing.T) {
+	inWorld(t, 6, false, func(w *world) {
+		a := w.start("a", nil, nil)
+		w.eventually(takeoverWithin, "a holds", a.Holding)
+		a.Publish(w.snapshot("v2"))
+		w.eventually(rolloutWithin, "loads run", func() bool { return a.running.Load() == maxLoads })
+		a.cancel() // hands the lease back while its loads run
+		b := w.start("b", nil, nil)
+		b.Publish(w.snapshot("v2"))
+		w.eventually(2*rolloutWithin, "the rollout ends", func() bool { return w.allHold("v2") })
+	})
+}
+
+func TestAtMostOneController(t *testing.T) {
+	inWorld(t, 2, false, func(w *world) {
+		a, b := w.start("a", nil, nil), w.start("b", nil, nil)
+		var last platform.Version
+		for range 3 {
+			w.eventually(takeoverWithin, "a controller", func() bool { return a.Holding() || b.Holding() })
+			if a.Holding() && b.Holding() {
+				t.Fatal("two controllers")
+			}
+			holder := a
+			if b.Holding() {
+				holder = b
+			}
+			if fence := holder.holding.Load().fence; fence <= last {
+				t.Errorf("fence %d after %d", fence, last)
+			} else {
+				last = fence
+			}
+			drained := w.snapshot("v1")
+			drained.Draining = true
+			holder.Publish(drained)
+			w.eventually(time.Second, "the lease is given back", func() bool { return !holder.Holding() })
+			w.eventually(2*acquireInterval, "the other takes over", func() bool { return a.Holding() || b.Holding() })
+			holder.Publish(w.snapshot("v1"))
+		}
+	})
+}
+
+// lossyKV loses the answer to each write of a key once.
+type lossyKV struct {
+	platform.KV
+	lost map[string]bool
+}
+
+func (k *lossyKV) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	version, err := k.KV.CompareAndSwap(ctx, key, value, expected, lease)
+	if err == nil && !k.lost[key] {
+		k.lost[key] = true
+		return 0, errors.Wrap(platform.ErrUnsure, "answer lost")
+	}
+	return version, err
+}
+
+func TestLostAnswersAreSettledByReadingBack(t *testing.T) {
+	inWorld(t, 2, false, func(w *world) {
+		a := w.start("a", &lossyKV{KV: w.kv, lost: make(map[string]bool)}, nil)
+		w.eventually(time.Second, "a holds at the first try", a.Holding)
+		entry, err := w.kv.Get(t.Context(), leaseKey("test"))
+		if err != nil || entry.Version != a.holding.Load().fence {
+			t.Errorf("lease key %+v, %v; fence %d", entry, err, a.holding.Load().fence)
+		}
+	})
+}
+
+func TestOutageStopsOrders(t *testing.T) {
+	inWorld(t, 6, false, func(w *world) {
+		a := w.start("a", nil, nil)
+		w.eventually(takeoverWithin, "a holds", a.Holding)
+		a.Publish(w.snapshot("v2"))
+		w.eventually(rolloutWithin, "the rollout is half done", func() bool { return w.begun() >= 3 })
+		w.kv.SetFaults(kv.Faults{Down: true})
+		time.Sleep(renewInterval)
+		before := w.begun()
+		time.Sleep(rolloutWithin)
+		if w.begun() != before || a.Holding() {
+			t.Errorf("%d loads ordered in the outage, holding %t", w.begun()-before, a.Holding())
+		}
+		w.kv.SetFaults(kv.Faults{})
+		w.eventually(2*rolloutWithin, "the rollout ends", func() bool { return w.allHold("v2") })
+	})
+}
+
+// countingStore counts the calls of a weight store.
+type countingStore struct {
+	platform.WeightStore
+	calls atomic.Int64
+}
+
+func (s *countingStore) Versions(ctx context.Context, model string) ([]weights, error) {
+	s.calls.Add(1)
+	return s.WeightStore.Versions(ctx, model)
+}
+
+func TestWeightsThatTheStoreLacksAreNotOrdered(t *testing.T) {
+	inWorld(t, 3, false, func(w *world) {
+		held := weightstore.New(version("v1"))
+		store := &countingStore{WeightStore: held}
+		a := w.start("a", nil, store)
+		a.Publish(w.snapshot("v2"))
+		time.Sleep(rolloutWithin)
+		if w.begun() != 0 || logged("does not have these weights") != 1 {
+			t.Errorf("%d loads, %d log lines", w.begun(), logged("does not have these weights"))
+		}
+		if calls := store.calls.Load(); calls > int64(rolloutWithin/storeInterval)+1 {
+			t.Errorf("%d calls of the weight store", calls)
+		}
+		held.SetFaults(fault.Faults{Down: true})
+		held.Add(version("v2"))
+		time.Sleep(rolloutWithin)
+		held.SetFaults(fault.Faults{})
+		w.eventually(rolloutWithin, "the rollout ends", func() bool { return w.allHold("v2") })
+	})
+}
+
+// logged counts the log lines that hold text.
+func logged(text string) int {
+	n := 0
+	for _, entry := range lines.Entries {
+		if strings.HasPrefix(entry.Message, "controller: ") && strings.Contains(entry.Message, text) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -247,6 +247,8 @@
 	o.server.giving = nil
 	if o.kind == orderLoad {
 		c.loadAnswered(o, outcome)
+	} else if outcome == outcomeDone || outcome == outcomeUnknown {
+		o.server.lose(o.weights)
 	}
 	if err != nil {
 		c.failed(ctx, o.server, err)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -139,10 +139,10 @@
 	serving, without := 0, 0
 	for _, t := range servers {
 		switch {
-		case t == s || t.leaving || !t.reporting():
-		case t.holdsBase(w):
+		case t == s || t.leaving:
+		case t.holdsBase(w) && t.reporting():
 			serving++
-		default:
+		case !t.holdsBase(w) && t.seen:
 			without++
 		}
 	}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -29,6 +29,7 @@
 
 	fenced      bool // its sidecar has this term's fencing number
 	reported    bool // loaded is reported after the last order
+	seen        bool // loaded was reported in this term
 	loaded      []weights
 	incarnation uint64
 	refused     map[weights]bool // weights that the engine would not hold beside others
@@ -79,9 +80,15 @@
 		s.loaded = append(s.loaded, weightsOf(w))
 	}
 	s.reported = len(s.loaded) > 0 || s.incarnation != 0
+	s.seen = s.seen || s.reported
 	s.failures = 0
 }
 
+// lose notes that the server may have unloaded w.
+func (s *server) lose(w weights) {
+	s.loaded = slices.DeleteFunc(s.loaded, func(l weights) bool { return l == w })
+}
+
 // fail notes a failed call. What the server holds is known again after the next
 // report, which comes with a fencing number, so that it follows orders whose
 // outcome is unknown.
