--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -40,7 +41,12 @@
 				a := w.start("a", nil, nil)
 				w.eventually(takeoverWithin, "a controller", a.Holding)
 				a.Publish(w.snapshot("v2"))
-				time.Sleep(rolloutWithin)
+				for range rolloutWithin / checkTick {
+					time.Sleep(checkTick)
+					if !c.single && w.someLack("v1") && w.someLack("v2") {
+						t.Fatal("an engine gave up the old version before all held the new one")
+					}
+				}
 				if !w.allHold(c.want) {
 					t.Errorf("the engines hold %v", w.engines[0].loaded())
 				}
@@ -68,6 +74,20 @@
 	})
 }
 
+func TestOldVersionStaysUntilAnotherServerHoldsTheNew(t *testing.T) {
+	inWorld(t, 2, false, func(w *world) {
+		w.cutOff(address(1))
+		a := w.start("a", nil, nil)
+		a.Publish(w.snapshot("v2"))
+		time.Sleep(rolloutWithin)
+		if got := w.engines[0].loaded(); !slices.Equal(got, []string{"v1", "v2"}) {
+			t.Errorf("the only engine that is reached holds %v", got)
+		}
+		w.cutOff("")
+		w.eventually(rolloutWithin, "the rollout ends", func() bool { return w.allHold("v2") })
+	})
+}
+
 func TestPausedHolderGivesNoOrder(t *testing.T) {
 	inWorld(t, 3, false, func(w *world) {
 		a := w.start("a", nil, nil)
@@ -175,21 +195,24 @@
 }
 
 func TestOutageStopsOrders(t *testing.T) {
-	inWorld(t, 6, false, func(w *world) {
-		a := w.start("a", nil, nil)
-		w.eventually(takeoverWithin, "a holds", a.Holding)
-		a.Publish(w.snapshot("v2"))
-		w.eventually(rolloutWithin, "the rollout is half done", func() bool { return w.begun() >= 3 })
-		w.kv.SetFaults(kv.Faults{Down: true})
-		time.Sleep(renewInterval)
-		before := w.begun()
-		time.Sleep(rolloutWithin)
-		if w.begun() != before || a.Holding() {
-			t.Errorf("%d loads ordered in the outage, holding %t", w.begun()-before, a.Holding())
-		}
-		w.kv.SetFaults(kv.Faults{})
-		w.eventually(2*rolloutWithin, "the rollout ends", func() bool { return w.allHold("v2") })
-	})
+	const engines = 6
+	for _, after := range []int{3, engines} { // among the loads, and before the unloads
+		inWorld(t, engines, false, func(w *world) {
+			a := w.start("a", nil, nil)
+			w.eventually(takeoverWithin, "a holds", a.Holding)
+			a.Publish(w.snapshot("v2"))
+			w.eventually(rolloutWithin, "the rollout is under way", func() bool { return w.begun() >= after })
+			w.kv.SetFaults(kv.Faults{Down: true})
+			time.Sleep(renewInterval)
+			before := w.orders.Load()
+			time.Sleep(rolloutWithin)
+			if given := w.orders.Load() - before; given != 0 || a.Holding() {
+				t.Errorf("after %d loads: %d orders in the outage, holding %t", after, given, a.Holding())
+			}
+			w.kv.SetFaults(kv.Faults{})
+			w.eventually(2*rolloutWithin, "the rollout ends", func() bool { return w.allHold("v2") })
+		})
+	}
 }
 
 // countingStore counts the calls of a weight store.
@@ -205,13 +228,14 @@
 
 func TestWeightsThatTheStoreLacksAreNotOrdered(t *testing.T) {
 	inWorld(t, 3, false, func(w *world) {
+		before := logged("does not have these weights")
 		held := weightstore.New(version("v1"))
 		store := &countingStore{WeightStore: held}
 		a := w.start("a", nil, store)
 		a.Publish(w.snapshot("v2"))
 		time.Sleep(rolloutWithin)
-		if w.begun() != 0 || logged("does not have these weights") != 1 {
-			t.Errorf("%d loads, %d log lines", w.begun(), logged("does not have these weights"))
+		if lines := logged("does not have these weights") - before; w.begun() != 0 || lines != 1 {
+			t.Errorf("%d loads, %d log lines", w.begun(), lines)
 		}
 		if calls := store.calls.Load(); calls > int64(rolloutWithin/storeInterval)+1 {
 			t.Errorf("%d calls of the weight store", calls)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,9 @@
 	}
 	e.highest = max(e.highest, order.Fence)
 	e.mu.Unlock()
+	if order.Load != nil || order.Unload != nil {
+		e.world.orders.Add(1)
+	}
 	if order.Load != nil {
 		if e.single && len(e.loaded()) > 0 {
 			return errors.Wrap(engine.ErrRefused, "no memory")
@@ -89,6 +93,7 @@
 	sidecars map[string]*sidecar.Sidecar
 	ctx      context.Context
 	running  sync.WaitGroup
+	orders   atomic.Int64 // that reached engines
 
 	mu     sync.Mutex
 	cut    string // address of a sidecar that can't be reached
@@ -198,6 +203,11 @@
 	}
 }
 
+// someLack says whether an engine does not hold that version.
+func (w *world) someLack(v string) bool {
+	return slices.ContainsFunc(w.engines, func(e *testEngine) bool { return !slices.Contains(e.loaded(), v) })
+}
+
 // allHold says whether all engines hold just that version.
 func (w *world) allHold(v string) bool {
 	for _, e := range w.engines {
