--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/standin/fault"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
 	weightstore "github.com/wasabigate/wasabigate/internal/standin/weights"
@@ -88,6 +89,23 @@
 	})
 }
 
+func TestServerWithAnotherFenceDoesNotHoldUpTheOthers(t *testing.T) {
+	inWorld(t, 3, false, func(w *world) {
+		_, err := w.sidecars[address(0)].Order(t.Context(), &wire.OrderRequest{Fence: 1 << 40})
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := w.start("a", nil, nil)
+		a.Publish(w.snapshot("v2"))
+		time.Sleep(rolloutWithin)
+		for _, e := range w.engines[1:] {
+			if got := e.loaded(); !slices.Equal(got, []string{"v2"}) {
+				t.Errorf("another engine holds %v", got)
+			}
+		}
+	})
+}
+
 func TestPausedHolderGivesNoOrder(t *testing.T) {
 	inWorld(t, 3, false, func(w *world) {
 		a := w.start("a", nil, nil)
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -98,7 +98,7 @@
 	c.after(ctx, call, func(err error) {
 		s.calling = false
 		if err != nil {
-			c.failed(ctx, s, err)
+			c.failed(s, err)
 			return
 		}
 		s.fenced = true
@@ -118,14 +118,17 @@
 	return reply.GetLoad(), err
 }
 
-// failed notes a call that failed. A refused fencing number means that another
-// router is the controller.
-func (c *Controller) failed(ctx context.Context, s *server, err error) {
+// failed notes a call that failed. After a refused fencing number the lease is
+// renewed at once, which fails if another router has it; if not, it is the
+// server's matter.
+func (c *Controller) failed(s *server, err error) {
+	now := time.Now()
+	s.fail(now)
 	if drpcerr.Code(err) == sidecar.OrderStaleFence {
-		c.stepDown(ctx, "a sidecar knows a later controller")
+		c.nextRenewal = now
+		logger.Warn(fields{"server": s.name, "error": err.Error()}, "fencing number refused")
 		return
 	}
-	s.fail(time.Now())
 	logger.Debug(fields{"server": s.name, "error": err.Error()}, "server not reached")
 }
 
@@ -219,7 +222,7 @@
 		_, err := c.opts.Servers.Order(ctx, o.server.address, req)
 		return err
 	}
-	c.after(ctx, call, func(err error) { c.answered(ctx, o, err) })
+	c.after(ctx, call, func(err error) { c.answered(o, err) })
 }
 
 func (c *Controller) describe(o order) fields {
@@ -235,7 +238,7 @@
 
 // answered takes the outcome of an order. What the server holds is known again
 // after its next report.
-func (c *Controller) answered(ctx context.Context, o order, err error) {
+func (c *Controller) answered(o order, err error) {
 	outcome := outcomeOf(err)
 	line := c.describe(o)
 	line["outcome"] = outcome
@@ -251,7 +254,7 @@
 		o.server.lose(o.weights)
 	}
 	if err != nil {
-		c.failed(ctx, o.server, err)
+		c.failed(o.server, err)
 		return
 	}
 	o.server.reported = false
@@ -272,12 +275,16 @@
 }
 
 func outcomeOf(err error) string {
-	switch {
-	case err == nil:
+	if err == nil {
 		return outcomeDone
-	case errors.Is(err, errLapsed), errors.Is(err, rpc.ErrDial), drpcerr.Code(err) == sidecar.OrderStaleFence:
+	}
+	if errors.Is(err, errLapsed) || errors.Is(err, rpc.ErrDial) {
+		return outcomeNotSent
+	}
+	switch drpcerr.Code(err) {
+	case sidecar.OrderStaleFence, sidecar.OrderUnsupported, sidecar.OrderUnreachable:
 		return outcomeNotSent
-	case drpcerr.Code(err) == sidecar.OrderFailed, drpcerr.Code(err) == sidecar.OrderBusy:
+	case sidecar.OrderFailed, sidecar.OrderBusy:
 		return outcomeRefused
 	default:
 		return outcomeUnknown
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -18,6 +18,7 @@
 	OrderFailed      = 103 // the engine refused the order; it has no effect
 	OrderUnknown     = 104 // the engine did not answer; the order may have an effect
 	OrderBusy        = 105 // streams use the weights to unload; the order has no effect
+	OrderUnreachable = 106 // the engine can't be reached; the order has no effect
 )
 
 // orders passes orders to the engine, one at a time, and refuses those of an
@@ -77,7 +78,7 @@
 	}
 	defer func() { o.turn <- struct{}{} }()
 	if err := o.learn(ctx); err != nil {
-		return drpcerr.WithCode(err, OrderFailed)
+		return drpcerr.WithCode(err, OrderUnreachable)
 	}
 	if order.Fence < o.fence {
 		err := errors.Wrapf(engine.ErrStaleFence, "order %d after %d", order.Fence, o.fence)
@@ -112,8 +113,10 @@
 	switch {
 	case errors.Is(err, engine.ErrStaleFence):
 		return drpcerr.WithCode(err, OrderStaleFence)
-	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrUnreachable):
+	case errors.Is(err, engine.ErrRefused):
 		return drpcerr.WithCode(err, OrderFailed)
+	case errors.Is(err, engine.ErrUnreachable):
+		return drpcerr.WithCode(err, OrderUnreachable)
 	default:
 		return drpcerr.WithCode(err, OrderUnknown)
 	}
--- a/internal/sidecar/usage_test.go
+++ b/internal/sidecar/usage_test.go
@@ -26,6 +26,8 @@
 	return e.err
 }
 
+func (*orderedEngine) State(context.Context) (engine.State, error) { return engine.State{}, nil }
+
 func TestUnloadWaitsForRequests(t *testing.T) {
 	old := engine.LoadedWeights{Model: "m", Version: "v1"}
 	cases := []struct {
@@ -40,6 +42,7 @@
 		{"request ends", retireTimeout - time.Second, nil, 0, 1, false},
 		{"request runs too long", retireTimeout + time.Second, nil, OrderBusy, 0, true},
 		{"engine refuses", 0, errors.Wrap(engine.ErrRefused, "no"), OrderFailed, 1, true},
+		{"engine is down", 0, errors.Wrap(engine.ErrUnreachable, "no"), OrderUnreachable, 1, true},
 		{"outcome unknown", 0, errors.Wrap(engine.ErrBroken, "no"), OrderUnknown, 1, true},
 		{"old fence", 0, errors.Wrap(engine.ErrStaleFence, "no"), OrderStaleFence, 1, true},
 	}
