--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -229,8 +229,7 @@
 			if c.servers[address] == nil {
 				c.servers[address] = newServer(&servers[i])
 			}
-			c.servers[address].group = g.group
-			c.servers[address].leaving = servers[i].Leaving
+			c.servers[address].listed = servers[i]
 		}
 	}
 	for address := range c.servers {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -91,7 +91,7 @@
 
 func TestServerWithAnotherFenceDoesNotHoldUpTheOthers(t *testing.T) {
 	inWorld(t, 3, false, func(w *world) {
-		_, err := w.sidecars[address(0)].Order(t.Context(), &wire.OrderRequest{Fence: 1 << 40})
+		_, err := w.sidecars[address(0)].Order(w.ctx, &wire.OrderRequest{Fence: 1 << 40})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -205,7 +205,7 @@
 	inWorld(t, 2, false, func(w *world) {
 		a := w.start("a", &lossyKV{KV: w.kv, lost: make(map[string]bool)}, nil)
 		w.eventually(time.Second, "a holds at the first try", a.Holding)
-		entry, err := w.kv.Get(t.Context(), leaseKey("test"))
+		entry, err := w.kv.Get(w.ctx, leaseKey("test"))
 		if err != nil || entry.Version != a.holding.Load().fence {
 			t.Errorf("lease key %+v, %v; fence %d", entry, err, a.holding.Load().fence)
 		}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -160,7 +160,7 @@
 func (c *Controller) groups() map[string][]*server {
 	groups := make(map[string][]*server)
 	for _, s := range c.servers {
-		groups[s.group] = append(groups[s.group], s)
+		groups[s.listed.Group] = append(groups[s.listed.Group], s)
 	}
 	for _, servers := range groups {
 		slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.name, b.name) })
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -114,7 +114,7 @@
 	others := 0
 	holders := 0
 	for _, t := range servers {
-		if t == s || t.leaving {
+		if t == s || t.leaving() {
 			continue
 		}
 		others++
@@ -139,7 +139,7 @@
 	serving, without := 0, 0
 	for _, t := range servers {
 		switch {
-		case t == s || t.leaving:
+		case t == s || t.leaving():
 		case t.holdsBase(w) && t.reporting():
 			serving++
 		case !t.holdsBase(w) && t.seen:
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -13,7 +13,7 @@
 	pollInterval = time.Second
 	// pollsPerSecond bounds the reports that the controller asks for, so that its
 	// work does not grow with the fleet.
-	pollsPerSecond = 50
+	pollsPerSecond = 20
 	// settleTime is the time after an order until the engine's report shows it.
 	settleTime = 500 * time.Millisecond
 	backoffMin = 500 * time.Millisecond
@@ -24,10 +24,10 @@
 type server struct {
 	address string
 	name    string
-	group   string
-	leaving bool
+	listed  membership.Server // as in the last view
 
 	fenced      bool // its sidecar has this term's fencing number
+	draining    bool // as last reported
 	reported    bool // loaded is reported after the last order
 	seen        bool // loaded was reported in this term
 	loaded      []weights
@@ -43,8 +43,11 @@
 	return &server{address: listed.Address, name: listed.Name, refused: make(map[weights]bool)}
 }
 
+// leaving says whether the server takes no new work for good.
+func (s *server) leaving() bool { return s.listed.Leaving || s.draining }
+
 // reporting says whether the server's weights are known and it takes work.
-func (s *server) reporting() bool { return s.fenced && s.reported && !s.leaving }
+func (s *server) reporting() bool { return s.fenced && s.reported && !s.leaving() }
 
 // ready says whether the server may be given an order.
 func (s *server) ready() bool { return s.reporting() && s.giving == nil && !s.calling }
@@ -75,6 +78,7 @@
 		clear(s.refused)
 	}
 	s.incarnation = report.GetIncarnation()
+	s.draining = report.GetDraining()
 	s.loaded = s.loaded[:0]
 	for _, w := range report.GetLoaded() {
 		s.loaded = append(s.loaded, weightsOf(w))
