Hand out the ports of the tests by counting

Cause: a test failed again with "address already in use": a link of the same test process had been given, as a free port, the one kept for a router. Change: ports of the test host are counted up, none is given out twice.

--- a/internal/systemtest/link_test.go
+++ b/internal/systemtest/link_test.go
@@ -22,7 +22,7 @@
 
 func newLink(t *testing.T, target string) *link {
 	t.Helper()
-	listener, err := net.Listen("tcp", testHost+":0")
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -268,10 +268,10 @@
 // addServer starts a backend server's HTTP side and its sidecar, and lists it.
 func (s *system) addServer(t *testing.T, p plan, name, group string, kind config.GroupKind, handler http.Handler, settings settingsFor) server {
 	t.Helper()
-	address := freeAddress(t)
+	address := freeAddress()
 	v := server{seen: &capture{}, link: newLink(t, address)}
 	backendURL := serveHTTP(t, v.seen.wrap(handler))
-	text := fmt.Sprintf(settings(name, "sidecar", address), "admin_address = "+freeAddress(t))
+	text := fmt.Sprintf(settings(name, "sidecar", address), "admin_address = "+freeAddress())
 	text += fmt.Sprintf("[sidecar]\nkind = %s\ngroup = %s\nbackend_url = %s\n%s\n", kind, group, backendURL, p.sidecar)
 	v.sidecar = newProcess(t, name, text)
 	v.vm = platform.VM{Name: name, Address: v.link.address(), AvailabilityZone: "zone-1", Group: group, State: platform.VMLive}
@@ -281,7 +281,7 @@
 
 func (s *system) addRouter(t *testing.T, i int, scheme string, settings settingsFor) {
 	t.Helper()
-	address, httpAddress := freeAddress(t), freeAddress(t)
+	address, httpAddress := freeAddress(), freeAddress()
 	name := fmt.Sprintf("router-%d", i)
 	text := fmt.Sprintf(settings(name, "router", address), s.peersSetting()) + "[router]\nhttp_address = " + httpAddress + "\n"
 	r := &router{process: newProcess(t, name, text), url: scheme + httpAddress}
@@ -349,17 +349,17 @@
 	return server.URL
 }
 
-// testHost is this test process's own loopback address. A port that is free on
-// it stays free: connections leave from other addresses, and other test processes
-// have other hosts.
+// testHost is this test process's own loopback address: connections leave from
+// other addresses, and other test processes have other hosts, so that no one else
+// takes its ports.
 var testHost = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", testHost+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+const firstPort = 10_000
+
+// lastPort is the port of testHost that was given out last.
+var lastPort atomic.Int64
+
+// freeAddress returns an address that no listener has had.
+func freeAddress() string {
+	return fmt.Sprintf("%s:%d", testHost, firstPort+lastPort.Add(1))
 }
--- a/internal/systemtest/tls_test.go
+++ b/internal/systemtest/tls_test.go
@@ -134,9 +134,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	httpAddress := freeAddress(t)
+	httpAddress := freeAddress()
 	text := strings.Replace(string(settings), tlsSection(dir), tlsSection(newCertificates(t)), 1)
-	text = strings.Replace(text, s.routerAddress(t), freeAddress(t), 1)
+	text = strings.Replace(text, s.routerAddress(t), freeAddress(), 1)
 	text = strings.Replace(text, strings.TrimPrefix(s.routers[0].url, "https://"), httpAddress, 1)
 	newProcess(t, "stranger", text)
 	stranger := &router{url: "https://" + httpAddress}
