Let the last router keep its shards while it leaves

Cause: a leaving router gave its shards up even when nobody else could claim them, and limited workspaces were refused until another came.

Change: shards are released only if another chosen router is active.

--- a/internal/limit/local_test.go
+++ b/internal/limit/local_test.go
@@ -59,3 +59,38 @@
 		t.Errorf("retry after %v for one token", e.RetryAfter)
 	}
 }
+
+// A new revision of the document never adds tokens at once.
+func TestDocumentChanges(t *testing.T) {
+	cases := []struct {
+		name   string
+		change []config.Workspace
+		most   int64
+		least  int64
+	}{
+		{"same limits", []config.Workspace{badges}, 40_000, 40_000},
+		{"higher burst", []config.Workspace{{Name: "badges", Rate: 20_000, Burst: 90_000}}, 40_000, 40_000},
+		{"burst below the level", []config.Workspace{{Name: "badges", Rate: 20_000, Burst: 10_000}}, 10_000, 10_000},
+		{"higher rate", []config.Workspace{{Name: "badges", Rate: 90_000, Burst: 60_000}}, 40_000, 40_000},
+		{"workspace removed and back", nil, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := tableOf(1, "a")
+				x := newTester([]string{"a"}, snapshotOf(table, badges))
+				x.advance(2 * time.Second)
+				l := x.peers["a"]
+				x.cells["a"].Publish(snapshotOf(table, c.change...))
+				l.current()
+				if c.change == nil {
+					x.cells["a"].Publish(snapshotOf(table, badges))
+					l.current()
+				}
+				if level := l.held(t); level > c.most || level < c.least {
+					t.Errorf("%d tokens, want %d to %d", level, c.least, c.most)
+				}
+			})
+		})
+	}
+}
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -146,6 +146,35 @@
 	})
 }
 
+func TestLeavingRouterGivesUpItsShards(t *testing.T) {
+	cases := []struct {
+		name string
+		view *membership.View
+		keep int
+	}{
+		{"to another", leavingView("a", "b"), 0},
+		{"unless it is the last one", leavingView("a"), Count},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := kv.New(1)
+				a, b := newManager(store, "a", nil), newManager(store, "b", nil)
+				steps(t, 1, viewOf("a", "b"), a, b)
+				steps(t, 3, c.view, a)
+				wantHeld(t, a.known, "a", c.keep)
+			})
+		})
+	}
+}
+
+// leavingView shows the first router as leaving.
+func leavingView(addresses ...string) *membership.View {
+	view := viewOf(addresses...)
+	view.Routers[0].Leaving = true
+	return view
+}
+
 func TestTokensAreHandedOverOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := kv.New(1)
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -81,9 +81,13 @@
 		return p
 	}
 	p.revoke = m.revocable(viewRead)
-	held := m.base().Held(m.self)
-	target := targetOf(m.active(chosen), m.self)
 	p.waiting = m.otherWaiters()
+	held := m.base().Held(m.self)
+	active := m.active(chosen)
+	if len(active) == 0 {
+		return p // nobody else would use the shards
+	}
+	target := targetOf(active, m.self)
 	if len(held) > target {
 		p.release = excess(held, target)
 		p.levels = m.withdraw(p.release)
