Drive a running system with the two workloads and compare policies

Cause: the decisions had no measure; nothing sent load to a running system. Change: a load generator in an open loop, seeded, with the consortium's and the association's requests, an exact bucket for each workspace that judges refusals, an oracle for the hit rate, and a script that runs each policy through calm, a tenant's burst, an engine's crash, an outage of the key-value service and a restart of all routers. Refusals of calls that run at most once, made since the key-value service was out, are counted as held and not as wrongful: running them would break a promise.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 
 DOCUMENT ?= examples/consortium.ini
 SMOKE_SECONDS := 60
+BENCH_SECONDS := 300
+SHORT_BENCH_SECONDS := 50
 
 .PHONY: build demo smoke promises test lint generate clean
 
@@ -18,6 +20,10 @@
 promises: ## Runs the tests of each promise of docs/PROMISES.md.
 	$(GO) run ./internal/tools/promises
 
+bench: build ## Compares the routing policies under load and faults; SHORT=1 for one short round.
+	$(GO) build -o bin/ ./internal/tools/load
+	timeout $(if $(SHORT),$(SHORT_BENCH_SECONDS),$(BENCH_SECONDS)) scripts/bench.sh
+
 test: lint ## The README's test command: format, vet, staticcheck, tests with -race.
 	$(GO) run ./internal/tools/redtest -known KNOWN-RED.txt -- -race -timeout 15m $(PACKAGES)
 
--- /dev/null
+++ b/internal/load/schedule.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabigate/wasabigate/internal/tokens"
+)
+
+// Phase is a part of a run that is measured by itself.
+type Phase struct {
+	Name     string
+	Duration time.Duration
+}
+
+// phaseBurst is the phase in which one workspace exceeds its rate.
+const phaseBurst = "burst"
+
+// batchSpread is the time over which the requests of a batch arrive.
+const batchSpread = 20 * time.Millisecond
+
+// shot is one request of a schedule.
+type shot struct {
+	at     time.Duration // since the start
+	phase  int
+	tenant *tenant
+	stream *Stream
+	number int   // of all shots of its stream and workspace
+	items  []int // the prefix chosen at each level
+}
+
+// plan is what a schedule is made from.
+type plan struct {
+	seed        uint64
+	workload    *Workload
+	tenants     []tenant
+	phases      []Phase
+	load        float64 // part of its rate that a workspace sends
+	burstFactor float64 // times its rate that the burster sends in a burst
+	shift       time.Duration
+	fresh       bool // the system has just started, its buckets are empty
+}
+
+// schedule returns the shots of a plan by time. It depends on the plan alone.
+func (p *plan) schedule() []shot {
+	var shots []shot
+	for t := range p.tenants {
+		for s := range p.workload.Streams {
+			random := rand.New(rand.NewPCG(p.seed, uint64(t)<<32|uint64(s)))
+			shots = append(shots, p.streamShots(random, &p.tenants[t], &p.workload.Streams[s])...)
+		}
+	}
+	slices.SortStableFunc(shots, func(a, b shot) int { return cmp.Compare(a.at, b.at) })
+	return shots
+}
+
+func (p *plan) streamShots(random *rand.Rand, t *tenant, s *Stream) []shot {
+	var shots []shot
+	start := time.Duration(0)
+	for i, phase := range p.phases {
+		batches := p.tokenRate(t, phase) * s.Share / s.cost() / s.Batch
+		at := start
+		for {
+			at += time.Duration(random.ExpFloat64() / batches * float64(time.Second))
+			if at >= start+phase.Duration {
+				break
+			}
+			for range batchSize(random, s.Batch) {
+				spread := time.Duration(random.Float64() * (s.Batch - 1) * float64(batchSpread))
+				shots = append(shots, shot{at: at + spread, phase: i, tenant: t, stream: s,
+					number: len(shots), items: p.items(random, s, at)})
+			}
+		}
+		start += phase.Duration
+	}
+	return shots
+}
+
+// tokenRate returns the tokens that a workspace sends per second.
+func (p *plan) tokenRate(t *tenant, phase Phase) float64 {
+	if phase.Name == phaseBurst && t.name == p.workload.Burster {
+		return p.burstFactor * float64(t.rate)
+	}
+	return p.load * float64(t.rate)
+}
+
+// batchSize draws from the geometric distribution of the given mean.
+func batchSize(random *rand.Rand, mean float64) int {
+	if mean <= 1 {
+		return 1
+	}
+	return 1 + int(math.Log(1-random.Float64())/math.Log(1-1/mean))
+}
+
+// items chooses the prefixes of a request. Which of them are popular shifts.
+func (p *plan) items(random *rand.Rand, s *Stream, at time.Duration) []int {
+	shifts := int(at / p.shift)
+	items := make([]int, len(s.Levels))
+	for i, level := range s.Levels {
+		items[i] = (zipf(random, level) + shifts*3) % level.Items
+	}
+	return items
+}
+
+// zipf draws a rank below level.Items with probability falling by its skew.
+func zipf(random *rand.Rand, level Level) int {
+	total := 0.0
+	for rank := range level.Items {
+		total += math.Pow(float64(rank+1), -level.Skew)
+	}
+	left := random.Float64() * total
+	for rank := range level.Items {
+		left -= math.Pow(float64(rank+1), -level.Skew)
+		if left <= 0 {
+			return rank
+		}
+	}
+	return level.Items - 1
+}
+
+// texts makes prompts. The same prefixes have the same text.
+type texts map[string]string
+
+// prompt returns the text of a shot's prompt.
+func (x texts) prompt(s *shot) string {
+	var b strings.Builder
+	name := s.tenant.name + "/" + s.stream.Kind
+	for i, level := range s.stream.Levels {
+		name += "/" + strconv.Itoa(s.items[i])
+		b.WriteString(x.segment(name, level.Tokens))
+	}
+	own := s.tenant.name + "/" + s.stream.Kind + "#" + strconv.Itoa(s.number)
+	b.WriteString(segment(own, s.stream.AskTokens))
+	return b.String()
+}
+
+func (x texts) segment(name string, count int) string {
+	text, ok := x[name]
+	if !ok {
+		text = segment(name, count)
+		x[name] = text
+	}
+	return text
+}
+
+// segment returns text of the given number of tokens that depends on the name.
+func segment(name string, count int) string {
+	text := make([]byte, 0, count*tokens.BytesPerToken+tokens.BytesPerToken)
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(name), 0))
+	for len(text) < count*tokens.BytesPerToken {
+		bits := random.Uint32()
+		text = append(text, 'a'+byte(bits%26), 'a'+byte(bits>>8%26), 'a'+byte(bits>>16%26), ' ')
+	}
+	return string(text)
+}
--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,255 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/tokens"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// ending says how a request ended.
+type ending string
+
+const (
+	endAnswered   ending = "answered"
+	endRefused    ending = "refused" // 429 or 503
+	endHeld       ending = "held"    // 503, since a call that runs at most once can't be recorded
+	endFailed     ending = "failed"  // any other status, or a broken connection
+	endUnfinished ending = "unfinished"
+)
+
+// outcome is what became of a shot. Times are since the intended send time.
+type outcome struct {
+	shot       *shot
+	end        ending
+	status     int
+	code       string
+	first      time.Duration // until the first token, or the reply of a call
+	prompt     int           // tokens, as counted by the engine
+	cached     int
+	completion int
+	cost       float64 // tokens reserved
+	firstSeen  int     // prompt tokens that no request before had
+	inside     bool    // the exact bucket admits it
+}
+
+// sender sends requests to the routers in turn, like a balancer.
+type sender struct {
+	routers []string
+	model   string
+	timeout time.Duration
+	client  *http.Client
+}
+
+// maxIdle is the number of idle connections kept to each router.
+const maxIdle = 256
+
+func newSender(routers []string, model string, timeout time.Duration) *sender {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdle,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	}
+	return &sender{routers: routers, model: model, timeout: timeout, client: &http.Client{Transport: transport}}
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type completionBody struct {
+	Model         string        `json:"model"`
+	Messages      []chatMessage `json:"messages,omitempty"`
+	Prompt        string        `json:"prompt,omitempty"`
+	MaxTokens     int           `json:"max_tokens"`
+	Stream        bool          `json:"stream"`
+	StreamOptions streamOptions `json:"stream_options"`
+}
+
+// The text that the chat interface puts around one user message.
+const (
+	chatPrefix = "<|user|>\n"
+	chatSuffix = "\n<|assistant|>\n"
+)
+
+// rendered returns the prompt as the engine gets it.
+func (s *Stream) rendered(prompt string) string {
+	if !s.chat() {
+		return prompt
+	}
+	return chatPrefix + prompt + chatSuffix
+}
+
+// reserved returns the tokens that the system reserves for a request.
+func (s *Stream) reserved(prompt string) float64 {
+	if s.Class == ClassCall {
+		return float64(s.Cost)
+	}
+	return float64(tokens.Count(len(s.rendered(prompt))) + s.MaxTokens)
+}
+
+// request returns the HTTP request of a shot, without its router.
+func (c *sender) request(ctx context.Context, router string, o *shot, prompt string) (*http.Request, error) {
+	s := o.stream
+	path, method := "/v1/completions", http.MethodPost
+	var body []byte
+	switch {
+	case s.Class == ClassCall && s.Method == http.MethodGet:
+		path, method = s.Path+strconv.Itoa(o.number), s.Method
+	case s.Class == ClassCall:
+		path, body = s.Path, []byte(`{"order":`+strconv.Itoa(o.number)+`}`)
+	default:
+		message := completionBody{Model: c.model, MaxTokens: s.MaxTokens, Stream: true, StreamOptions: streamOptions{true}}
+		if s.chat() {
+			path = "/v1/chat/completions"
+			message.Messages = []chatMessage{{"user", prompt}}
+		} else {
+			message.Prompt = prompt
+		}
+		body, _ = json.Marshal(message) // a plain struct
+	}
+	req, err := http.NewRequestWithContext(ctx, method, router+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req.Header.Set("Authorization", "Bearer "+o.tenant.key)
+	req.Header.Set("Content-Type", "application/json")
+	if s.Class == ClassCall && method == http.MethodPost {
+		req.Header.Set("Idempotency-Key", uuid.NewString())
+	}
+	return req, nil
+}
+
+// send carries out a shot that was due at a time, and fills in its outcome. A
+// router that can't be reached is passed over.
+func (c *sender) send(ctx context.Context, o *outcome, prompt string, turn int, due time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(c.timeout))
+	defer cancel()
+	o.end = endFailed
+	for try := range c.routers {
+		req, err := c.request(ctx, c.routers[(turn+try)%len(c.routers)], o.shot, prompt)
+		if err != nil {
+			return
+		}
+		resp, err := c.client.Do(req)
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			continue
+		}
+		if err == nil {
+			err = o.read(resp, due)
+		}
+		if err != nil && ctx.Err() != nil {
+			o.end = endUnfinished
+			o.first = time.Since(due)
+		}
+		return
+	}
+}
+
+type errorBody struct {
+	Error struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+// read reads an answer to its end.
+func (o *outcome) read(resp *http.Response, due time.Time) error {
+	defer resp.Body.Close()
+	o.status = resp.StatusCode
+	if o.status/100 != 2 {
+		var parsed errorBody
+		_ = json.NewDecoder(resp.Body).Decode(&parsed) // the status says enough
+		o.code = parsed.Error.Code
+		o.end = refusal(o.status, o.code)
+		return nil
+	}
+	if o.shot.stream.Class != ClassCall {
+		return o.readStream(resp.Body, due)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return errors.Wrap(err, "reply")
+	}
+	o.first = time.Since(due)
+	o.end = endAnswered
+	return nil
+}
+
+// refusal returns how a request without success ended.
+func refusal(status int, code string) ending {
+	switch {
+	case code == string(verdict.CodeStoreUnavailable):
+		return endHeld
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return endRefused
+	default:
+		return endFailed
+	}
+}
+
+// chunk is an event of a stream, of either interface.
+type chunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens        int `json:"prompt_tokens"`
+		CompletionTokens    int `json:"completion_tokens"`
+		PromptTokensDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// readStream reads the events of a stream. It is answered only if it ends as it
+// should.
+func (o *outcome) readStream(body io.Reader, due time.Time) error {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			o.end = endAnswered
+			continue
+		}
+		var event chunk
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return errors.Wrap(err, "event")
+		}
+		o.take(&event, due)
+	}
+	return errors.Wrap(scanner.Err(), "stream")
+}
+
+func (o *outcome) take(event *chunk, due time.Time) {
+	if o.first == 0 && len(event.Choices) > 0 && event.Choices[0].Text+event.Choices[0].Delta.Content != "" {
+		o.first = time.Since(due)
+	}
+	if event.Usage != nil {
+		o.prompt = event.Usage.PromptTokens
+		o.completion = event.Usage.CompletionTokens
+		o.cached = event.Usage.PromptTokensDetails.CachedTokens
+	}
+}
--- /dev/null
+++ b/internal/load/tenant.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+)
+
+// tenant is a workspace that sends requests.
+type tenant struct {
+	name  string
+	key   string
+	rate  int64 // tokens per second
+	burst int64 // tokens
+}
+
+var demoKey = regexp.MustCompile(`(?m)^# demo key: (\S+)$`)
+
+// readTenants returns the workspaces of a document whose keys are in its
+// comments, and that are not the bucket of an open route.
+func readTenants(path string) ([]tenant, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "document")
+	}
+	document, err := config.Parse(text)
+	if err != nil {
+		return nil, errors.Wrap(err, "document")
+	}
+	open := make(map[string]bool)
+	for i := range document.Routes {
+		if document.Routes[i].Workspace != "" {
+			open[document.Routes[i].Workspace] = true
+		}
+	}
+	keys := demoKeys(text, document)
+	var tenants []tenant
+	for i := range document.Workspaces {
+		w := &document.Workspaces[i]
+		if keys[w.Name] != "" && !open[w.Name] {
+			tenants = append(tenants, tenant{name: w.Name, key: keys[w.Name], rate: w.Rate, burst: w.Burst})
+		}
+	}
+	if len(tenants) == 0 {
+		return nil, errors.Errorf("%s holds no demo keys", path)
+	}
+	return tenants, nil
+}
+
+// demoKeys returns the keys in a document's comments by workspace.
+func demoKeys(text []byte, document *config.Document) map[string]string {
+	keys := make(map[string]string)
+	for _, match := range demoKey.FindAllSubmatch(text, -1) {
+		sum := sha256.Sum256(match[1])
+		for i := range document.Keys {
+			if hex.EncodeToString(document.Keys[i].SHA256[:]) == hex.EncodeToString(sum[:]) {
+				keys[document.Keys[i].Workspace] = string(match[1])
+			}
+		}
+	}
+	return keys
+}
+
+// bucket is an exact token bucket of a workspace over all routers: the judge of
+// refusals. Only what the system admitted is taken from it.
+type bucket struct {
+	rate, burst float64
+	level       float64
+	at          time.Duration
+}
+
+// newBucket returns a full bucket, or an empty one before a system whose buckets
+// start empty.
+func newBucket(t *tenant, full bool) *bucket {
+	b := &bucket{rate: float64(t.rate), burst: float64(t.burst)}
+	if full {
+		b.level = b.burst
+	}
+	return b
+}
+
+// fill moves the bucket to a time since the start. Times of answers may cross.
+func (b *bucket) fill(at time.Duration) {
+	if at <= b.at {
+		return
+	}
+	b.level = min(b.burst, b.level+b.rate*(at-b.at).Seconds())
+	b.at = at
+}
+
+// admits says whether the bucket holds the cost at that time.
+func (b *bucket) admits(at time.Duration, cost float64) bool {
+	b.fill(at)
+	return b.level >= cost
+}
+
+func (b *bucket) take(cost float64) { b.level -= cost }
+
+// giveBack undoes a take whose request was refused.
+func (b *bucket) giveBack(cost float64) { b.level = min(b.burst, b.level+cost) }
--- /dev/null
+++ b/scripts/bench-run.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Drives the system that system.sh has started through the phases of the bench,
+# and brings about each phase's fault when the phase starts.
+set -euo pipefail
+routers=()
+for router in $WASABIGATE_ROUTERS; do routers+=(--router "$router"); done
+restarted=()
+# The daemons read their settings from variables of that prefix too.
+clean=()
+for name in $(compgen -e WASABIGATE_); do clean+=(-u "$name"); done
+trap 'for pid in "${restarted[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done' EXIT
+
+post() { curl -s -o /dev/null -X POST -H 'Content-Type: application/json' -d "$2" "$1/admin/faults"; }
+
+restart_routers() {
+	for ini in "$WASABIGATE_RUN"/router-*.ini; do
+		kill -KILL "$(cat "${ini%.ini}.pid")"
+	done
+	for ini in "$WASABIGATE_RUN"/router-*.ini; do
+		env "${clean[@]}" bin/wasabigated --config "$ini" >>"${ini%.ini}.log" 2>&1 &
+		restarted+=($!)
+	done
+}
+
+phase() { # NAME
+	case $1 in
+	crash) post "${WASABIGATE_BACKENDS%% *}" '{"crash":true,"down_ms":300}' ;;
+	kv-out) post "$WASABIGATE_KV" '{"down":true}' ;;
+	herd)
+		post "$WASABIGATE_KV" '{"down":false}'
+		restart_routers
+		;;
+	esac
+}
+
+lines=$(mktemp -u)
+mkfifo "$lines"
+bin/load --workload "$BENCH_WORKLOAD" --document "$WASABIGATE_DOCUMENT" "${routers[@]}" --phases "$BENCH_PHASES" \
+	--policy "$POLICY" --report "$BENCH_REPORT" --load "$BENCH_LOAD" --seed "$BENCH_SEED" --fresh \
+	--engines "$ENGINES" --cache-blocks "$BENCH_CACHE_BLOCKS" --prefill-rate "$BENCH_PREFILL_RATE" >"$lines" &
+load=$!
+while IFS= read -r line; do
+	echo "$line"
+	if [[ $line == phase\ * && $line != *sent* ]]; then phase "${line#phase }"; fi
+done <"$lines"
+rm -f "$lines"
+wait "$load"
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Measures the routing policies under both workloads, each run on a fresh system
+# of three routers, twelve engines and three plain services on loopback, with
+# engines faster than real ones. Rounds are interleaved over the policies.
+#
+# SHORT=1 makes one short round. POLICIES, WORKLOADS, ROUNDS, PHASES, LOAD, SEED
+# and REPORT change the rest.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+policies=${POLICIES:-round-robin least-loaded prefix-hash own}
+workloads=${WORKLOADS:-consortium association}
+report=${REPORT:-report/bench}
+if [ "${SHORT:-0}" = 1 ]; then
+	rounds=${ROUNDS:-1}
+	phases=${PHASES:-warm=900ms,calm=900ms,burst=1s,crash=500ms,kv-out=500ms,herd=700ms}
+else
+	rounds=${ROUNDS:-3}
+	phases=${PHASES:-warm=2s,calm=2s,burst=2s,crash=1s,kv-out=1s,herd=1s}
+fi
+
+export ENGINES=12 SERVICES=3 ROUTERS=3
+export LOG_LEVEL=${LOG_LEVEL:-warn} DRAIN_TIMEOUT=1s
+export BENCH_TIME_SCALE=4 BENCH_CACHE_BLOCKS=${CACHE_BLOCKS:-1500} BENCH_PREFILL_RATE=80000
+export ENGINE_FLAGS="--time-scale $BENCH_TIME_SCALE --cache-blocks $BENCH_CACHE_BLOCKS"
+export SIDECAR_SETTINGS="max_concurrent = 16"
+export BENCH_PHASES=$phases BENCH_LOAD=${LOAD:-0.3} BENCH_SEED BENCH_REPORT BENCH_WORKLOAD POLICY
+rate_factor=${RATE_FACTOR:-20}
+run_timeout=${RUN_TIMEOUT:-60}
+
+documents=$(mktemp -d)
+trap 'rm -rf "$documents"' EXIT
+rm -rf "$report"
+echo "load average before: $(cut -d' ' -f1-3 /proc/loadavg)"
+for ((round = 1; round <= rounds; round++)); do
+	for BENCH_WORKLOAD in $workloads; do
+		document=$documents/$BENCH_WORKLOAD.ini
+		awk -v f="$rate_factor" '$1 == "rate" || $1 == "burst" { $3 *= f } { print }' "examples/$BENCH_WORKLOAD.ini" >"$document"
+		for POLICY in $policies; do
+			BENCH_SEED=$((${SEED:-1} + round))
+			BENCH_REPORT=$report/$BENCH_WORKLOAD-$POLICY-$round
+			mkdir -p "$BENCH_REPORT"
+			if ! timeout "$run_timeout" scripts/system.sh "$document" scripts/bench-run.sh >"$BENCH_REPORT/output.txt" 2>&1; then
+				echo "FAIL $BENCH_REPORT"
+				tail -n 5 "$BENCH_REPORT/output.txt"
+			fi
+		done
+	done
+done
+bin/load summary "$report"/*/report.json | tee "$report/summary.txt"
+echo "load average after: $(cut -d' ' -f1-3 /proc/loadavg)"
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -5,7 +5,7 @@
 # Usage: system.sh DOCUMENT COMMAND [ARGUMENT...]
 # COMMAND runs once the system serves; "wait" keeps it running until Ctrl-C.
 # ENGINES, SERVICES and ROUTERS say how many of each are started. POLICY,
-# ENGINE_FLAGS and KEEP_LOGS=1 serve experiments.
+# ENGINE_FLAGS, SIDECAR_SETTINGS, DRAIN_TIMEOUT and KEEP_LOGS=1 serve experiments.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -80,7 +80,7 @@
 availability_zone = $3
 environment = $environment
 rpc_address = 127.0.0.1:$4
-drain_timeout = 20s
+drain_timeout = ${DRAIN_TIMEOUT:-20s}
 ${5:+admin_address = 127.0.0.1:$5}
 peers = $peers
 [platform]
