Count in a load report only the prompt tokens to be computed

Cause: a backend server that holds most of the prompts waiting there reported their whole length as backlog, so that the own policy fled from holders. Ruled out: lag of the reports; the own work given since is added already. Change: a dispatch carries the tokens that the router expects to be computed, the sidecar's queue counts these, and tells urgent ones apart. The queue's test reads the sum of the two counters, which must still be zero. The p99 of urgent requests is still worse than the prefix hash's.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -235,6 +235,7 @@
 	}
 	if req.Generation != nil {
 		message.Generation = generation(req.Generation)
+		message.MissingTokens = max(1, req.MissingTokens)
 	}
 	return message
 }
--- a/internal/sidecar/queue/lane.go
+++ b/internal/sidecar/queue/lane.go
@@ -29,6 +29,7 @@
 	flow     *flow
 	lane     int
 	prompt   int64 // tokens of the prompt
+	missing  int64 // of these, those expected to be computed
 	enqueued time.Time
 	ready    chan struct{} // closed when granted or evicted
 	evicted  string        // reason, if taken out of the queue
--- a/internal/sidecar/queue/queue.go
+++ b/internal/sidecar/queue/queue.go
@@ -37,12 +37,12 @@
 	ageing   time.Duration
 	metrics  metrics
 
-	mu            sync.Mutex
-	lanes         [laneCount]lane
-	running       int
-	starts        int   // urgent starts since an aged request had its turn
-	backlogTokens int64 // prompt tokens without a first answer
-	watch         watch
+	mu      sync.Mutex
+	lanes   [laneCount]lane
+	running int
+	starts  int              // urgent starts since an aged request had its turn
+	backlog [laneCount]int64 // prompt tokens to be computed before a first answer
+	watch   watch
 }
 
 // Name implements job.Filter.
@@ -101,9 +101,9 @@
 		l.release(f)
 		return nil, q.overloaded(j, laneIndex, expected, reasonFull)
 	}
-	w := &waiter{flow: f, lane: laneIndex, prompt: promptTokens(j), enqueued: now, ready: make(chan struct{})}
+	w := &waiter{flow: f, lane: laneIndex, prompt: promptTokens(j), missing: missingTokens(j), enqueued: now, ready: make(chan struct{})}
 	l.push(w)
-	q.backlogTokens += w.prompt
+	q.backlog[w.lane] += w.missing
 	q.dispatchLocked(now)
 	if !w.granted {
 		q.watchLocked()
@@ -136,7 +136,7 @@
 // giveUpLocked takes a waiting request out of the queue and tells it why.
 func (q *Queue) giveUpLocked(l *lane, w *waiter, reason string) {
 	l.drop(w)
-	q.backlogTokens -= w.prompt
+	q.backlog[w.lane] -= w.missing
 	w.evicted = reason
 	close(w.ready)
 	l.release(w.flow)
@@ -227,7 +227,7 @@
 	default:
 		l.drop(w)
 	}
-	q.backlogTokens -= w.prompt
+	q.backlog[w.lane] -= w.missing
 	l.release(w.flow)
 	q.dispatchLocked(time.Now())
 }
--- a/internal/sidecar/queue/queue_test.go
+++ b/internal/sidecar/queue/queue_test.go
@@ -88,8 +88,8 @@
 	t.Helper()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.running != 0 || q.waitingLocked() != 0 || q.backlogTokens != 0 {
-		t.Errorf("left: %d running, %d waiting, %d tokens", q.running, q.waitingLocked(), q.backlogTokens)
+	if q.running != 0 || q.waitingLocked() != 0 || q.backlog[laneUrgent]+q.backlog[laneDeferrable] != 0 {
+		t.Errorf("left: %d running, %d waiting, %d tokens", q.running, q.waitingLocked(), q.backlog[laneUrgent]+q.backlog[laneDeferrable])
 	}
 	for i := range q.lanes {
 		l := &q.lanes[i]
--- a/internal/sidecar/queue/slot.go
+++ b/internal/sidecar/queue/slot.go
@@ -15,12 +15,12 @@
 	waiter  *waiter
 	started time.Time
 	charged int64 // tokens on the flow's counter
-	pending int64 // prompt tokens in the backlog
+	pending int64 // tokens in the backlog
 	ran     bool
 }
 
 func newSlot(q *Queue, w *waiter, now time.Time) *slot {
-	return &slot{queue: q, waiter: w, started: now, charged: w.prompt, pending: w.prompt}
+	return &slot{queue: q, waiter: w, started: now, charged: w.prompt, pending: w.missing}
 }
 
 // counting returns an Emit that charges tokens as they are generated.
@@ -46,7 +46,7 @@
 }
 
 func (s *slot) clearBacklogLocked() {
-	s.queue.backlogTokens -= s.pending
+	s.queue.backlog[s.waiter.lane] -= s.pending
 	s.pending = 0
 }
 
@@ -116,3 +116,12 @@
 	}
 	return 1
 }
+
+// missingTokens returns the prompt tokens that the backend server is expected
+// to compute: what the router knows not to be cached, or else the prompt.
+func missingTokens(j *job.Job) int64 {
+	if missing := j.Request.MissingTokens; missing > 0 {
+		return missing
+	}
+	return promptTokens(j)
+}
--- a/internal/sidecar/queue/state.go
+++ b/internal/sidecar/queue/state.go
@@ -13,7 +13,8 @@
 	now := time.Now()
 	load.Queued = uint32(q.waitingLocked())
 	load.Running = uint32(q.running)
-	load.BacklogTokens = q.backlogTokens
+	load.BacklogTokens = q.backlog[laneUrgent] + q.backlog[laneDeferrable]
+	load.UrgentBacklogTokens = q.backlog[laneUrgent]
 	load.OldestWaitMs = q.oldestLocked(now).Milliseconds()
 	load.DrainMs = q.drainLocked().Milliseconds()
 }
