--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,7 +31,7 @@
 type Observer interface {
 	// Dispatched tells that a request is on its way to the target, which is
 	// expected to compute missing prompt tokens for it.
-	Dispatched(target request.Target, missing int64)
+	Dispatched(target request.Target, class config.Class, missing int64)
 	// Received tells of a frame of the target's answer.
 	Received(target request.Target, req *request.Request, frame *wire.Frame)
 	// Finished tells that the attempt at the target has ended.
@@ -64,7 +64,7 @@
 // is there. A refusal is returned as an error, not as a stream.
 func (d *Dispatcher) Handle(ctx context.Context, req *request.Request) (request.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	d.observer.Dispatched(req.Target, req.MissingTokens)
+	d.observer.Dispatched(req.Target, req.Class, req.MissingTokens)
 	frames, err := d.backend(ctx, req.Target.Address).Execute(ctx, executeRequest(req))
 	if err != nil {
 		cancel()
@@ -78,7 +78,7 @@
 // number of an attempt that was dispatched before.
 func (d *Dispatcher) Resume(ctx context.Context, req *request.Request, after uint64) (request.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	d.observer.Dispatched(req.Target, 0)
+	d.observer.Dispatched(req.Target, req.Class, 0)
 	frames, err := d.backend(ctx, req.Target.Address).Resume(ctx, &wire.ResumeRequest{
 		RequestId:     req.ID,
 		Attempt:       req.Attempt,
--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -66,27 +66,55 @@
 
 func (queueScorer) name() string { return "queue" }
 
+const (
+	// deferrableWeight is what a wait counts for work that may wait.
+	deferrableWeight = 0.125
+	// prefillStep is the mean length of a prefill that an urgent request finds
+	// running, in tokens: it goes before all deferrable work but that one.
+	prefillStep = 512
+)
+
 func (queueScorer) score(d *decision, c *Candidate) time.Duration {
-	prefill := seconds(c.load.backlog(d.now) / c.load.prefillRate())
-	return prefill + c.load.slotWait()
+	waiting := c.load.backlog(d.now)
+	rate := c.load.prefillRate()
+	if workClass(d.req.Class) == deferrable {
+		wait := seconds(waiting.total()/rate) + c.load.slotWait()
+		return time.Duration(deferrableWeight * float64(wait))
+	}
+	ahead := waiting[urgent] + min(waiting[deferrable], prefillStep)
+	return seconds(ahead/rate) + min(c.load.slotWait(), c.load.slotTurn())
 }
 
 // meanServiceTime is assumed of a running request when all of an engine's slots
 // are taken.
 const meanServiceTime = 500 * time.Millisecond
 
-// slotWait returns the expected wait for one of the engine's slots.
+// slotWait returns the expected wait for one of the engine's slots, behind all
+// requests there.
 func (s *serverLoad) slotWait() time.Duration {
-	last := s.report.Load()
-	if last == nil || last.load.GetMaxRunning() == 0 {
+	slots := s.slots()
+	if slots == 0 {
 		return 0
 	}
-	slots := int64(last.load.GetMaxRunning())
 	ahead := s.requests() - slots + 1
-	if ahead <= 0 {
+	return time.Duration(max(0, ahead)) * s.slotTurn()
+}
+
+// slotTurn returns the expected time until one of the taken slots is free.
+func (s *serverLoad) slotTurn() time.Duration {
+	slots := s.slots()
+	if slots == 0 {
+		return 0
+	}
+	return meanServiceTime / time.Duration(slots)
+}
+
+func (s *serverLoad) slots() int64 {
+	last := s.report.Load()
+	if last == nil {
 		return 0
 	}
-	return time.Duration(ahead) * meanServiceTime / time.Duration(slots)
+	return int64(last.load.GetMaxRunning())
 }
 
 // prefixScorer scores the time to compute what the cache lacks.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -200,8 +200,8 @@
 }
 
 // Dispatched implements dispatch.Observer.
-func (f *Filter) Dispatched(target request.Target, missing int64) {
-	f.tracker.dispatched(target.Address, missing)
+func (f *Filter) Dispatched(target request.Target, class config.Class, missing int64) {
+	f.tracker.dispatched(target.Address, workClass(class), missing)
 }
 
 // Finished implements dispatch.Observer.
--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
@@ -27,18 +28,44 @@
 type serverLoad struct {
 	tracker  *Tracker
 	report   atomic.Pointer[report]
-	given    atomic.Int64 // prompt tokens given out, ever
-	inflight atomic.Int64 // own attempts that have not ended
+	given    [classCount]atomic.Int64 // prompt tokens given out, ever
+	inflight atomic.Int64             // own attempts that have not ended
 }
 
+// classes of work at a backend server.
+const (
+	urgent = iota
+	deferrable
+	classCount
+)
+
+// workClass returns the class of a request's work.
+func workClass(class config.Class) int {
+	if class == config.ClassDeferrable {
+		return deferrable
+	}
+	return urgent
+}
+
+// backlog is the prompt tokens that wait to be computed, by class.
+type backlog [classCount]float64
+
+func (b backlog) total() float64 { return b[urgent] + b[deferrable] }
+
 // report is a load report with the state of the router's own counter then.
 type report struct {
 	load       *wire.Load
 	receivedAt time.Time
-	given      int64
+	given      [classCount]int64
 	lacks      []platform.Weights // disproved by a refusal since the report
 }
 
+// backlogOf returns the backlog of a load report.
+func backlogOf(load *wire.Load) backlog {
+	first := load.GetUrgentBacklogTokens()
+	return backlog{urgent: float64(first), deferrable: float64(load.GetBacklogTokens() - first)}
+}
+
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
 	return &Tracker{servers: make(map[string]*serverLoad)}
@@ -68,15 +95,23 @@
 	if load.GetPrefillRate() > 0 {
 		t.typical.Store(math.Float64bits(load.GetPrefillRate()))
 	}
-	server.report.Store(&report{load: load, receivedAt: time.Now(), given: server.given.Load()})
+	server.report.Store(&report{load: load, receivedAt: time.Now(), given: server.givenOut()})
 }
 
 // dispatched notes a request given to the backend server at address, which is
 // expected to compute missing prompt tokens for it.
-func (t *Tracker) dispatched(address string, missing int64) {
+func (t *Tracker) dispatched(address string, class int, missing int64) {
 	server := t.server(address)
 	server.inflight.Add(1)
-	server.given.Add(missing)
+	server.given[class].Add(missing)
+}
+
+// givenOut returns the prompt tokens given out so far, by class.
+func (s *serverLoad) givenOut() (given [classCount]int64) {
+	for class := range given {
+		given[class] = s.given[class].Load()
+	}
+	return given
 }
 
 // finished notes the end of an attempt at address.
@@ -101,15 +136,25 @@
 }
 
 // backlog returns the prompt tokens that wait at the backend server now: those
-// last reported, less what was computed since, and those given out since.
-func (s *serverLoad) backlog(now time.Time) float64 {
-	last := s.report.Load()
-	if last == nil {
-		return float64(s.given.Load())
+// last reported, less what was computed since, urgent ones first, and those
+// given out since.
+func (s *serverLoad) backlog(now time.Time) backlog {
+	var waiting backlog
+	var given [classCount]int64
+	if last := s.report.Load(); last != nil {
+		waiting = backlogOf(last.load)
+		given = last.given
+		computed := now.Sub(last.receivedAt).Seconds() * s.prefillRate()
+		for class := range waiting {
+			done := min(computed, waiting[class])
+			waiting[class] -= done
+			computed -= done
+		}
+	}
+	for class := range waiting {
+		waiting[class] += float64(s.given[class].Load() - given[class])
 	}
-	computed := now.Sub(last.receivedAt).Seconds() * s.prefillRate()
-	remaining := max(0, float64(last.load.GetBacklogTokens())-computed)
-	return remaining + float64(s.given.Load()-last.given)
+	return waiting
 }
 
 // prefillRate returns the engine's prefill rate in tokens per second. An engine
