--- a/internal/prefix/levels.go
+++ b/internal/prefix/levels.go
@@ -16,6 +16,9 @@
 	return dst
 }
 
+// LevelBelow returns the level below a depth, 0 for none.
+func LevelBelow(depth int) int { return levelBelow(depth) }
+
 // levelBelow returns the deepest level above depth's prefix, 0 for none. Levels
 // are the depths whose binary form has no more than levelBits leading bits set
 // to other than zero.
--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/membership"
+	"github.com/wasabigate/wasabigate/internal/prefix"
 	"github.com/wasabigate/wasabigate/internal/request"
 )
 
@@ -27,7 +28,9 @@
 	now          time.Time
 	zone         string // the router's availability zone
 	promptTokens int
-	candidates   []Candidate
+	// affinityDepth is the length of the prefix that decides affinity, in blocks.
+	affinityDepth int
+	candidates    []Candidate
 }
 
 // filter says whether a candidate may be used at all.
@@ -122,9 +125,24 @@
 
 func (prefixScorer) name() string { return "prefix" }
 
+// homeBelief is the probability that the first backend server by affinity holds
+// the prefix that decides affinity, although this router does not know of it:
+// another router may have sent it there.
+const homeBelief = 0.5
+
 func (prefixScorer) score(d *decision, c *Candidate) time.Duration {
-	missing := d.promptTokens - c.CachedTokens
-	return seconds(float64(missing) / c.load.prefillRate())
+	return seconds((float64(d.promptTokens) - d.expectedCached(c)) / c.load.prefillRate())
+}
+
+// expectedCached returns the prompt tokens that the candidate is expected to
+// hold.
+func (d *decision) expectedCached(c *Candidate) float64 {
+	known := float64(c.CachedTokens)
+	if c.Affinity > 0 {
+		return known
+	}
+	unknown := max(0, float64(d.affinityDepth*prefix.BlockTokens)-known)
+	return known + homeBelief*unknown
 }
 
 // zoneScorer scores the distance between availability zones.
--- a/internal/route/gather.go
+++ b/internal/route/gather.go
@@ -19,8 +19,11 @@
 	serversPerLevel = 2
 	// randomCandidates are added, so that a crowd finds idle backend servers.
 	randomCandidates = 2
-	// rootBlocks is the length of the prefix that decides affinity, in blocks.
+	// rootBlocks is the length of the prefix that decides affinity under the
+	// prefix-hash policy, in blocks.
 	rootBlocks = 4
+	// sharedHeat is the heat from which a prefix counts as shared.
+	sharedHeat = 1.5
 )
 
 // gatherer finds a request's candidates, as indexes of the group's backend
@@ -45,6 +48,23 @@
 	return ring.Lookup(dst, rootHash(d.blocks()), len(servers))
 }
 
+// affinityDepth returns the length of the prefix that decides affinity, in
+// blocks: the longest one that is known to be shared, or else about three
+// quarters of the prompt, since what prompts don't share is short and comes last.
+// Routers that know nothing agree.
+func affinityDepth(blocks []uint64, heat func(block uint64) float64) int {
+	unknown := 0
+	for depth := len(blocks); depth > 0; depth = prefix.LevelBelow(depth) {
+		if heat(blocks[depth-1]) >= sharedHeat {
+			return depth
+		}
+		if unknown == 0 && depth <= len(blocks)*3/4 {
+			unknown = depth
+		}
+	}
+	return max(unknown, min(1, len(blocks)))
+}
+
 // nearPrefix takes all backend servers of a small group. Of a large one it
 // takes those known to hold a prefix of the prompt, those that the ring gives
 // for nested prefixes, and a few at random.
@@ -52,10 +72,11 @@
 
 func (nearPrefix) gather(dst []int32, d *decision, servers []membership.Server, ring *membership.Ring, holders []prefix.Holder) []int32 {
 	blocks := d.blocks()
+	nearest := d.affinityHash()
 	if len(servers) <= smallGroup {
-		return ring.Lookup(dst, rootHash(blocks), len(servers))
+		return ring.Lookup(dst, nearest, len(servers))
 	}
-	dst = ring.Lookup(dst, rootHash(blocks), serversPerLevel)
+	dst = ring.Lookup(dst, nearest, serversPerLevel)
 	for level := 1; level <= hashLevels && len(blocks) > 0; level++ {
 		length := max(1, len(blocks)>>(hashLevels-level))
 		dst = ring.Lookup(dst, blocks[length-1], serversPerLevel)
@@ -85,6 +106,14 @@
 	return append(dst, index)
 }
 
+// affinityHash returns the hash of the prefix that decides affinity.
+func (d *decision) affinityHash() uint64 {
+	if d.affinityDepth == 0 {
+		return rand.Uint64()
+	}
+	return d.blocks()[d.affinityDepth-1]
+}
+
 func (d *decision) blocks() []uint64 {
 	if d.req.Generation == nil {
 		return nil
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -29,6 +29,8 @@
 	Learn(blocks []uint64, address string, incarnation uint64)
 	// Restore notes that the backend server at address holds the blocks.
 	Restore(blocks []uint64, address string, incarnation uint64)
+	// Heat returns how often chains with the block were learned lately.
+	Heat(block uint64) float64
 	// Forget drops what is known of the backend server at address.
 	Forget(address string)
 }
@@ -156,6 +158,7 @@
 		generation.Blocks = prefix.Chain(generation.Blocks, req.CacheSeed().Salt(), generation.Prompt)
 	}
 	s.holders = f.index.Holders(s.holders, generation.Blocks)
+	s.decision.affinityDepth = affinityDepth(generation.Blocks, f.index.Heat)
 }
 
 // gather fills in the candidates that pass the filters.
