Let a daemon's stop not wait for ever on a worker that tells the loop

A goroutine dump of the router showed Run waiting for its workers, and the reader of the VM list waiting in send for a loop that had ended: stopped was closed only after the wait. Ruled out: the drain; its timeout had passed and it had been logged. Change: stopped is closed before the wait. Conclusion: a planned stop ends.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -111,11 +111,11 @@
 // Run is the control goroutine. It starts the workers that read the platform
 // and talk to peers, and returns when ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	defer close(l.stopped)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	workers := l.startWorkers(ctx)
 	defer workers.Wait()
+	defer close(l.stopped) // before the wait: a worker may be sending an event
 	state := *l.cell.Snapshot()
 	for {
 		select {
