Choose by the prefix that three quarters of a prompt have, and learn at dispatch

Cause: each router sent a prefix that it did not know to another engine, since affinity went by the first 64 tokens, which all prompts of a kind share. A trace of decisions showed new rolls at the engine that had the least to do at the time.

--- a/internal/route/gather.go
+++ b/internal/route/gather.go
@@ -22,8 +22,6 @@
 	// rootBlocks is the length of the prefix that decides affinity under the
 	// prefix-hash policy, in blocks.
 	rootBlocks = 4
-	// sharedHeat is the heat from which a prefix counts as shared.
-	sharedHeat = 1.5
 )
 
 // gatherer finds a request's candidates, as indexes of the group's backend
@@ -49,20 +47,15 @@
 }
 
 // affinityDepth returns the length of the prefix that decides affinity, in
-// blocks: the longest one that is known to be shared, or else about three
-// quarters of the prompt, since what prompts don't share is short and comes last.
-// Routers that know nothing agree.
-func affinityDepth(blocks []uint64, heat func(block uint64) float64) int {
-	unknown := 0
-	for depth := len(blocks); depth > 0; depth = prefix.LevelBelow(depth) {
-		if heat(blocks[depth-1]) >= sharedHeat {
-			return depth
-		}
-		if unknown == 0 && depth <= len(blocks)*3/4 {
-			unknown = depth
-		}
+// blocks: about three quarters of the prompt, since what prompts don't share is
+// short and comes last. It depends on the prompt alone, so that routers agree
+// whatever they know.
+func affinityDepth(blocks []uint64) int {
+	depth := len(blocks)
+	for depth > max(1, len(blocks)*3/4) {
+		depth = prefix.LevelBelow(depth)
 	}
-	return max(unknown, min(1, len(blocks)))
+	return depth
 }
 
 // nearPrefix takes all backend servers of a small group. Of a large one it
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -29,8 +29,6 @@
 	Learn(blocks []uint64, address string, incarnation uint64)
 	// Restore notes that the backend server at address holds the blocks.
 	Restore(blocks []uint64, address string, incarnation uint64)
-	// Heat returns how often chains with the block were learned lately.
-	Heat(block uint64) float64
 	// Forget drops what is known of the backend server at address.
 	Forget(address string)
 }
@@ -118,6 +116,10 @@
 	logDecision(d, chosen, reason)
 	c := &d.candidates[chosen]
 	req.MissingTokens = int64(max(0, d.promptTokens-c.CachedTokens))
+	if req.Generation != nil {
+		// The next request finds the prefix there: engines compute in turn.
+		f.index.Learn(req.Generation.Blocks, c.Server.Address, c.load.incarnation())
+	}
 	return request.Target{Name: c.Server.Name, Address: c.Server.Address}, nil
 }
 
@@ -158,7 +160,7 @@
 		generation.Blocks = prefix.Chain(generation.Blocks, req.CacheSeed().Salt(), generation.Prompt)
 	}
 	s.holders = f.index.Holders(s.holders, generation.Blocks)
-	s.decision.affinityDepth = affinityDepth(generation.Blocks, f.index.Heat)
+	s.decision.affinityDepth = affinityDepth(generation.Blocks)
 }
 
 // gather fills in the candidates that pass the filters.
