--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -116,6 +116,10 @@
 	logDecision(d, chosen, reason)
 	c := &d.candidates[chosen]
 	req.MissingTokens = int64(max(0, d.promptTokens-c.CachedTokens))
+	if req.Generation != nil {
+		// The next request finds the prefix there: engines compute in turn.
+		f.index.Learn(req.Generation.Blocks, c.Server.Address, c.load.incarnation())
+	}
 	return request.Target{Name: c.Server.Name, Address: c.Server.Address}, nil
 }
 
@@ -156,6 +160,7 @@
 		generation.Blocks = prefix.Chain(generation.Blocks, req.CacheSeed().Salt(), generation.Prompt)
 	}
 	s.holders = f.index.Holders(s.holders, generation.Blocks)
+	s.decision.affinityDepth = affinityDepth(generation.Blocks)
 }
 
 // gather fills in the candidates that pass the filters.
@@ -200,8 +205,8 @@
 }
 
 // Dispatched implements dispatch.Observer.
-func (f *Filter) Dispatched(target request.Target, missing int64) {
-	f.tracker.dispatched(target.Address, missing)
+func (f *Filter) Dispatched(target request.Target, class config.Class, missing int64) {
+	f.tracker.dispatched(target.Address, workClass(class), missing)
 }
 
 // Finished implements dispatch.Observer.
