--- a/internal/sidecar/pieces/cost.go
+++ b/internal/sidecar/pieces/cost.go
@@ -12,6 +12,8 @@
 
 // cost estimates what imports and recomputation take.
 type cost struct {
+	maxShare float64 // of the time to recompute that an import may take
+
 	mu          sync.Mutex
 	perPiece    time.Duration // mean time to fetch and import a piece; 0: not known
 	tried       time.Time     // last measurement
@@ -52,7 +54,7 @@
 	}
 	seconds := float64(missingBlocks*prefix.BlockTokens) / c.prefillRate
 	e.recompute = time.Duration(seconds * float64(time.Second))
-	e.budget = min(maxBudget, time.Duration(maxBudgetShare*float64(e.recompute)))
+	e.budget = min(maxBudget, time.Duration(c.maxShare*float64(e.recompute)))
 	now := time.Now()
 	switch {
 	case now.Before(c.pausedUntil):
@@ -83,6 +85,15 @@
 	c.perPiece += time.Duration(newestWeight * float64(took-c.perPiece))
 }
 
+// lookedUp takes in the time in which the store answered without a usable piece:
+// an import takes no less.
+func (c *cost) lookedUp(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tried = time.Now()
+	c.perPiece = max(c.perPiece, took)
+}
+
 // tooSlow takes in the time of an import that was given up. It would have taken
 // longer; twice as long is assumed, so that the next one like it is left out.
 func (c *cost) tooSlow(took time.Duration) {
--- a/internal/sidecar/pieces/import.go
+++ b/internal/sidecar/pieces/import.go
@@ -15,8 +15,11 @@
 // until one is not to be had or the budget is spent.
 func (p *Pieces) importMissing(ctx context.Context, j *job.Job, r *prompt) {
 	load := p.load()
-	depth, _ := p.index.Depth(r.chain)
-	first := max(depth/prefix.PieceBlocks, p.memory.held(r, load.GetIncarnation()))
+	depth, complete := p.index.Depth(r.chain)
+	first := depth / prefix.PieceBlocks
+	if !complete {
+		first = max(first, p.memory.held(r, load.GetIncarnation()))
+	}
 	if first >= r.pieces() {
 		return
 	}
@@ -98,9 +101,11 @@
 		p.memory.imported(key, incarnation)
 		countImport(resultImported, prefix.PieceTokens)
 	case errors.Is(err, platform.ErrNotFound):
+		p.cost.lookedUp(time.Since(start))
 		p.memory.missing(r, i)
 		countImport(resultNotKept, 0)
 	case errors.Is(err, platform.ErrCorrupt), errors.Is(err, errForeign):
+		p.cost.lookedUp(time.Since(start))
 		p.memory.missing(r, i)
 		countImport(resultRejected, 0)
 	case errors.Is(ctx.Err(), context.Canceled):
--- /dev/null
+++ b/internal/sidecar/pieces/measure_test.go
@@ -0,0 +1,127 @@
+package pieces
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/sidecar/execute"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/sidecar/queue"
+	"github.com/wasabigate/wasabigate/internal/standin/fault"
+)
+
+// way is a way to use kept pieces.
+type way struct {
+	name        string
+	off         bool
+	maxShare    float64 // of the time to recompute
+	beforeQueue bool
+}
+
+// load is a run of requests over hot prompts, more than the engine caches, with
+// two crashes.
+type load struct {
+	storeDelay time.Duration
+	interval   time.Duration // mean time between requests
+}
+
+type measured struct {
+	recomputed int // prompt tokens
+	fetches    int
+	p50, p99   time.Duration // time to the whole answer of 8 tokens
+}
+
+const (
+	measuredRequests = 200
+	hotPrompts       = 8
+	cachedPrompts    = 3
+	slots            = 4
+)
+
+func (l load) run(t *testing.T, w way) measured {
+	r := newRig(t, cachedPrompts*allTokens/16)
+	r.filter.cost.maxShare = w.maxShare
+	r.standin.SetFaults(fault.Faults{Delay: l.storeDelay})
+	filters := []job.Filter{queue.New(&config.SidecarSettings{MaxConcurrent: slots}), r.filter}
+	if w.beforeQueue {
+		slices.Reverse(filters)
+	}
+	if w.off {
+		filters = filters[:1]
+	}
+	r.handler = pipeline.Chain[*job.Job, job.Outcome](execute.New(r.engine, nil), filters...)
+
+	random := rand.New(rand.NewPCG(7, 7))
+	zipf := rand.NewZipf(random, 1.2, 1, hotPrompts-1)
+	answers := make([]answer, measuredRequests)
+	var group sync.WaitGroup
+	for i := range answers {
+		if i%(measuredRequests/2) == measuredRequests/4 {
+			r.filter.Wait()
+			group.Wait()
+			r.restart()
+		}
+		request := r.request("north", "1", promptOf(fmt.Sprint(zipf.Uint64())))
+		group.Go(func() { answers[i] = r.send(t.Context(), request) })
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(l.interval)))
+	}
+	group.Wait()
+	return summary(t, answers, r.store.gets)
+}
+
+func summary(t *testing.T, answers []answer, fetches int) measured {
+	m := measured{fetches: fetches}
+	var took []time.Duration
+	for _, a := range answers {
+		if a.err != nil {
+			t.Error(a.err)
+		}
+		m.recomputed += allTokens - a.cached
+		took = append(took, a.took)
+	}
+	slices.Sort(took)
+	m.p50, m.p99 = took[len(took)/2], took[len(took)*99/100]
+	return m
+}
+
+// TestImportAgainstRecomputation prints the table of docs/design/kept-pieces.md.
+func TestImportAgainstRecomputation(t *testing.T) {
+	ways := []way{
+		{name: "no import", off: true},
+		{name: "when cheaper, after the queue", maxShare: maxBudgetShare},
+		{name: "when cheaper, before the queue", maxShare: maxBudgetShare, beforeQueue: true},
+		{name: "always, after the queue", maxShare: 1000},
+	}
+	loads := []struct {
+		name string
+		load
+	}{
+		{"store 5ms, calm", load{5 * time.Millisecond, 400 * time.Millisecond}},
+		{"store 5ms, busy", load{5 * time.Millisecond, 200 * time.Millisecond}},
+		{"store 150ms, calm", load{150 * time.Millisecond, 400 * time.Millisecond}},
+		{"store 150ms, busy", load{150 * time.Millisecond, 200 * time.Millisecond}},
+	}
+	for _, l := range loads {
+		results := make(map[string]measured)
+		for _, w := range ways {
+			synctest.Test(t, func(t *testing.T) { results[w.name] = l.run(t, w) })
+			m := results[w.name]
+			t.Logf("| %-17s | %-30s | %7d | %5d | %6d | %6d |", l.name, w.name,
+				m.recomputed, m.fetches, m.p50.Milliseconds(), m.p99.Milliseconds())
+		}
+		none, own := results[ways[0].name], results[ways[1].name]
+		if l.storeDelay < recompute/testPieces/2 && 2*own.recomputed > none.recomputed {
+			t.Errorf("%s: %d tokens recomputed, %d without import", l.name, own.recomputed, none.recomputed)
+		}
+		if float64(own.p99) > (1+maxBudgetShare)*float64(none.p99) {
+			t.Errorf("%s: p99 %v, %v without import", l.name, own.p99, none.p99)
+		}
+	}
+}
--- a/internal/sidecar/pieces/pieces_test.go
+++ b/internal/sidecar/pieces/pieces_test.go
@@ -110,7 +110,7 @@
 		t.Fatal(err)
 	}
 	e := model.New(model.Options{
-		PrefillRate: prefillRate, DecodeStep: time.Millisecond, CacheBlocks: cacheBlocks, FirstIncarnation: 5,
+		PrefillRate: prefillRate, DecodeStep: time.Millisecond, CacheBlocks: cacheBlocks, FirstIncarnation: 5, EventDelay: 50 * time.Millisecond,
 		Loaded: []engine.LoadedWeights{{Model: "badge", Version: "1"}, {Model: "badge", Version: "2"}},
 	})
 	index := cacheindex.New()
@@ -261,11 +261,12 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newRig(t, 4096)
+				r := newRig(t, 32_768)
 				r.standin.SetFaults(c.fault)
-				began := time.Now()
-				for i := range c.prompts {
-					for range c.uses {
+				var began time.Time // of the last round
+				for range c.uses {
+					began = time.Now()
+					for i := range c.prompts {
 						if got := r.ask(t.Context(), "north", "1", promptOf(fmt.Sprint(i))); got.err != nil {
 							t.Fatal(got.err)
 						}
--- a/internal/sidecar/pieces/setup.go
+++ b/internal/sidecar/pieces/setup.go
@@ -72,6 +72,7 @@
 		index:     opts.Index,
 		load:      opts.Load,
 		memory:    newMemory(),
+		cost:      cost{maxShare: maxBudgetShare},
 		exporting: semaphore.NewWeighted(1),
 		exports:   rate.NewLimiter(exportsPerSecond, exportBurst),
 	}
--- a/internal/systemtest/client_test.go
+++ b/internal/systemtest/client_test.go
@@ -142,20 +142,34 @@
 // cachedTokens asks for a completion and returns how much of the prompt was
 // cached.
 func (s *system) cachedTokens(t *testing.T, r *router, prompt string) int {
+	t.Helper()
+	return s.complete(t, r, s.key, prompt, 1).cached
+}
+
+// completion is an answer that was not streamed.
+type completion struct {
+	text   string
+	prompt int // tokens
+	cached int // prompt tokens that were cached
+}
+
+// complete asks for a completion, which must succeed.
+func (s *system) complete(t *testing.T, r *router, key, prompt string, maxTokens int) completion {
 	t.Helper()
 	var answer struct {
 		Usage struct {
-			Details struct {
+			PromptTokens int `json:"prompt_tokens"`
+			Details      struct {
 				CachedTokens int `json:"cached_tokens"`
 			} `json:"prompt_tokens_details"`
 		} `json:"usage"`
 	}
-	got, err := s.send(t.Context(), r, http.MethodPost, "/v1/completions", s.key, "", completionBody(prompt, 1, false))
+	got, err := s.send(t.Context(), r, http.MethodPost, "/v1/completions", key, "", completionBody(prompt, maxTokens, false))
 	if err != nil || got.status != http.StatusOK {
 		t.Fatalf("%+v, %v", got, err)
 	}
 	if err := json.Unmarshal([]byte(got.body), &answer); err != nil {
 		t.Fatal(err)
 	}
-	return answer.Usage.Details.CachedTokens
+	return completion{text: chunkText(got.body), prompt: answer.Usage.PromptTokens, cached: answer.Usage.Details.CachedTokens}
 }
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -20,6 +20,7 @@
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
 	"github.com/wasabigate/wasabigate/internal/standin/model"
+	"github.com/wasabigate/wasabigate/internal/standin/pieces"
 	"github.com/wasabigate/wasabigate/internal/standin/service"
 	"github.com/wasabigate/wasabigate/internal/standin/vmlist"
 )
@@ -54,6 +55,7 @@
 type system struct {
 	kv       *kv.Store
 	vms      *vmlist.List
+	pieces   *pieces.Store
 	store    *configstore.Store
 	caller   *http.Client
 	key      string // of workspace north
@@ -120,12 +122,17 @@
 		key:      config.NewKey("north-1"),
 		otherKey: config.NewKey("south-1"),
 	}
+	var err error
+	if s.pieces, err = pieces.New(1, pieces.DefaultCapacity); err != nil {
+		t.Fatal(err)
+	}
 	s.store = configstore.New(s.kv, environment)
 	s.apply(t, s.document(p))
 	kvURL := serveHTTP(t, kv.Handler(s.kv))
 	vmsURL := serveHTTP(t, vmlist.Handler(s.vms))
+	piecesURL := serveHTTP(t, pieces.Handler(s.pieces))
 	settings := func(name, role, address string) string {
-		return fmt.Sprintf(daemonSettings, name, role, environment, address, kvURL, vmsURL,
+		return fmt.Sprintf(daemonSettings, name, role, environment, address, kvURL, vmsURL, piecesURL,
 			p.vmListLag+100*time.Millisecond, p.weightStore, tlsSection(p.certificates))
 	}
 	scheme := "http://"
@@ -160,6 +167,7 @@
 [platform]
 key_value = %s
 vm_list = %s
+piece_store = %s
 vm_list_lag = %s
 weight_store = %s
 [tls]
