Describe kept pieces with their measurements, and refuse crossed exports

An engine client took any answer to an export for the piece that was asked for, so that data of another salt could have been kept under this one's name. It now compares salt and blocks.

--- a/internal/engine/client/engine.go
+++ b/internal/engine/client/engine.go
@@ -4,9 +4,12 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/engine/httpapi"
 )
@@ -88,15 +91,21 @@
 	return nil
 }
 
-// ExportPiece implements engine.Engine.
+// ExportPiece implements engine.Engine. An answer for another salt or other
+// blocks is an error.
 func (e *Engine) ExportPiece(ctx context.Context, salt string, blocks []uint64) ([]byte, error) {
 	resp, err := e.post(ctx, httpapi.PathExport, httpapi.PieceBody{Salt: salt, Blocks: blocks})
 	if err != nil {
 		return nil, err
 	}
 	var piece httpapi.PieceBody
-	err = decode(resp, maxPieceBytes, &piece)
-	return piece.Data, err
+	if err := decode(resp, maxPieceBytes, &piece); err != nil {
+		return nil, err
+	}
+	if piece.Salt != salt || !slices.Equal(piece.Blocks, blocks) {
+		return nil, errors.Wrap(engine.ErrBroken, "exported piece belongs to another salt or other blocks")
+	}
+	return piece.Data, nil
 }
 
 // ImportPiece implements engine.Engine.
--- a/internal/sidecar/pieces/measure_test.go
+++ b/internal/sidecar/pieces/measure_test.go
@@ -1,6 +1,7 @@
 package pieces
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/pipeline"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar/execute"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
 	"github.com/wasabigate/wasabigate/internal/sidecar/queue"
@@ -125,3 +127,27 @@
 		}
 	}
 }
+
+// BenchmarkCachedPrompt is the filter's cost for a request that needs no import.
+func BenchmarkCachedPrompt(b *testing.B) {
+	ended := pipeline.HandlerFunc[*job.Job, job.Outcome](func(context.Context, *job.Job) (job.Outcome, error) {
+		return &wire.Frame{Tail: &wire.Tail{Load: &wire.Load{Incarnation: 5}}}, nil
+	})
+	filter := New(Options{Index: wholeIndex{}, Load: func() *wire.Load { return &wire.Load{Incarnation: 5} }})
+	j := &job.Job{Request: &wire.ExecuteRequest{Workspace: "north", Generation: &wire.Generation{Prompt: promptOf("a")}}}
+	key := newPrompt(j.Request)
+	for i := range key.pieces() {
+		filter.memory.stored(key.key(i))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := filter.Handle(b.Context(), j, ended); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// wholeIndex holds every block.
+type wholeIndex struct{}
+
+func (wholeIndex) Depth(chain []uint64) (int, bool) { return len(chain), true }
--- a/internal/sidecar/pieces/setup.go
+++ b/internal/sidecar/pieces/setup.go
@@ -31,8 +31,8 @@
 
 	// minUses is the number of uses that make a piece worth keeping.
 	minUses = 2
-	// heldFor is how long a piece counts as cached after its use, until the
-	// engine's cache events have told of it.
+	// heldFor is how long a piece counts as cached after its use while the index
+	// has lost cache events.
 	heldFor = time.Second
 	// absentFor is how long a piece that was not found is not asked for again.
 	absentFor = time.Second
