--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -111,6 +111,7 @@
 // Run is the control goroutine. It starts the workers that read the platform
 // and talk to peers, and returns when ctx ends.
 func (l *Loop) Run(ctx context.Context) {
+	l.registerMetrics()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	workers := l.startWorkers(ctx)
--- a/internal/httpapi/errors.go
+++ b/internal/httpapi/errors.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 	"net/http"
@@ -9,6 +10,8 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -68,6 +71,8 @@
 		"verdict": e.Verdict.String(),
 		"error":   e.Error(),
 	}, "request refused or failed")
+	s.meters.refused.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("code", string(e.Code)), attribute.String("verdict", e.Verdict.String())))
 	setErrorHeaders(c.Response().Header(), e)
 	if err := c.JSON(e.Code.Status(), newErrorBody(e, requestID)); err != nil {
 		logger.Debug(logging.Fields{"request": requestID, "error": err.Error()}, "error not written")
--- a/internal/httpapi/generate.go
+++ b/internal/httpapi/generate.go
@@ -55,6 +55,7 @@
 // writeWhole answers a request that did not ask for a stream.
 func (s *Server) writeWhole(ctx context.Context, c echo.Context, req *request.Request, stream request.Stream) error {
 	answer := newAnswer(req)
+	timer := &timer{meters: s.meters, req: req}
 	var text []byte
 	for {
 		frame, err := stream.Next(ctx)
@@ -65,6 +66,7 @@
 			return err
 		}
 		answer.observe(frame)
+		timer.observe(frame)
 		text = append(text, frame.GetTokens().GetText()...)
 		if tail := frame.GetTail(); tail != nil {
 			return c.JSON(http.StatusOK, answer.whole(string(text), tail))
@@ -77,12 +79,14 @@
 func (s *Server) writeStream(ctx context.Context, c echo.Context, req *request.Request, stream request.Stream, usage bool) error {
 	events := newEventWriter(c.Response())
 	answer := newAnswer(req)
+	timer := &timer{meters: s.meters, req: req}
 	for {
 		frame, err := stream.Next(ctx)
 		if err != nil {
 			return s.endBroken(ctx, events, req, err)
 		}
 		answer.observe(frame)
+		timer.observe(frame)
 		id := answer.position(req, frame).String()
 		for _, chunk := range answer.chunks(frame, usage) {
 			if err := events.write(id, chunk); err != nil {
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -50,15 +50,16 @@
 type Server struct {
 	options Options
 	echo    *echo.Echo
+	meters  *meters
 }
 
 // New returns a Server.
 func New(options Options) *Server {
-	s := &Server{options: options, echo: echo.New()}
+	s := &Server{options: options, echo: echo.New(), meters: newMeters()}
 	s.echo.HideBanner = true
 	s.echo.HidePort = true
 	s.echo.HTTPErrorHandler = s.handleError
-	s.echo.Use(s.closeWhenDraining)
+	s.echo.Use(s.meters.measure, s.closeWhenDraining)
 	s.echo.GET("/healthz", s.health)
 	s.echo.GET("/readyz", s.ready)
 	s.echo.GET("/metrics", echo.WrapHandler(options.Metrics))
--- a/internal/limit/meters.go
+++ b/internal/limit/meters.go
@@ -34,11 +34,11 @@
 		return c
 	}
 	return meters{
-		granted: counter("limit.granted", "Tokens reserved for requests.", "{token}"),
-		refused: counter("limit.refused", "Requests refused.", "{request}"),
-		debits:  counter("limit.debits", "Debits answered by peers.", "{call}"),
-		pulls:   counter("limit.pulls", "Calls that even out levels.", "{call}"),
-		lost:    counter("limit.lost", "Refunded tokens that no bucket could keep.", "{token}"),
+		granted: counter("wasabigate.limit.granted", "Tokens reserved for requests.", "{token}"),
+		refused: counter("wasabigate.limit.refused", "Requests refused.", "{request}"),
+		debits:  counter("wasabigate.limit.debits", "Debits answered by peers.", "{call}"),
+		pulls:   counter("wasabigate.limit.pulls", "Calls that even out levels.", "{call}"),
+		lost:    counter("wasabigate.limit.lost", "Refunded tokens that no bucket could keep.", "{token}"),
 	}
 }
 
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,24 @@
+package relay
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// repairs counts what relay did to keep answers whole.
+var repairs, _ = otel.Meter("wasabigate/relay").Int64Counter("wasabigate.relay.repairs",
+	metric.WithUnit("{request}"),
+	metric.WithDescription("Attempts that were resumed, or followed by another attempt, by kind."))
+
+// Kinds of repairs.
+const (
+	repairResumed  = "resumed"
+	repairRepeated = "repeated"
+)
+
+func countRepair(kind string) {
+	repairs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -163,6 +163,7 @@
 		"server":  s.req.Target.Name,
 		"error":   err.Error(),
 	}, "attempt failed, another follows")
+	countRepair(repairRepeated)
 	s.req.NoteFailure(verdict.From(err).Code)
 	s.req.Snapshot = s.filter.source.Snapshot()
 }
@@ -236,6 +237,7 @@
 		inner, err := s.filter.resumer.Resume(ctx, s.req, after)
 		if err == nil {
 			logger.Info(logging.Fields{"request": s.req.ID, "after": after}, "stream resumed")
+			countRepair(repairResumed)
 			s.replaceInner(inner, after)
 			return true
 		}
