Give the demo's weight store the weights of its document

Cause: the demo's weight store was empty, so that a model with an adapter was never served. Change: the store holds the weights of all models of the document; STORE_FLAGS adds some, to try a rollout.

--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -5,7 +5,7 @@
 # Usage: system.sh DOCUMENT COMMAND [ARGUMENT...]
 # COMMAND runs once the system serves; "wait" keeps it running until Ctrl-C.
 # ENGINES, SERVICES and ROUTERS say how many of each are started. POLICY,
-# ENGINE_FLAGS, SIDECAR_SETTINGS, DRAIN_TIMEOUT and KEEP_LOGS=1 serve experiments.
+# ENGINE_FLAGS, STORE_FLAGS, SIDECAR_SETTINGS, DRAIN_TIMEOUT and KEEP_LOGS=1 serve experiments.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -68,6 +68,16 @@
 model=$(awk '/^\[model / { name = $2; sub(/\]/, "", name); print name; exit }' "$document")
 weights=$(setting "^\\\\[model $model\\\\]" weights_version)
 
+# The weights of all models, as flags of the weight store.
+store_flags=$(awk '
+	function flush() { if (name != "") print "--weights " (base ? base : name) ":" version (adapter ? ":" adapter : ""); name = base = adapter = "" }
+	/^\[/ { flush() }
+	/^\[model / { name = $2; sub(/\]/, "", name) }
+	$1 == "base" { base = $3 }
+	$1 == "adapter" { adapter = $3 }
+	$1 == "weights_version" { version = $3 }
+	END { flush() }' "$document")
+
 vm() { # NAME ADDRESS ZONE GROUP
 	printf '{"name":"%s","address":"%s","availability_zone":"%s","group":"%s","state":"live"}' "$@"
 }
@@ -110,7 +120,8 @@
 
 start kv standin bin/standin kv --listen "127.0.0.1:$kv_port"
 start vm-list standin bin/standin vm-list --listen "127.0.0.1:$vms_port" --vms "$run/vms.json" --lag 1s
-start weights standin bin/standin weight-store --listen "127.0.0.1:$weights_port"
+# shellcheck disable=SC2086
+start weights standin bin/standin weight-store --listen "127.0.0.1:$weights_port" $store_flags ${STORE_FLAGS:-}
 start pieces standin bin/standin piece-store --listen "127.0.0.1:$pieces_port"
 
 sidecar() { # NUMBER NAME KIND GROUP
