--- a/internal/sidecar/pieces/pieces_test.go
+++ b/internal/sidecar/pieces/pieces_test.go
@@ -339,6 +339,25 @@
 	})
 }
 
+// TestLostEventsDoNotRepeatImports loses the events of an import, after which
+// the index never learns that the engine holds the pieces.
+func TestLostEventsDoNotRepeatImports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4096)
+		r.keep(t, promptOf("a"))
+		r.restart()
+		r.engine.LoseEvents(testPieces, 0)
+		for range 5 {
+			if got := r.ask(t.Context(), "north", "1", promptOf("a")); got.cached != allTokens {
+				t.Errorf("cached %d, want %d", got.cached, allTokens)
+			}
+		}
+		if r.store.gets != testPieces {
+			t.Errorf("%d fetches, want %d", r.store.gets, testPieces)
+		}
+	})
+}
+
 func TestRequestsShareAnImport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 4096)
