Let work that may wait follow affinity more

Cause: a trace of decisions showed deferrable prompts at engines other than the first for their prefix, since a router did not know that another had sent the prefix there. Change: for deferrable work the first engine is believed to hold the prefix with probability 0.8, for urgent work with 1/2 as before.

--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -130,6 +130,10 @@
 // another router may have sent it there.
 const homeBelief = 0.5
 
+// deferrableBelief is the same for work that may wait: it follows affinity, so
+// that its prefixes lie on fewer backend servers.
+const deferrableBelief = 0.8
+
 func (prefixScorer) score(d *decision, c *Candidate) time.Duration {
 	return seconds((float64(d.promptTokens) - d.expectedCached(c)) / c.load.prefillRate())
 }
@@ -142,6 +146,9 @@
 		return known
 	}
 	unknown := max(0, float64(d.affinityDepth*prefix.BlockTokens)-known)
+	if workClass(d.req.Class) == deferrable {
+		return known + deferrableBelief*unknown
+	}
 	return known + homeBelief*unknown
 }
 
