--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -17,6 +17,7 @@
 type Ring struct {
 	servers []Server
 	points  []point
+	index   map[string]int32 // by rpc address
 }
 
 type point struct {
@@ -26,8 +27,9 @@
 
 // NewRing returns the ring of the servers.
 func NewRing(servers []Server) *Ring {
-	ring := &Ring{servers: servers, points: make([]point, 0, len(servers)*pointsPerServer)}
+	ring := &Ring{servers: servers, points: make([]point, 0, len(servers)*pointsPerServer), index: make(map[string]int32, len(servers))}
 	for i := range servers {
+		ring.index[servers[i].Address] = int32(i)
 		ring.addPoints(int32(i))
 	}
 	slices.SortFunc(ring.points, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
@@ -46,6 +48,12 @@
 	}
 }
 
+// Index returns the index of the server with that rpc address.
+func (r *Ring) Index(address string) (int32, bool) {
+	index, ok := r.index[address]
+	return index, ok
+}
+
 // Lookup appends to dst the indexes of up to n different servers that follow
 // hash on the ring, in ring order, leaving out those already in dst.
 func (r *Ring) Lookup(dst []int32, hash uint64, n int) []int32 {
--- a/internal/route/gather.go
+++ b/internal/route/gather.go
@@ -75,7 +75,9 @@
 		dst = ring.Lookup(dst, blocks[length-1], serversPerLevel)
 	}
 	for i := range holders {
-		dst = appendServer(dst, servers, holders[i].Address)
+		if index, ok := ring.Index(holders[i].Address); ok {
+			dst = appendNew(dst, index)
+		}
 	}
 	for range randomCandidates {
 		dst = appendNew(dst, int32(rand.IntN(len(servers))))
@@ -83,15 +85,6 @@
 	return dst
 }
 
-func appendServer(dst []int32, servers []membership.Server, address string) []int32 {
-	for i := range servers {
-		if servers[i].Address == address {
-			return appendNew(dst, int32(i))
-		}
-	}
-	return dst
-}
-
 func appendNew(dst []int32, index int32) []int32 {
 	if slices.Contains(dst, index) {
 		return dst
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -169,10 +169,15 @@
 	s.indexes = f.policy.gather.gather(s.indexes[:0], d, servers, ring, s.holders)
 	for affinity, index := range s.indexes {
 		server := &servers[index]
-		c := Candidate{Server: server, load: f.tracker.server(server.Address), Affinity: affinity}
-		c.CachedTokens = cachedTokens(s.holders, server.Address)
-		if f.keep(d, &c) {
-			d.candidates = append(d.candidates, c)
+		d.candidates = append(d.candidates, Candidate{
+			Server:       server,
+			load:         f.tracker.server(server.Address),
+			Affinity:     affinity,
+			CachedTokens: cachedTokens(s.holders, server.Address),
+		})
+		last := len(d.candidates) - 1
+		if !f.keep(d, &d.candidates[last]) {
+			d.candidates = d.candidates[:last]
 		}
 	}
 }
--- a/internal/route/weights.go
+++ b/internal/route/weights.go
@@ -97,11 +97,12 @@
 func (f *Filter) count(model *config.Model, servers []membership.Server) share {
 	var s share
 	others := make(map[string]int)
+	var held []string
 	for i := range servers {
 		if servers[i].Leaving {
 			continue
 		}
-		held := f.tracker.server(servers[i].Address).versions(model)
+		held = f.tracker.server(servers[i].Address).versions(held[:0], model)
 		if len(held) > 0 {
 			s.total++
 		}
@@ -128,24 +129,37 @@
 	clear(f.shares.counts)
 }
 
-// versions returns the versions of the model that the engine has reported.
-func (s *serverLoad) versions(model *config.Model) []string {
+// versions appends to dst the versions of the model that the engine has reported.
+func (s *serverLoad) versions(dst []string, model *config.Model) []string {
 	last := s.report.Load()
 	if last == nil {
-		return nil
+		return dst
 	}
-	var held []string
 	for _, loaded := range last.load.GetLoaded() {
-		if isOf(loaded, model) && !slices.Contains(last.lacks, weightsOf(model, loaded.GetVersion())) {
-			held = append(held, loaded.GetVersion())
+		if last.shows(loaded, model) {
+			dst = append(dst, loaded.GetVersion())
 		}
 	}
-	return held
+	return dst
 }
 
 // reports says whether the engine has reported that version of the model.
 func (s *serverLoad) reports(model *config.Model, version string) bool {
-	return slices.Contains(s.versions(model), version)
+	last := s.report.Load()
+	if last == nil {
+		return false
+	}
+	for _, loaded := range last.load.GetLoaded() {
+		if loaded.GetVersion() == version && last.shows(loaded, model) {
+			return true
+		}
+	}
+	return false
+}
+
+// shows says whether loaded are weights of the model that were not disproved.
+func (r *report) shows(loaded *wire.Weights, model *config.Model) bool {
+	return isOf(loaded, model) && !slices.Contains(r.lacks, weightsOf(model, loaded.GetVersion()))
 }
 
 // holds says whether the engine may hold the request's weights: it has reported
