--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,6 @@
 	$(GO) run ./internal/tools/promises
 
 bench: build ## Compares the routing policies under load and faults; SHORT=1 for one short round.
-	$(GO) build -o bin/ ./internal/tools/load
 	timeout $(if $(SHORT),$(SHORT_BENCH_SECONDS),$(BENCH_SECONDS)) scripts/bench.sh
 
 test: lint ## The README's test command: format, vet, staticcheck, tests with -race.
--- a/cmd/wasabigate/main.go
+++ b/cmd/wasabigate/main.go
@@ -8,7 +8,10 @@
 	"os/signal"
 	"syscall"
 
+	ufcli "github.com/urfave/cli/v3"
+
 	"github.com/wasabigate/wasabigate/internal/cli"
+	"github.com/wasabigate/wasabigate/internal/load"
 )
 
 func main() {
@@ -18,6 +21,11 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	program := &cli.Program{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
+	program := &cli.Program{
+		Stdin:  os.Stdin,
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Extra:  []*ufcli.Command{load.Command()},
+	}
 	return int(program.Run(ctx, os.Args))
 }
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -67,7 +67,10 @@
 	if err := report.save(cmd.String("report")); err != nil {
 		return err
 	}
-	return p.saveRequests(cmd.String("report"), outcomes)
+	if err := p.saveRequests(cmd.String("report"), outcomes); err != nil {
+		return err
+	}
+	return p.plotLatencies(cmd.String("report"), outcomes)
 }
 
 func newPlan(cmd *cli.Command) (*plan, error) {
@@ -151,7 +154,7 @@
 	return strconv.FormatFloat(d.Seconds()*1000, 'f', 1, 64)
 }
 
-// save writes the report and its plots into a folder.
+// save writes the report into a folder, as JSON and as text.
 func (r *Report) save(folder string) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return errors.Wrap(err, "report")
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -18,13 +20,13 @@
 		Name:      "summary",
 		Usage:     "compare the reports of several runs by policy: medians, and lowest to highest",
 		ArgsUsage: "REPORT...",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "plots", Usage: "`FOLDER` for plots"}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			reports, err := readReports(cmd.Args().Slice())
 			if err != nil {
 				return err
 			}
-			writeSummary(cmd.Root().Writer, reports)
-			return nil
+			return writeSummary(cmd.Root().Writer, cmd.String("plots"), reports)
 		},
 	}
 }
@@ -73,19 +75,36 @@
 }
 
 // writeSummary prints a table a workload: for each phase and policy the medians
-// over the runs and their range, and the winner of each column.
-func writeSummary(w io.Writer, reports []*Report) {
+// over the runs and their range, and the winner of each column. It draws the
+// medians too if a folder for plots is given.
+func writeSummary(w io.Writer, plots string, reports []*Report) error {
 	for _, workload := range names(reports, func(r *Report) string { return r.Workload }) {
-		runs := slices.DeleteFunc(slices.Clone(reports), func(r *Report) bool { return r.Workload != workload })
-		var groups []group
-		for _, policy := range names(runs, func(r *Report) string { return r.Policy }) {
-			of := slices.DeleteFunc(slices.Clone(runs), func(r *Report) bool { return r.Policy != policy })
-			groups = append(groups, group{policy, of})
-		}
+		groups := groupsOf(workload, reports)
 		fmt.Fprintf(w, "\nworkload %s, median of %d runs each (lowest to highest)\n", workload, len(groups[0].reports))
 		writeGroups(w, groups)
 		writeOracle(w, groups)
+		if plots == "" {
+			continue
+		}
+		for i := range columns {
+			name := workload + "-" + strings.ReplaceAll(columns[i].title, " ", "-") + ".png"
+			if err := plotColumn(filepath.Join(plots, name), workload, &columns[i], groups); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// groupsOf returns the reports of a workload by policy.
+func groupsOf(workload string, reports []*Report) []group {
+	runs := slices.DeleteFunc(slices.Clone(reports), func(r *Report) bool { return r.Workload != workload })
+	var groups []group
+	for _, policy := range names(runs, func(r *Report) string { return r.Policy }) {
+		of := slices.DeleteFunc(slices.Clone(runs), func(r *Report) bool { return r.Policy != policy })
+		groups = append(groups, group{policy, of})
 	}
+	return groups
 }
 
 // names returns the different values in the order of the first reports.
--- a/scripts/bench-run.sh
+++ b/scripts/bench-run.sh
@@ -8,9 +8,15 @@
 # The daemons read their settings from variables of that prefix too.
 clean=()
 for name in $(compgen -e WASABIGATE_); do clean+=(-u "$name"); done
-trap 'for pid in "${restarted[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done' EXIT
+finish() {
+	local code=$?
+	if [ "$code" != 0 ]; then cp "$WASABIGATE_RUN"/*.log "$BENCH_REPORT"; fi
+	for pid in "${restarted[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+}
+trap finish EXIT
 
-post() { curl -s -o /dev/null -X POST -H 'Content-Type: application/json' -d "$2" "$1/admin/faults"; }
+# A stand-in that goes down may not answer.
+post() { curl -s -o /dev/null -X POST -H 'Content-Type: application/json' -d "$2" "$1/admin/faults" || true; }
 
 restart_routers() {
 	for ini in "$WASABIGATE_RUN"/router-*.ini; do
@@ -35,7 +41,7 @@
 
 lines=$(mktemp -u)
 mkfifo "$lines"
-bin/load --workload "$BENCH_WORKLOAD" --document "$WASABIGATE_DOCUMENT" "${routers[@]}" --phases "$BENCH_PHASES" \
+bin/wasabigate load --workload "$BENCH_WORKLOAD" --document "$WASABIGATE_DOCUMENT" "${routers[@]}" --phases "$BENCH_PHASES" \
 	--policy "$POLICY" --report "$BENCH_REPORT" --load "$BENCH_LOAD" --seed "$BENCH_SEED" --fresh \
 	--engines "$ENGINES" --cache-blocks "$BENCH_CACHE_BLOCKS" --prefill-rate "$BENCH_PREFILL_RATE" >"$lines" &
 load=$!
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -47,5 +47,5 @@
 		done
 	done
 done
-bin/load summary "$report"/*/report.json | tee "$report/summary.txt"
+bin/wasabigate load summary --plots "$report" "$report"/*/report.json | tee "$report/summary.txt"
 echo "load average after: $(cut -d' ' -f1-3 /proc/loadavg)"
