Load adapters after their base weights and unload them before

Change: on each server an adapter waits for its base, and old base weights stay until the adapters over them are gone. The controller's tests watch it.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -51,7 +51,7 @@
 				if !w.allHold(c.want) {
 					t.Errorf("the engines hold %v", w.engines[0].loaded())
 				}
-				if c.want == "v2" && w.begun() != c.engines {
+				if c.want == "v2" && w.begun() != 2*c.engines { // the model and its adapter
 					t.Errorf("%d loads for %d engines", w.begun(), c.engines)
 				}
 			})
@@ -214,7 +214,7 @@
 
 func TestOutageStopsOrders(t *testing.T) {
 	const engines = 6
-	for _, after := range []int{3, engines} { // among the loads, and before the unloads
+	for _, after := range []int{3, 2 * engines} { // among the loads, and before the unloads
 		inWorld(t, engines, false, func(w *world) {
 			a := w.start("a", nil, nil)
 			w.eventually(takeoverWithin, "a holds", a.Holding)
@@ -260,6 +260,7 @@
 		}
 		held.SetFaults(fault.Faults{Down: true})
 		held.Add(version("v2"))
+		held.Add(weights{Model: modelName, Adapter: adapterName, Version: "v2"})
 		time.Sleep(rolloutWithin)
 		held.SetFaults(fault.Faults{})
 		w.eventually(rolloutWithin, "the rollout ends", func() bool { return w.allHold("v2") })
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -34,7 +34,7 @@
 	for _, first := range []bool{true, false} {
 		for _, g := range p.wanted {
 			for _, w := range g.weights {
-				p.planLoads(p.groups[g.group], w, first)
+				p.planLoads(p.groups[g.group], g.weights, w, first)
 			}
 		}
 	}
@@ -63,7 +63,7 @@
 
 // planLoads loads weights beside the old ones where they are missing. The first
 // pass gives each set of weights one server before any gets two.
-func (p *planner) planLoads(servers []*server, w weights, first bool) {
+func (p *planner) planLoads(servers []*server, wanted []weights, w weights, first bool) {
 	for _, s := range servers {
 		if first && (p.isRunning(w) || slices.ContainsFunc(servers, func(t *server) bool { return t.reporting() && t.holds(w) })) {
 			return
@@ -71,14 +71,18 @@
 		if len(p.running) >= maxLoads {
 			return
 		}
-		if p.mayLoad(s, w) {
+		if p.mayLoad(s, w, wanted) {
 			p.running = append(p.running, load{Server: s.address, Weights: w})
 			p.add(orderLoad, s, w)
 		}
 	}
 }
 
-func (p *planner) mayLoad(s *server, w weights) bool {
+// mayLoad says whether s may load w. An adapter comes after its base.
+func (p *planner) mayLoad(s *server, w weights, wanted []weights) bool {
+	if w != under(w) && slices.Contains(wanted, under(w)) && !s.holds(under(w)) {
+		return false
+	}
 	return s.ready() && !s.holds(w) && !p.isRunningAt(s, w) && p.available(w) &&
 		(!s.refused[w] || !s.holdsOther(w))
 }
@@ -91,11 +95,12 @@
 	return slices.Contains(p.running, load{Server: s.address, Weights: w})
 }
 
-// planUnloads removes other versions of w that no model of the group names.
+// planUnloads removes other versions of w that no model of the group names. Base
+// weights go after their adapters.
 func (p *planner) planUnloads(servers []*server, wanted []weights, w weights) {
 	for _, s := range servers {
 		for _, old := range s.loaded {
-			if baseOf(old) != baseOf(w) || slices.Contains(wanted, old) || !s.ready() {
+			if baseOf(old) != baseOf(w) || slices.Contains(wanted, old) || s.holdsAdapterOf(old) || !s.ready() {
 				continue
 			}
 			if p.isReplaced(servers, s, w) || p.needsRoom(servers, s, w) {
@@ -133,7 +138,7 @@
 // to hold w beside it: another server keeps serving the model meanwhile, and
 // few servers are without the model at once.
 func (p *planner) needsRoom(servers []*server, s *server, w weights) bool {
-	if !s.refused[w] || s.holds(w) || !p.available(w) || len(p.running) >= maxLoads {
+	if !(s.refused[w] || s.refused[under(w)]) || s.holds(w) || !p.available(w) || len(p.running) >= maxLoads {
 		return false
 	}
 	serving, without := 0, 0
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -67,6 +67,11 @@
 	return slices.ContainsFunc(s.loaded, func(l weights) bool { return baseOf(l) == baseOf(w) && l != w })
 }
 
+// holdsAdapterOf says whether the server holds an adapter over the base weights w.
+func (s *server) holdsAdapterOf(w weights) bool {
+	return slices.ContainsFunc(s.loaded, func(l weights) bool { return l != w && under(l) == w })
+}
+
 func (s *server) isLosing(w weights) bool {
 	return s.giving != nil && s.giving.kind == orderUnload && s.giving.weights == w
 }
--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -18,6 +18,10 @@
 
 func baseOf(w weights) base { return base{w.Model, w.Adapter} }
 
+// under returns the weights that an adapter goes over; of base weights, these
+// themselves.
+func under(w weights) weights { return weights{Model: w.Model, Version: w.Version} }
+
 func weightsOf(w *wire.Weights) weights {
 	return weights{Model: w.GetModel(), Adapter: w.GetAdapter(), Version: w.GetVersion()}
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -36,9 +36,10 @@
 var lines = memory.New()
 
 const (
-	modelName = "m"
-	loadTime  = 2 * time.Second
-	checkTick = 10 * time.Millisecond
+	modelName   = "m"
+	adapterName = "names"
+	loadTime    = 2 * time.Second
+	checkTick   = 10 * time.Millisecond
 )
 
 func version(v string) weights { return weights{Model: modelName, Version: v} }
@@ -64,7 +65,7 @@
 		e.world.orders.Add(1)
 	}
 	if order.Load != nil {
-		if e.single && len(e.loaded()) > 0 {
+		if e.single && e.holdsOther(*order.Load) {
 			return errors.Wrap(engine.ErrRefused, "no memory")
 		}
 		e.world.loadBegins()
@@ -72,19 +73,30 @@
 	return e.Engine.Apply(ctx, order)
 }
 
-func (e *testEngine) loaded() []string {
+// holdsOther says whether the engine holds another version of w.
+func (e *testEngine) holdsOther(w engine.LoadedWeights) bool {
+	return slices.ContainsFunc(e.versions(w.Adapter), func(v string) bool { return v != w.Version })
+}
+
+// versions returns the loaded versions of the model with that adapter.
+func (e *testEngine) versions(adapter string) []string {
 	state, err := e.State(context.Background())
 	if err != nil {
 		return nil
 	}
 	var versions []string
 	for _, w := range state.Loaded {
-		versions = append(versions, w.Version)
+		if w.Adapter == adapter {
+			versions = append(versions, w.Version)
+		}
 	}
 	slices.Sort(versions)
 	return versions
 }
 
+// loaded returns the loaded versions of the base model.
+func (e *testEngine) loaded() []string { return e.versions("") }
+
 // world is a few engines with their sidecars, and what must hold of them.
 type world struct {
 	t        *testing.T
@@ -110,7 +122,9 @@
 		w := &world{t: t, kv: kv.New(1), sidecars: make(map[string]*sidecar.Sidecar), ctx: ctx}
 		for i := range n {
 			e := &testEngine{world: w, single: single, Engine: model.New(model.Options{
-				Loaded:   []engine.LoadedWeights{{Model: modelName, Version: "v1"}},
+				Loaded: []engine.LoadedWeights{
+					{Model: modelName, Version: "v1"}, {Model: modelName, Adapter: adapterName, Version: "v1"},
+				},
 				LoadTime: loadTime,
 			})}
 			w.engines = append(w.engines, e)
@@ -187,6 +201,11 @@
 	for ctx.Err() == nil {
 		empty, serving := 0, 0
 		for _, e := range w.engines {
+			for _, v := range e.versions(adapterName) {
+				if !slices.Contains(e.loaded(), v) {
+					w.fault("an adapter of %s is loaded without its base", v)
+				}
+			}
 			if len(e.loaded()) == 0 {
 				empty++
 			} else {
@@ -211,7 +230,7 @@
 // allHold says whether all engines hold just that version.
 func (w *world) allHold(v string) bool {
 	for _, e := range w.engines {
-		if !slices.Equal(e.loaded(), []string{v}) {
+		if !slices.Equal(e.loaded(), []string{v}) || !slices.Equal(e.versions(adapterName), []string{v}) {
 			return false
 		}
 	}
@@ -259,7 +278,10 @@
 // snapshot returns control state in which the model has the given version.
 func (w *world) snapshot(v string) *control.Snapshot {
 	document := &config.Document{
-		Models: []config.Model{{Name: modelName, Group: "engines", WeightsVersion: v}},
+		Models: []config.Model{
+			{Name: "with-adapter", Base: modelName, Adapter: adapterName, Group: "engines", WeightsVersion: v},
+			{Name: modelName, Group: "engines", WeightsVersion: v},
+		},
 		Groups: []config.Group{{Name: "engines", Kind: config.GroupEngines}, {Name: "desk", Kind: config.GroupService}},
 	}
 	document.BuildIndex()
