--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -228,19 +229,19 @@
 }
 
 func (e viewSeen) apply(state *Snapshot) bool {
-	view := membership.NewView(e.vms)
-	listed := false
-	for _, vm := range e.vms {
-		if vm.Address == e.self && vm.State == platform.VMLive {
-			listed = true
-		}
+	if state.View.MadeOf(e.vms) {
+		return false
 	}
-	changed := !state.View.Equal(view) || state.Listed != listed
-	if changed {
-		state.View = view
-		state.Listed = listed
+	view := membership.NewView(e.vms)
+	listed := slices.ContainsFunc(e.vms, func(vm platform.VM) bool {
+		return vm.Address == e.self && vm.State == platform.VMLive
+	})
+	if state.View.Equal(view) && state.Listed == listed {
+		return false
 	}
-	return changed
+	state.View = view
+	state.Listed = listed
+	return true
 }
 
 // drainSet starts or ends draining.
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -66,6 +66,7 @@
 	loops map[string]*Loop
 	cut   map[string]bool
 	bytes int
+	delay time.Duration // of a call
 }
 
 // reach returns the loop at address, or nil if self can't reach it.
@@ -128,6 +129,7 @@
 	if peer == nil {
 		return nil, errors.New("unreachable")
 	}
+	time.Sleep(l.network.delay)
 	reply := peer.Answer(req)
 	l.network.count(req, reply)
 	return reply, nil
--- /dev/null
+++ b/internal/control/spread_test.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+)
+
+const (
+	// spreadWithin is the time in which a change must be in force everywhere.
+	spreadWithin = 4 * time.Second
+	// callDelay is the time of a call between daemons, as between regions.
+	callDelay = 20 * time.Millisecond
+)
+
+// TestSpreadGrowsSlowly measures how long a revision takes to all daemons, for
+// docs/CAPACITY.md.
+func TestSpreadGrowsSlowly(t *testing.T) {
+	for _, daemons := range []int{25, 50, 100, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			w.network.delay = callDelay
+			w.write(t, 1)
+			for i := range daemons {
+				role := config.RoleSidecar
+				if i%5 == 0 {
+					role = config.RoleRouter
+				}
+				w.start(t, fmt.Sprintf("d%d", i), role)
+			}
+			time.Sleep(20 * time.Second)
+			w.wantEverywhere(t, 1)
+			w.write(t, 2)
+			began := time.Now()
+			for !w.inForce(2) && time.Since(began) < spreadWithin {
+				time.Sleep(5 * time.Millisecond)
+			}
+			t.Logf("%d daemons: in force everywhere after %v", daemons, time.Since(began))
+			w.wantEverywhere(t, 2)
+			w.stop()
+			time.Sleep(time.Second) // calls that are under way end
+		})
+	}
+}
+
+// inForce says whether all daemons have the revision.
+func (w *world) inForce(number uint64) bool {
+	for _, loop := range w.network.loops {
+		if revision := loop.Snapshot().Config; revision == nil || revision.Number != number {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -34,11 +34,16 @@
 	Routers []Router // ordered by name
 	byGroup map[string][]Server
 	rings   map[string]*Ring
+	source  []platform.VM // as listed
 }
 
 // NewView makes a View of listed VMs.
 func NewView(vms []platform.VM) *View {
-	view := &View{byGroup: make(map[string][]Server), rings: make(map[string]*Ring)}
+	view := &View{
+		byGroup: make(map[string][]Server),
+		rings:   make(map[string]*Ring),
+		source:  vms,
+	}
 	ordered := slices.SortedFunc(slices.Values(vms), func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
 	for _, vm := range ordered {
 		isLeaving := vm.State == platform.VMLeaving
@@ -83,6 +88,10 @@
 	return false
 }
 
+// MadeOf says whether the view was made of the same list, so that there is no need
+// to make it again.
+func (v *View) MadeOf(vms []platform.VM) bool { return slices.Equal(v.source, vms) }
+
 // Equal says whether both views show the same VMs.
 func (v *View) Equal(other *View) bool {
 	return slices.Equal(v.Servers, other.Servers) && slices.Equal(v.Routers, other.Routers)
