Keep an unknown outcome when a later attempt is refused

A generation whose first attempt may have run, and whose next attempt was refused as not run (no backend server left), was answered as not run, and its tokens were given back in full. It was not the sidecar's verdict: each attempt's own verdict was right.

Relay now notes in the request that an attempt may have run (one new field of request.Request), and a refusal after that becomes may-have-run.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,13 +120,28 @@
 		if s.brokeUnderway(failure) && s.resume(ctx, 0) {
 			return nil
 		}
+		whole := s.whole(failure)
 		if !s.mayRepeat(failure) {
-			return err
+			return whole
 		}
 		s.giveUpTarget(err)
 	}
 }
 
+// whole returns the failure of an attempt as that of the whole request, which
+// may have run if any of its attempts may have.
+func (s *stream) whole(failure *verdict.Error) *verdict.Error {
+	if failure.Verdict != verdict.NotRun {
+		s.req.MayHaveRun = true
+	}
+	if failure.Verdict != verdict.NotRun || !s.req.MayHaveRun {
+		return failure
+	}
+	whole := *failure
+	whole.Verdict = verdict.MayHaveRun
+	return &whole
+}
+
 // brokeUnderway says whether the connection broke after the request was sent,
 // so that the sidecar may still be at work on it.
 func (s *stream) brokeUnderway(failure *verdict.Error) bool {
@@ -225,8 +240,9 @@
 	if failure.Code == verdict.CodeBackendFailed && s.resume(ctx, s.last) {
 		return nil
 	}
+	whole := s.whole(failure)
 	if !s.mayRepeat(failure) {
-		return err
+		return whole
 	}
 	return s.continueElsewhere(ctx, err)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -197,6 +197,42 @@
 	}
 }
 
+// A refusal of a later attempt must not hide that an earlier one may have run.
+func TestRefusalAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	unknown := verdict.New(verdict.MayHaveRun, verdict.CodeStreamLost, "")
+	refused := verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "")
+	draining := verdict.New(verdict.NotRun, verdict.CodeDraining, "")
+	cases := []struct {
+		name   string
+		refuse []*verdict.Error
+		want   verdict.Verdict
+	}{
+		{"refused at once", []*verdict.Error{refused}, verdict.NotRun},
+		{"refused twice", []*verdict.Error{draining, refused}, verdict.NotRun},
+		{"refused after an unknown outcome", []*verdict.Error{unknown, refused}, verdict.MayHaveRun},
+		{"refused twice after an unknown outcome", []*verdict.Error{unknown, draining, refused}, verdict.MayHaveRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := newFilter(&backend{refuse: c.refuse}).Handle(t.Context(), newRequest())
+			if failure := verdict.From(err); failure == nil || failure.Verdict != c.want || failure.Code != verdict.CodeNoBackendServer {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+	t.Run("refused after a part was delivered", func(t *testing.T) {
+		b := &backend{cutAfter: 4, crash: true}
+		stream, err := newFilter(b).Handle(t.Context(), newRequest())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.refuse = []*verdict.Error{refused}
+		if _, _, _, err := readAll(t, stream); err == nil || verdict.From(err).Verdict != verdict.MayHaveRun {
+			t.Errorf("got %v, want %v", err, verdict.MayHaveRun)
+		}
+	})
+}
+
 // callBackend answers calls with an empty reply.
 type callBackend struct{ *backend }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -51,6 +51,9 @@
 	Generation *Generation
 	Call       *wire.Call
 
+	// MayHaveRun is set by relay once an attempt may have run.
+	MayHaveRun bool
+
 	// Failed are the rpc addresses of backend servers that failed this request.
 	Failed []string
 
