--- /dev/null
+++ b/internal/matrixtest/main_test.go
@@ -0,0 +1,31 @@
+package matrixtest
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
+)
+
+// parallelCells is the number of cells that run at once. They wait more than
+// they compute.
+const parallelCells = "24"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := setUp(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+func setUp() error {
+	if err := logging.Setup(io.Discard, "error", "text"); err != nil {
+		return err
+	}
+	return flag.Set("test.parallel", parallelCells)
+}
--- /dev/null
+++ b/internal/matrixtest/queue_test.go
@@ -0,0 +1,80 @@
+package matrixtest
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/rpc"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// awaitServing waits until connections to backend servers can be made.
+func (w *world) awaitServing(servers ...*server) {
+	w.t.Helper()
+	dialer := rpc.NewDialer(nil)
+	defer dialer.Close()
+	for _, s := range servers {
+		eventually(w.t, recovery, s.vm.Name+" answers", func() bool {
+			_, err := wire.NewDRPCBackendClient(dialer.Conn(w.ctx, s.vm.Address)).GetLoad(w.ctx, &wire.LoadRequest{})
+			return err == nil
+		})
+	}
+}
+
+// fillQueues occupies the slots of all sidecars of a kind's group. Once the
+// request under test waits, it reaches stepQueue, and then the slots are freed.
+func (w *world) fillQueues(k kind) (wait func()) {
+	group := w.services
+	if k == kindStream {
+		group = w.engines
+	}
+	dialer := rpc.NewDialer(nil)
+	var blockers sync.WaitGroup
+	releases := make([]func(), 0, len(group))
+	for _, s := range group {
+		releases = append(releases, s.block())
+		blockers.Go(func() { w.sendBlocker(dialer, s, k) })
+		eventually(w.t, recovery, s.vm.Name+" is busy", func() bool { return s.sidecar.Load().GetRunning() > 0 })
+	}
+	blockers.Go(func() {
+		w.awaitQueued(group)
+		for _, release := range releases {
+			release()
+		}
+	})
+	return func() {
+		blockers.Wait()
+		_ = dialer.Close()
+	}
+}
+
+// awaitQueued waits until a request waits in a queue and lets it reach
+// stepQueue.
+func (w *world) awaitQueued(group []*server) {
+	for deadline := time.Now().Add(recovery); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		for _, s := range group {
+			if s.sidecar.QueueStatus().GetUrgent()+s.sidecar.QueueStatus().GetDeferrable() > 0 {
+				w.reached(stepQueue, place{server: s})
+				return
+			}
+		}
+	}
+}
+
+// sendBlocker sends a request of the other workspace, which holds its slot.
+func (w *world) sendBlocker(dialer *rpc.Dialer, s *server, k kind) {
+	req := &wire.ExecuteRequest{
+		RequestId: "blocker-" + s.vm.Name, Attempt: 1, Workspace: "south", KeyId: "south-1",
+		Route: "lookup", PatienceMs: recovery.Milliseconds(),
+		Call: &wire.Call{Method: http.MethodGet, Path: "/lookup/1"},
+	}
+	if k == kindStream {
+		req.Route, req.Call = "completions", nil
+		req.Generation = &wire.Generation{Model: modelName, WeightsVersion: weights, Prompt: "hold", MaxTokens: 1}
+	}
+	stream, err := wire.NewDRPCBackendClient(dialer.Conn(w.ctx, s.vm.Address)).Execute(w.ctx, req)
+	for err == nil {
+		_, err = stream.Recv()
+	}
+}
--- /dev/null
+++ b/internal/matrixtest/server_test.go
@@ -0,0 +1,228 @@
+package matrixtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/engine/client"
+	"github.com/wasabigate/wasabigate/internal/engine/httpapi"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/sidecar"
+	"github.com/wasabigate/wasabigate/internal/sidecar/cacheindex"
+	"github.com/wasabigate/wasabigate/internal/sidecar/execute"
+	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/standin/model"
+	"github.com/wasabigate/wasabigate/internal/standin/service"
+)
+
+// decodeStep is the time per token of the engines.
+const decodeStep = 2 * time.Millisecond
+
+// server is a backend server with its sidecar.
+type server struct {
+	world   *world
+	vm      platform.VM
+	cell    *control.Cell
+	sidecar *sidecar.Sidecar
+	link    *link
+	engine  *model.Engine    // nil beside plain services
+	service *service.Service // nil beside engines
+	index   *cacheindex.Index
+
+	mu       sync.Mutex
+	accepted map[string]int // generations by request id
+	hold     chan struct{}  // jobs of the other workspace wait until it is closed
+}
+
+func (w *world) newEngine(i, slots int) *server {
+	s := w.newServer(fmt.Sprintf("engine-%d", i), "engines")
+	s.engine = model.New(model.Options{
+		Seed:       uint64(i + 1),
+		Loaded:     []engine.LoadedWeights{{Model: modelName, Version: weights}},
+		DecodeStep: decodeStep,
+	})
+	w.t.Cleanup(s.engine.Close)
+	backend := client.NewEngine(serveHTTP(w.t, s.counted(model.Handler(s.engine))))
+	s.index = cacheindex.New()
+	w.work.Go(func() { s.index.Run(w.ctx, backend) })
+	s.start(sidecar.Options{Engine: backend, Blocks: s.index, Executor: execute.New(backend, nil)}, config.GroupEngines, slots)
+	return s
+}
+
+func (w *world) newService(i, slots int) *server {
+	s := w.newServer(fmt.Sprintf("desk-%d", i), "desk")
+	s.service = service.New("desk")
+	w.t.Cleanup(s.service.Close)
+	backend := client.NewService(serveHTTP(w.t, service.Handler(s.service)))
+	s.start(sidecar.Options{Executor: execute.New(nil, backend)}, config.GroupService, slots)
+	return s
+}
+
+func (w *world) newServer(name, group string) *server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return &server{
+		world:    w,
+		vm:       platform.VM{Name: name, Group: group, State: platform.VMLive},
+		cell:     control.NewCell(&control.Snapshot{Config: w.config, Shards: w.table}),
+		accepted: make(map[string]int),
+	}
+}
+
+// start starts the sidecar and its link.
+func (s *server) start(options sidecar.Options, kind config.GroupKind, slots int) {
+	options.Settings = &config.SidecarSettings{
+		Kind:          kind,
+		Group:         s.vm.Group,
+		MaxConcurrent: slots,
+		QueueLimit:    64,
+		StreamBuffer:  2 * time.Second,
+	}
+	options.Source = s.cell
+	options.KV = stepKV{s.world.kv, s.world, s}
+	options.Environment = environment
+	options.Executor = stepExecutor{s, options.Executor}
+	s.sidecar = sidecar.New(options)
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterBackend(mux, s.sidecar); err != nil {
+		s.world.t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.world.t.Fatal(err)
+	}
+	s.world.work.Go(func() { _ = rpc.Serve(s.world.ctx, listener, mux, nil, nil) })
+	s.link = newLink(s.world.t, listener.Addr().String())
+	s.vm.Address = s.link.address()
+}
+
+func serveHTTP(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+// counted counts the generations that the engine accepted, by request id.
+func (s *server) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != httpapi.PathCompletions {
+			next.ServeHTTP(rw, r)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		var asked engine.GenerateRequest
+		_ = json.Unmarshal(body, &asked)
+		id, _, _ := strings.Cut(asked.RequestID, ".")
+		next.ServeHTTP(&countedWriter{ResponseWriter: rw, server: s, id: id}, r)
+	})
+}
+
+// countedWriter notes that a generation was accepted.
+type countedWriter struct {
+	http.ResponseWriter
+	server *server
+	id     string
+}
+
+func (c *countedWriter) WriteHeader(status int) {
+	if status == http.StatusOK {
+		c.server.mu.Lock()
+		c.server.accepted[c.id]++
+		c.server.mu.Unlock()
+	}
+	c.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController flush.
+func (c *countedWriter) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
+// got returns how often the backend server got a request.
+func (s *server) got(requestID string) int {
+	if s.service == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.accepted[requestID]
+	}
+	count := 0
+	for _, seen := range s.service.Seen() {
+		if seen.Header.Get(engine.HeaderRequestID) == requestID {
+			count++
+		}
+	}
+	return count
+}
+
+// block lets jobs of the other workspace wait until the function returned is
+// called.
+func (s *server) block() (release func()) {
+	hold := make(chan struct{})
+	s.mu.Lock()
+	s.hold = hold
+	s.mu.Unlock()
+	return sync.OnceFunc(func() {
+		s.mu.Lock()
+		s.hold = nil
+		s.mu.Unlock()
+		close(hold)
+	})
+}
+
+// stepExecutor reaches the steps of an execution.
+type stepExecutor struct {
+	server *server
+	job.Executor
+}
+
+func (x stepExecutor) Handle(ctx context.Context, j *job.Job) (job.Outcome, error) {
+	if j.Request.Workspace != probeWorkspace {
+		return x.blocked(ctx, j)
+	}
+	s, at := x.server, place{server: x.server}
+	emit, tokens := j.Emit, 0
+	j.Emit = func(frame *wire.Frame) {
+		if frame.GetTokens() != nil {
+			tokens++
+		}
+		if step := frameStep(frame, tokens); step != "" {
+			s.world.reached(step, at)
+		}
+		emit(frame)
+	}
+	outcome, err := x.Executor.Handle(ctx, j)
+	if err == nil {
+		s.world.reached(stepLastFrame, at)
+	}
+	return outcome, err
+}
+
+func (x stepExecutor) blocked(ctx context.Context, j *job.Job) (job.Outcome, error) {
+	x.server.mu.Lock()
+	hold := x.server.hold
+	x.server.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	return x.Executor.Handle(ctx, j)
+}
