--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -264,6 +264,9 @@
 		for _, loop := range w.network.loops {
 			loop.OfferEnvelope(envelope(4))
 			loop.OfferEnvelope([]byte("broken"))
+			if number := loop.Snapshot().Config.Number; number != 5 {
+				t.Errorf("revision %d is in force right after the offer of revision 4", number)
+			}
 		}
 		time.Sleep(time.Minute)
 		w.wantEverywhere(t, 5)
--- /dev/null
+++ b/internal/systemtest/matrix_test.go
@@ -0,0 +1,176 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/standin/model"
+	"github.com/wasabigate/wasabigate/internal/standin/service"
+	"github.com/wasabigate/wasabigate/internal/tokens"
+)
+
+// The cells of the fault matrix that need real processes and signals.
+
+// pauseTime is how long a stopped process stands still.
+const pauseTime = 700 * time.Millisecond
+
+// pause stops a process and lets it go on later.
+func (p *process) pause() {
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(pauseTime, func() { p.signal(syscall.SIGCONT) })
+}
+
+// TestSignalsInMidStream stops and kills processes while a stream runs.
+func TestSignalsInMidStream(t *testing.T) {
+	s := start(t, plan{routers: 2, engines: 3, engine: slowEngine})
+	prompt := longPrompt("signals")
+	want := s.wholeStream(t, prompt)
+	cases := []struct {
+		name  string
+		fault func()
+		again bool // the caller must reconnect through the other router
+	}{
+		{"sidecar paused", func() { s.servingEngine(t).sidecar.pause() }, false},
+		{"router paused", func() { s.routers[0].pause() }, false},
+		{"sidecar paused and links cut", func() {
+			serving := s.servingEngine(t)
+			serving.sidecar.pause()
+			serving.link.cut()
+		}, false},
+		{"sidecar killed", func() { s.servingEngine(t).sidecar.kill() }, false},
+		{"router killed", func() { s.routers[0].kill() }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			body := completionBody(prompt, streamTokens, true)
+			var once sync.Once
+			answer, _ := s.stream(t.Context(), s.routers[0], s.key, body, "", func(n int) {
+				if n >= streamTokens/2 {
+					once.Do(c.fault)
+				}
+			})
+			text := answer.text
+			if c.again {
+				rest, err := s.stream(t.Context(), s.routers[1], s.key, body, answer.lastID, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				text += rest.text
+				answer = rest
+			}
+			if !answer.complete || text != want.text {
+				t.Errorf("complete %v, failed %q, text %q, want %q", answer.complete, answer.failed, text, want.text)
+			}
+		})
+	}
+}
+
+// TestSignalsDuringAnOrder stops and kills processes while an order runs. The
+// caller sends it again through both routers.
+func TestSignalsDuringAnOrder(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(s *system, v *serviceServer)
+	}{
+		{"sidecar paused", func(_ *system, v *serviceServer) { v.sidecar.pause() }},
+		{"sidecar killed", func(_ *system, v *serviceServer) { v.sidecar.kill() }},
+		{"router paused", func(s *system, _ *serviceServer) { s.routers[0].pause() }},
+		{"router killed", func(s *system, _ *serviceServer) { s.routers[0].kill() }},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, plan{routers: 2, services: 2, engines: 1})
+			s.setService(service.Faults{Delay: 300 * time.Millisecond})
+			key := fmt.Sprintf("signal-%d", i)
+			answered := make(chan *reply, 1)
+			go func() {
+				first, _ := s.order(t.Context(), s.routers[0], key)
+				answered <- first
+			}()
+			eventually(t, startTimeout, "the order runs", func() bool { return s.executions(key) > 0 })
+			c.fault(s, s.runningService(key))
+			if first := <-answered; first != nil && first.header.Get("Wasabigate-Verdict") == "not-run" {
+				t.Errorf("answered as not run: %d %s", first.status, first.body)
+			}
+			s.setService(service.Faults{})
+			for range 3 {
+				if _, err := s.order(t.Context(), s.routers[1], key); err != nil {
+					t.Error(err)
+				}
+			}
+			if ran := s.executions(key); ran != 1 {
+				t.Errorf("ran %d times", ran)
+			}
+		})
+	}
+}
+
+// runningService returns the desk server that got an order.
+func (s *system) runningService(idempotencyKey string) *serviceServer {
+	for _, v := range s.services {
+		if v.service.Executions().ByKey[idempotencyKey] > 0 {
+			return v
+		}
+	}
+	return s.services[0]
+}
+
+// listed returns a VM's entry in the VM list.
+func (s *system) listed(t *testing.T, name string) platform.VM {
+	t.Helper()
+	vms, err := s.vms.VMs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, vm := range vms {
+		if vm.Name == name {
+			return vm
+		}
+	}
+	t.Fatalf("%s is not listed", name)
+	return platform.VM{}
+}
+
+// ownerPause is long enough for another router to take over the shards and for
+// their tokens to come back.
+const ownerPause = 14 * time.Second
+
+// TestPausedOwnerOfShards pauses a router for so long that its shards go to the
+// other one. When it goes on, what it had drawn must not run.
+func TestPausedOwnerOfShards(t *testing.T) {
+	const rate, burst, cost = 200, 400, 100
+	s := start(t, plan{
+		routers: 2, engines: 1, engine: model.Options{DecodeStep: time.Millisecond},
+		document: fmt.Sprintf("[workspace small]\nrate = %d\nburst = %d\n[key small-1]\nworkspace = small\nsha256 = %s\n", rate, burst, smallKeyHash),
+	})
+	paused := s.routers[0]
+	vm := s.listed(t, paused.name)
+	paused.signal(syscall.SIGSTOP)
+	s.vms.Remove(vm.Name)
+	time.Sleep(ownerPause)
+	s.vms.Set(vm)
+	paused.signal(syscall.SIGCONT)
+	prompt := strings.Repeat("x ", (cost-1)*tokens.BytesPerToken/2)
+	began, ran := time.Now(), 0
+	for time.Since(began) < time.Second {
+		for _, r := range s.routers {
+			body := completionBody(prompt, 1, false)
+			if got, err := s.send(t.Context(), r, http.MethodPost, "/v1/completions", smallKey, "", body); err == nil && got.status == http.StatusOK {
+				ran++
+			}
+		}
+	}
+	if bound := burst + int(rate*time.Since(began).Seconds()); ran*cost > bound {
+		t.Errorf("%d tokens ran, bound %d", ran*cost, bound)
+	}
+	eventually(t, 3*time.Second, "the paused router serves again", func() bool {
+		return s.tryComplete(t.Context(), paused, "hello") == http.StatusOK
+	})
+}
