--- a/internal/matrixtest/restart_test.go
+++ b/internal/matrixtest/restart_test.go
@@ -61,3 +61,15 @@
 	}
 	return answer.Usage.Details.CachedTokens
 }
+
+// TestReconnectAfterTheLastEvent reconnects a caller that has got the last chunk
+// and not the end mark behind it.
+func TestReconnectAfterTheLastEvent(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, slots)
+	first := w.ask(w.router(0), newRequest(kindStream, w.key, "", ""))
+	again := w.ask(w.router(1), newRequest(kindStream, w.key, "", first.lastID))
+	if !first.complete || !again.complete || again.body != "" {
+		t.Errorf("the stream is whole, but the reconnection gave %s", again)
+	}
+}
