--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -278,3 +278,15 @@
 		}
 	}
 }
+
+// BenchmarkCandidateText is the part of a log line that grows with the candidates.
+func BenchmarkCandidateText(b *testing.B) {
+	f := newFleet(12).router(b, PolicyOwn)
+	s := &space{}
+	f.gatherAny(s, prompt("pack", 4000, 1), f.source.Snapshot().View.Group(testGroup), f.source.Snapshot().View.Ring(testGroup))
+	f.score(&s.decision)
+	b.ReportAllocs()
+	for b.Loop() {
+		candidateText(s.decision.candidates)
+	}
+}
