--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -72,9 +72,9 @@
 const (
 	// deferrableWeight is what a wait counts for work that may wait.
 	deferrableWeight = 0.125
-	// prefillStep is the mean length of a prefill that an urgent request finds
-	// running, in tokens: it goes before all deferrable work but that one.
-	prefillStep = 512
+	// prefillStep is the longest prefill that an urgent request is expected to
+	// find running, in tokens: it goes before all deferrable work but that one.
+	prefillStep = 2048
 )
 
 func (queueScorer) score(d *decision, c *Candidate) time.Duration {
