--- a/scripts/bench-run.sh
+++ b/scripts/bench-run.sh
@@ -32,6 +32,10 @@
 	case $1 in
 	crash) post "${WASABIGATE_BACKENDS%% *}" '{"crash":true,"down_ms":300}' ;;
 	kv-out) post "$WASABIGATE_KV" '{"down":true}' ;;
+	kv-router) # the key-value service is out, and one router is lost
+		post "$WASABIGATE_KV" '{"down":true}'
+		kill -KILL "$(cat "$WASABIGATE_RUN/router-0.pid")"
+		;;
 	herd)
 		post "$WASABIGATE_KV" '{"down":false}'
 		restart_routers
