Give the end mark to a caller that reconnects after the last chunk

A caller whose router was killed between the last chunk and [DONE] got 502 backend_failed from the other router: the sidecar has no frame after the tail, and an empty stream can't be told from a cut. A reconnection now resumes one frame earlier; relay drops that frame but for a tail, and the HTTP side writes only the end mark for a tail that the caller has.

--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -16,6 +16,8 @@
 	chat    bool
 	model   string
 	created int64
+	// delivered is the sequence number of the last frame before a reconnection.
+	delivered uint64
 }
 
 func newAnswer(req *request.Request) *answer {
@@ -28,6 +30,7 @@
 		a.chat = position.Chat
 		a.model = position.Model
 		a.created = position.CreatedUnix
+		a.delivered = position.Sequence
 	}
 	return a
 }
@@ -128,6 +131,8 @@
 // chunks returns the events for a frame.
 func (a *answer) chunks(frame *wire.Frame, withUsage bool) []completion {
 	switch {
+	case frame.GetSequence() <= a.delivered:
+		return nil
 	case frame.GetHead() != nil && a.chat:
 		empty := ""
 		return []completion{a.chunk(message{Role: roleAssistant, Content: &empty}, nil)}
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -159,7 +159,7 @@
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "the caller left")
 	default:
 		close(s.given)
-		return &wire.Frame{Tokens: &wire.Tokens{Text: "a"}}, nil
+		return &wire.Frame{Sequence: 1, Tokens: &wire.Tokens{Text: "a"}}, nil
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,9 +65,10 @@
 	s.req.ID = position.RequestID
 	s.req.Attempt = position.Attempt
 	s.req.Target = request.Target{Name: position.Address, Address: position.Address}
-	s.last = position.Sequence
+	s.delivered = position.Sequence
+	s.last = max(position.Sequence, 1) - 1
 	s.reconnected = true
-	inner, err := f.resumer.Resume(ctx, s.req, position.Sequence)
+	inner, err := f.resumer.Resume(ctx, s.req, s.last)
 	if err != nil {
 		return nil, err
 	}
@@ -96,6 +97,7 @@
 	inner       request.Stream
 	last        uint64 // sequence number of the last frame of this attempt
 	reconnected bool   // began at another router, so that it can't be continued elsewhere
+	delivered   uint64 // sequence number of the last frame before the reconnection
 	started     bool   // a head was delivered
 	text        []byte // completion delivered so far
 	tokens      int    // tokens in text
@@ -214,9 +216,12 @@
 }
 
 // deliver notes a frame and says whether the caller gets it: a continued
-// generation has one head only.
+// generation has one head only, and what came before a reconnection is dropped
+// but for a tail, without which the stream would seem incomplete.
 func (s *stream) deliver(frame *wire.Frame) bool {
 	switch {
+	case frame.GetSequence() <= s.delivered && frame.GetTail() == nil:
+		return false
 	case frame.GetHead() != nil:
 		repeated := s.started
 		s.started = true
