--- a/internal/tools/overhead/main.go
+++ b/internal/tools/overhead/main.go
@@ -2,7 +2,7 @@
 // requests go to the engine directly and through the system, in turn.
 //
 // Usage: overhead -router URL -engine URL -key KEY -model NAME -weights VERSION
-// -pid PID-OF-THE-ROUTER [-streams 1,64,512] [-requests 2000]
+// -pid PID-OF-THE-ROUTER -sidecar PID-OF-THE-SIDECAR [-streams 1,64,512] [-requests 2000]
 package main
 
 import (
@@ -26,7 +26,7 @@
 )
 
 const (
-	maxTokens     = 16
+	defaultTokens = 16
 	promptRepeats = 60
 	rounds        = 3
 
@@ -66,24 +66,27 @@
 	key := flag.String("key", "", "key of a workspace")
 	model := flag.String("model", "", "model")
 	weights := flag.String("weights", "", "weights version")
-	pid := flag.Int("pid", 0, "process id of the router")
+	var d daemons
+	flag.IntVar(&d.router, "pid", 0, "process id of the router")
+	flag.IntVar(&d.sidecar, "sidecar", 0, "process id of the sidecar")
 	streams := flag.String("streams", "1,64,512", "numbers of concurrent streams")
 	requests := flag.Int("requests", 2000, "requests of each run")
+	tokens := flag.Int("tokens", defaultTokens, "tokens of each answer")
 	flag.Parse()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	prompt := strings.Repeat(" the roof pack of the north face", promptRepeats)
-	direct := target{"direct", *engineURL + "/v1/completions", "", func() string { return engineBody(*model, *weights, prompt) }, client}
-	routed := target{"routed", *router + "/v1/completions", *key, func() string { return routerBody(*model, prompt) }, client}
-	if err := run(direct, routed, *streams, *requests, *pid); err != nil {
+	direct := target{"direct", *engineURL + "/v1/completions", "", func() string { return engineBody(*model, *weights, prompt, *tokens) }, client}
+	routed := target{"routed", *router + "/v1/completions", *key, func() string { return routerBody(*model, prompt, *tokens) }, client}
+	if err := run(direct, routed, *streams, *requests, d); err != nil {
 		fmt.Fprintln(os.Stderr, "overhead:", err)
 		os.Exit(1)
 	}
 }
 
-func engineBody(model, weights, prompt string) string {
+func engineBody(model, weights, prompt string, tokens int) string {
 	encoded, _ := json.Marshal(engine.GenerateRequest{
 		RequestID: uuid.NewString(), Model: model, WeightsVersion: weights,
-		Prompt: prompt, MaxTokens: maxTokens, CacheSalt: "overhead",
+		Prompt: prompt, MaxTokens: tokens, CacheSalt: "overhead",
 	})
 	return string(encoded)
 }
@@ -95,20 +98,57 @@
 	Stream    bool   `json:"stream"`
 }
 
-func routerBody(model, prompt string) string {
-	encoded, _ := json.Marshal(completionRequest{model, prompt, maxTokens, true})
+func routerBody(model, prompt string, tokens int) string {
+	encoded, _ := json.Marshal(completionRequest{model, prompt, tokens, true})
 	return string(encoded)
 }
 
-func run(direct, routed target, streams string, requests, pid int) error {
-	fmt.Println("| streams | target | first token p50 | p99 | whole p50 | p99 | router's memory |")
-	fmt.Println("|---|---|---|---|---|---|---|")
+// daemons are the processes whose cost is measured.
+type daemons struct{ router, sidecar int }
+
+// cpu is the processor time of both daemons.
+type cpu struct{ router, sidecar time.Duration }
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+func (d daemons) cpu() (cpu, error) {
+	router, err := processorTime(d.router)
+	if err != nil {
+		return cpu{}, err
+	}
+	sidecar, err := processorTime(d.sidecar)
+	return cpu{router, sidecar}, err
+}
+
+// processorTime returns the user and system time of a process.
+func processorTime(pid int) (time.Duration, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	const user, system = 13, 14
+	fields := strings.Fields(string(stat))
+	if len(fields) <= system {
+		return 0, errors.New("processor time: too few fields")
+	}
+	userTicks, err := strconv.Atoi(fields[user])
+	if err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	systemTicks, err := strconv.Atoi(fields[system])
+	return time.Duration(userTicks+systemTicks) * clockTick, errors.Wrap(err, "processor time")
+}
+
+func run(direct, routed target, streams string, requests int, d daemons) error {
+	fmt.Println("| streams | target | first token p50 | p99 | whole p50 | p99 | router's memory | router's processor time a request | sidecar's |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
 	for _, text := range strings.Split(streams, ",") {
 		n, err := strconv.Atoi(text)
 		if err != nil {
 			return errors.Wrap(err, "streams")
 		}
-		if err := compare(direct, routed, n, requests, pid); err != nil {
+		if err := compare(direct, routed, n, requests, d); err != nil {
 			return err
 		}
 	}
@@ -116,14 +156,22 @@
 }
 
 // compare runs both targets in turn and prints a line for each.
-func compare(direct, routed target, streams, requests, pid int) error {
+func compare(direct, routed target, streams, requests int, d daemons) error {
+	before, err := d.cpu()
+	if err != nil {
+		return err
+	}
 	samples := map[string]*sample{direct.name: newSample(), routed.name: newSample()}
 	for range rounds {
 		for _, t := range []target{direct, routed} {
 			t.run(samples[t.name], streams, requests/rounds)
 		}
 	}
-	memory, err := residentMemory(pid)
+	after, err := d.cpu()
+	if err != nil {
+		return err
+	}
+	memory, err := residentMemory(d.router)
 	if err != nil {
 		return err
 	}
@@ -132,8 +180,9 @@
 		if s.fault != nil {
 			return errors.Wrap(s.fault, t.name)
 		}
-		fmt.Printf("| %d | %s | %s | %s | %s | %s | %s |\n", streams, t.name,
-			at(s.first, 50), at(s.first, 99), at(s.whole, 50), at(s.whole, 99), memory)
+		fmt.Printf("| %d | %s | %s | %s | %s | %s | %s | %s | %s |\n", streams, t.name,
+			at(s.first, 50), at(s.first, 99), at(s.whole, 50), at(s.whole, 99), memory,
+			(after.router-before.router)/time.Duration(requests), (after.sidecar-before.sidecar)/time.Duration(requests))
 	}
 	return nil
 }
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -8,4 +8,5 @@
 weights=$(awk '$1 == "weights_version" { print $3; exit }' "$WASABIGATE_DOCUMENT")
 sleep 2
 bin/overhead -router "${WASABIGATE_ROUTERS%% *}" -engine "${WASABIGATE_BACKENDS%% *}" -key "$key" \
-	-model "$WASABIGATE_MODEL" -weights "$weights" -pid "$(cat "$WASABIGATE_RUN/router-0.pid")" "$@"
+	-model "$WASABIGATE_MODEL" -weights "$weights" -pid "$(cat "$WASABIGATE_RUN/router-0.pid")" \
+	-sidecar "$(cat "$WASABIGATE_RUN/engine-0.pid")" "$@"
