End a stream that is reconnected after its last chunk by its position

Cause: a caller that had the last chunk and lost the end mark got 502 backend_failed on reconnecting: the sidecar had no further frame. Found by the fault matrix; TestReconnectAfterTheLastEvent failed each time. Change: the position after the last chunk says that nothing follows, and the router answers with the end mark; the position also carries the usage.

--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -16,8 +16,8 @@
 	chat    bool
 	model   string
 	created int64
-	// delivered is the sequence number of the last frame before a reconnection.
-	delivered uint64
+	usage   bool // a last chunk with the usage is wanted
+	ended   bool // nothing follows but the end mark
 }
 
 func newAnswer(req *request.Request) *answer {
@@ -30,12 +30,13 @@
 		a.chat = position.Chat
 		a.model = position.Model
 		a.created = position.CreatedUnix
-		a.delivered = position.Sequence
+		a.usage = position.Usage
+		a.ended = position.Ended
 	}
 	return a
 }
 
-// position returns the place of a frame in the stream.
+// position returns the place after a frame in the stream.
 func (a *answer) position(req *request.Request, frame *wire.Frame) request.Position {
 	return request.Position{
 		Workspace:   req.Workspace,
@@ -46,6 +47,8 @@
 		Model:       a.model,
 		Chat:        a.chat,
 		CreatedUnix: a.created,
+		Usage:       a.usage,
+		Ended:       frame.GetTail() != nil,
 	}
 }
 
@@ -129,10 +132,8 @@
 }
 
 // chunks returns the events for a frame.
-func (a *answer) chunks(frame *wire.Frame, withUsage bool) []completion {
+func (a *answer) chunks(frame *wire.Frame) []completion {
 	switch {
-	case frame.GetSequence() <= a.delivered:
-		return nil
 	case frame.GetHead() != nil && a.chat:
 		empty := ""
 		return []completion{a.chunk(message{Role: roleAssistant, Content: &empty}, nil)}
@@ -140,16 +141,16 @@
 		text := frame.GetTokens().GetText()
 		return []completion{a.chunk(message{Content: &text}, nil)}
 	case frame.GetTail() != nil:
-		return a.lastChunks(frame.GetTail(), withUsage)
+		return a.lastChunks(frame.GetTail())
 	default:
 		return nil
 	}
 }
 
-func (a *answer) lastChunks(tail *wire.Tail, withUsage bool) []completion {
+func (a *answer) lastChunks(tail *wire.Tail) []completion {
 	reason := tail.GetFinishReason()
 	chunks := []completion{a.chunk(message{}, &reason)}
-	if withUsage {
+	if a.usage {
 		last := a.completion(a.chunkObject())
 		last.Usage = newUsage(tail)
 		chunks = append(chunks, last)
--- a/internal/httpapi/events.go
+++ b/internal/httpapi/events.go
@@ -29,14 +29,24 @@
 	w.response.WriteHeader(http.StatusOK)
 }
 
-// write sends one event.
-func (w *eventWriter) write(id string, chunk completion) error {
+// write sends the chunks of one frame, the last one with the id of the position
+// after it.
+func (w *eventWriter) write(id string, chunks []completion) error {
+	if len(chunks) == 0 {
+		return nil
+	}
 	w.start()
-	w.buffer = append(w.buffer[:0], "id: "...)
-	w.buffer = append(w.buffer, id...)
-	w.buffer = append(w.buffer, "\ndata: "...)
-	w.buffer = append(w.buffer, encode(chunk)...)
-	w.buffer = append(w.buffer, "\n\n"...)
+	w.buffer = w.buffer[:0]
+	for i := range chunks {
+		if i == len(chunks)-1 {
+			w.buffer = append(w.buffer, "id: "...)
+			w.buffer = append(w.buffer, id...)
+			w.buffer = append(w.buffer, '\n')
+		}
+		w.buffer = append(w.buffer, "data: "...)
+		w.buffer = append(w.buffer, encode(chunks[i])...)
+		w.buffer = append(w.buffer, "\n\n"...)
+	}
 	return w.flush()
 }
 
--- a/internal/httpapi/generate.go
+++ b/internal/httpapi/generate.go
@@ -36,7 +36,9 @@
 	req.Generation = parsed.generation(chat, req.ID)
 	return s.run(c, req, func(ctx context.Context, stream request.Stream) error {
 		if parsed.Stream {
-			return s.writeStream(ctx, c, req, stream, parsed.StreamOptions.IncludeUsage)
+			answer := newAnswer(req)
+			answer.usage = parsed.StreamOptions.IncludeUsage
+			return s.writeStream(ctx, c, req, stream, answer)
 		}
 		return s.writeWhole(ctx, c, req, stream)
 	})
@@ -48,7 +50,7 @@
 // reconnect goes on with a stream that the caller lost.
 func (s *Server) reconnect(c echo.Context, req *request.Request) error {
 	return s.run(c, req, func(ctx context.Context, stream request.Stream) error {
-		return s.writeStream(ctx, c, req, stream, false)
+		return s.writeStream(ctx, c, req, stream, newAnswer(req))
 	})
 }
 
@@ -76,22 +78,21 @@
 
 // writeStream answers with server-sent events. Each event's id is a position
 // from which another router can go on.
-func (s *Server) writeStream(ctx context.Context, c echo.Context, req *request.Request, stream request.Stream, usage bool) error {
+func (s *Server) writeStream(ctx context.Context, c echo.Context, req *request.Request, stream request.Stream, answer *answer) error {
 	events := newEventWriter(c.Response())
-	answer := newAnswer(req)
 	timer := &timer{meters: s.meters, req: req}
 	for {
 		frame, err := stream.Next(ctx)
+		if err == io.EOF && answer.ended {
+			return events.done()
+		}
 		if err != nil {
 			return s.endBroken(ctx, events, req, err)
 		}
 		answer.observe(frame)
 		timer.observe(frame)
-		id := answer.position(req, frame).String()
-		for _, chunk := range answer.chunks(frame, usage) {
-			if err := events.write(id, chunk); err != nil {
-				return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCancelled, "the caller left")
-			}
+		if err := events.write(answer.position(req, frame).String(), answer.chunks(frame)); err != nil {
+			return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCancelled, "the caller left")
 		}
 		if frame.GetTail() != nil {
 			return events.done()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,13 +62,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if position.Ended {
+		return &stream{filter: f, req: s.req, ended: true}, nil
+	}
 	s.req.ID = position.RequestID
 	s.req.Attempt = position.Attempt
 	s.req.Target = request.Target{Name: position.Address, Address: position.Address}
-	s.delivered = position.Sequence
-	s.last = max(position.Sequence, 1) - 1
+	s.last = position.Sequence
 	s.reconnected = true
-	inner, err := f.resumer.Resume(ctx, s.req, s.last)
+	inner, err := f.resumer.Resume(ctx, s.req, position.Sequence)
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +99,6 @@
 	inner       request.Stream
 	last        uint64 // sequence number of the last frame of this attempt
 	reconnected bool   // began at another router, so that it can't be continued elsewhere
-	delivered   uint64 // sequence number of the last frame before the reconnection
 	started     bool   // a head was delivered
 	text        []byte // completion delivered so far
 	tokens      int    // tokens in text
@@ -216,12 +217,9 @@
 }
 
 // deliver notes a frame and says whether the caller gets it: a continued
-// generation has one head only, and what came before a reconnection is dropped
-// but for a tail, without which the stream would seem incomplete.
+// generation has one head only.
 func (s *stream) deliver(frame *wire.Frame) bool {
 	switch {
-	case frame.GetSequence() <= s.delivered && frame.GetTail() == nil:
-		return false
 	case frame.GetHead() != nil:
 		repeated := s.started
 		s.started = true
--- a/internal/request/position.go
+++ b/internal/request/position.go
@@ -23,6 +23,10 @@
 	Model       string
 	Chat        bool
 	CreatedUnix int64
+	Usage       bool // the caller wants a last chunk with the usage
+
+	// Ended says that nothing follows but the end mark.
+	Ended bool
 }
 
 // String returns the text of the position.
@@ -36,6 +40,8 @@
 		Model:       p.Model,
 		Chat:        p.Chat,
 		CreatedUnix: p.CreatedUnix,
+		Usage:       p.Usage,
+		Ended:       p.Ended,
 	})
 	if err != nil {
 		return "" // only for strings that are not UTF-8
@@ -65,5 +71,7 @@
 		Model:       p.GetModel(),
 		Chat:        p.GetChat(),
 		CreatedUnix: p.GetCreatedUnix(),
+		Usage:       p.GetUsage(),
+		Ended:       p.GetEnded(),
 	}, nil
 }
