--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,9 +142,9 @@
 	if err != nil {
 		return errors.Wrap(err, "rpc listener")
 	}
-	httpListener, err := net.Listen("tcp", p.httpAddress())
+	httpListener, err := listenHTTP(p.httpAddress())
 	if err != nil {
-		return errors.Wrap(err, "HTTP listener")
+		return err
 	}
 	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: readHeaderTimeout, TLSConfig: b.secure.Callers()}
 	background, stop := context.WithCancel(context.Background())
@@ -153,7 +153,9 @@
 	group.Go(func() error { b.loop.Run(background); return nil })
 	group.Go(func() error { return p.run(background) })
 	group.Go(func() error { return rpc.Serve(background, rpcListener, b.mux, b.secure.Server(), logRPCError) })
-	group.Go(func() error { return ignoreClosed(serveHTTP(server, httpListener)) })
+	if httpListener != nil {
+		group.Go(func() error { return ignoreClosed(serveHTTP(server, httpListener)) })
+	}
 	logger.Info(logging.Fields{"role": string(b.settings.Daemon.Role), "rpc": b.settings.Daemon.RPCAddress, "http": p.httpAddress()}, "daemon started")
 	select {
 	case <-ctx.Done():
@@ -180,6 +182,16 @@
 	logger.Info(nil, "drained")
 }
 
+// listenHTTP returns the HTTP listener, or nil without an address: a sidecar need
+// not serve HTTP.
+func listenHTTP(address string) (net.Listener, error) {
+	if address == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrap(err, "HTTP listener")
+}
+
 // serveHTTP serves TLS if the server has a configuration for it.
 func serveHTTP(server *http.Server, listener net.Listener) error {
 	if server.TLSConfig == nil {
--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -5,6 +5,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/auth"
 	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/credential"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
@@ -199,5 +200,5 @@
 
 // checkKey authenticates a request that does not pass the chain.
 func checkKey(revision *config.Revision, header http.Header) (*config.Key, error) {
-	return auth.Check(revision, credential(header))
+	return auth.Check(revision, credential.From(header))
 }
--- a/internal/httpapi/call.go
+++ b/internal/httpapi/call.go
@@ -5,11 +5,11 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"github.com/wasabigate/wasabigate/internal/credential"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -41,7 +41,7 @@
 func newCall(r *http.Request, req *request.Request, body []byte) *wire.Call {
 	call := &wire.Call{
 		Method:  r.Method,
-		Path:    strings.TrimPrefix(r.URL.RequestURI(), req.Route.StripPrefix),
+		Path:    req.Route.ServicePath(r.URL.RequestURI()),
 		Headers: forwardedHeaders(r.Header),
 		Body:    body,
 		Once:    req.Route.Once,
@@ -60,7 +60,7 @@
 var droppedHeaders = append([]string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Content-Length", "Cookie", "Set-Cookie", "Host",
-}, credentialHeaders...)
+}, credential.Headers...)
 
 func forwardedHeaders(header http.Header) []*wire.Header {
 	var forwarded []*wire.Header
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,6 +12,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/credential"
 	"github.com/wasabigate/wasabigate/internal/inflight"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -32,8 +32,8 @@
 
 // Paths of the OpenAI interface.
 const (
-	pathChat        = "/v1/chat/completions"
-	pathCompletions = "/v1/completions"
+	pathChat        = config.PathChatCompletions
+	pathCompletions = config.PathCompletions
 	pathModels      = "/v1/models"
 )
 
@@ -106,7 +106,7 @@
 		ID:          uuid.NewString(),
 		Received:    time.Now(),
 		Snapshot:    s.options.Source.Snapshot(),
-		Credential:  credential(c.Request().Header),
+		Credential:  credential.From(c.Request().Header),
 		ResumeToken: c.Request().Header.Get(HeaderLastEventID),
 	}
 	c.Response().Header().Set(HeaderRequestID, req.ID)
@@ -132,42 +132,16 @@
 	}
 }
 
-// credentialHeaders are the headers that may hold a caller's key.
-var credentialHeaders = []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization"}
-
-func credential(header http.Header) string {
-	if bearer, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer "); ok {
-		return strings.TrimSpace(bearer)
-	}
-	for _, name := range credentialHeaders[1:] {
-		if value := header.Get(name); value != "" {
-			return value
-		}
-	}
-	return ""
-}
-
-// findRoute returns the route for a method and path, or nil. The longest path
-// wins.
+// findRoute returns the route for a method and path, or nil. A document's routes
+// don't overlap.
 func findRoute(document *config.Document, method, path string) *config.Route {
-	var best *config.Route
 	for i := range document.Routes {
 		route := &document.Routes[i]
-		if matches(route, method, path) && (best == nil || len(route.Path) > len(best.Path)) {
-			best = route
+		if route.Generation() && route.Path == path || route.Matches(method, path) {
+			return route
 		}
 	}
-	return best
-}
-
-func matches(route *config.Route, method, path string) bool {
-	if route.Method != "" && route.Method != method && !route.Generation() {
-		return false
-	}
-	if prefix, ok := strings.CutSuffix(route.Path, "*"); ok {
-		return strings.HasPrefix(path, prefix)
-	}
-	return route.Path == path
+	return nil
 }
 
 // run passes the request through the chain and hands the stream to write.
--- a/internal/matrixtest/faults_test.go
+++ b/internal/matrixtest/faults_test.go
@@ -240,13 +240,13 @@
 
 func cutLinks(w *world, at place) {
 	for _, s := range w.hit(at) {
-		s.link.cut()
+		s.link.Cut()
 	}
 }
 
 func freezeLinks(w *world, at place) {
 	for _, s := range w.hit(at) {
-		s.link.freeze(freezeTime)
+		s.link.Freeze(freezeTime)
 	}
 }
 
@@ -258,11 +258,11 @@
 		gone = []*server{at.server}
 	}
 	for _, s := range gone {
-		s.link.setDown(true)
+		s.link.SetDown(true)
 	}
 	w.onMend(func() {
 		for _, s := range gone {
-			s.link.setDown(false)
+			s.link.SetDown(false)
 		}
 		w.awaitServing(gone...)
 	})
--- a/internal/matrixtest/server_test.go
+++ b/internal/matrixtest/server_test.go
@@ -28,6 +28,7 @@
 	"github.com/wasabigate/wasabigate/internal/sidecar/cacheindex"
 	"github.com/wasabigate/wasabigate/internal/sidecar/execute"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/standin/link"
 	"github.com/wasabigate/wasabigate/internal/standin/model"
 	"github.com/wasabigate/wasabigate/internal/standin/service"
 )
@@ -41,7 +42,7 @@
 	vm      platform.VM
 	cell    *control.Cell
 	sidecar *sidecar.Sidecar
-	link    *link
+	link    *link.Link
 	engine  *model.Engine    // nil beside plain services
 	service *service.Service // nil beside engines
 	index   *cacheindex.Index
@@ -110,7 +111,7 @@
 	}
 	s.world.work.Go(func() { _ = rpc.Serve(s.world.ctx, listener, mux, nil, nil) })
 	s.link = newLink(s.world.t, listener.Addr().String())
-	s.vm.Address = s.link.address()
+	s.vm.Address = s.link.Address()
 }
 
 func serveHTTP(t *testing.T, handler http.Handler) string {
@@ -226,3 +227,14 @@
 	}
 	return x.Executor.Handle(ctx, j)
 }
+
+// newLink returns a link to target that the test's end closes.
+func newLink(t *testing.T, target string) *link.Link {
+	t.Helper()
+	l, err := link.New("127.0.0.1:0", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
--- a/internal/matrixtest/steps_test.go
+++ b/internal/matrixtest/steps_test.go
@@ -104,7 +104,7 @@
 }
 
 func (k stepKV) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
-	if strings.HasPrefix(key, "once/") && expected != 0 {
+	if strings.HasPrefix(key, "wasabigate/once/") && expected != 0 {
 		k.world.reached(stepRecord, place{server: k.server})
 	}
 	return k.KV.CompareAndSwap(ctx, key, value, expected, lease)
--- a/internal/route/weights.go
+++ b/internal/route/weights.go
@@ -16,8 +16,10 @@
 
 const (
 	// shareMaxAge is the age at which the spread of a model's versions is counted
-	// again.
-	shareMaxAge = 100 * time.Millisecond
+	// again, and shareMaxAgePerServer what each server of a large group adds, so
+	// that counting costs the same part of a core in any group.
+	shareMaxAge          = 100 * time.Millisecond
+	shareMaxAgePerServer = 200 * time.Microsecond
 	// sharePromptBytes is the length of the beginning of a prompt that decides
 	// which version it uses during a rollout, so that prompts with a common prefix
 	// stay together.
@@ -79,7 +81,8 @@
 	f.shares.mu.Lock()
 	defer f.shares.mu.Unlock()
 	now := time.Now()
-	if known, ok := f.shares.counts[model]; ok && now.Sub(known.countedAt) < shareMaxAge {
+	maxAge := max(shareMaxAge, time.Duration(len(servers))*shareMaxAgePerServer)
+	if known, ok := f.shares.counts[model]; ok && now.Sub(known.countedAt) < maxAge {
 		return known
 	}
 	counted := f.count(model, servers)
--- a/internal/route/weights_test.go
+++ b/internal/route/weights_test.go
@@ -130,3 +130,22 @@
 		t.Errorf("a stream of v1 goes on at %s with version %s", target.Name, req.Generation.WeightsVersion)
 	}
 }
+
+// BenchmarkVersions is the count of versions over a whole group, which is made
+// again when it is old.
+func BenchmarkVersions(b *testing.B) {
+	for _, engines := range []int{12, 7000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			fleet := newFleet(engines)
+			f := fleet.router(b, PolicyOwn)
+			req := prompt("pack", 100, 1)
+			if _, err := f.choose(req); err != nil {
+				b.Fatal(err)
+			}
+			servers := f.source.Snapshot().View.Group(testGroup)
+			for b.Loop() {
+				f.count(req.Generation.Model, servers)
+			}
+		})
+	}
+}
--- a/internal/shard/codec.go
+++ b/internal/shard/codec.go
@@ -9,10 +9,11 @@
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
+// keyPrefix starts the keys of shard tables in the key-value service.
+const keyPrefix = "wasabigate/shards/"
+
 // Key returns the key of the table in the key-value service.
-func Key(environment string) string {
-	return "/wasabigate/" + environment + "/shards"
-}
+func Key(environment string) string { return keyPrefix + environment }
 
 // Encode serializes the table. Levels are kept for free shards only: whoever
 // claims a shard takes them out, so that they are handed over once.
--- a/internal/sidecar/execute/call.go
+++ b/internal/sidecar/execute/call.go
@@ -8,16 +8,13 @@
 	"slices"
 	"strings"
 
+	"github.com/wasabigate/wasabigate/internal/credential"
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
-// credentialHeaders may hold a caller's key. The router removes them; they are
-// removed here once more.
-var credentialHeaders = []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key"}
-
 // hopHeaders belong to one connection.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -57,7 +54,7 @@
 		header.Add(h.Name, h.Value)
 	}
 	removeHopHeaders(header)
-	for _, name := range credentialHeaders {
+	for _, name := range credential.Headers { // the router removes them too
 		header.Del(name)
 	}
 	header.Set(engine.HeaderRequestID, req.RequestId)
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -237,7 +237,7 @@
 	if err := s.Drain(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	entries, err := store.List(t.Context(), "once/test/")
+	entries, err := store.List(t.Context(), "wasabigate/once/test/")
 	if err != nil || len(entries) != 1 || !strings.Contains(string(entries[0].Value), "printed") {
 		t.Errorf("records %v, %v", entries, err)
 	}
--- a/internal/sidecar/once/once_test.go
+++ b/internal/sidecar/once/once_test.go
@@ -311,7 +311,7 @@
 				t.Errorf("call %d: got %q, want %q", i, got, results[i])
 			}
 		}
-		entries, err := store.List(t.Context(), "once/")
+		entries, err := store.List(t.Context(), keyPrefix)
 		if err != nil || len(entries) != 1 {
 			t.Errorf("%d records, %v", len(entries), err)
 		}
--- a/internal/sidecar/once/setup.go
+++ b/internal/sidecar/once/setup.go
@@ -22,6 +22,9 @@
 	retryMax       = time.Second
 )
 
+// keyPrefix starts the keys of intents in the key-value service.
+const keyPrefix = "wasabigate/once/"
+
 // Options configure the filter.
 type Options struct {
 	KV          platform.KV
@@ -31,7 +34,7 @@
 // New returns the filter.
 func New(opts Options) *Once {
 	return &Once{
-		store:   store{kv: opts.KV, leases: newLeases(opts.KV), prefix: "once/" + opts.Environment + "/"},
+		store:   store{kv: opts.KV, leases: newLeases(opts.KV), prefix: keyPrefix + opts.Environment + "/"},
 		metrics: newMetrics(),
 	}
 }
--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,152 @@
+// Package link is a stand-in of the network between two processes. It forwards
+// TCP connections to a target; it can be cut, kept down and frozen, and it records
+// what goes towards the target.
+package link
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Link forwards connections. It is safe for concurrent use.
+type Link struct {
+	listener net.Listener
+	target   string
+	work     sync.WaitGroup
+
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	down     bool
+	thaw     time.Time // nothing passes before
+	recorded bytes.Buffer
+}
+
+// New returns a Link that listens on address, which may have port 0, and forwards
+// to target. Close ends it.
+func New(address, target string) (*Link, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "link")
+	}
+	l := &Link{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	l.work.Go(l.accept)
+	return l, nil
+}
+
+// Address returns the address that the link listens on.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
+// Close cuts the link for good and waits for its goroutines.
+func (l *Link) Close() {
+	_ = l.listener.Close()
+	l.SetDown(true)
+	l.work.Wait()
+}
+
+// Cut breaks all connections. New ones are made again.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		_ = conn.Close()
+	}
+}
+
+// SetDown cuts the link and keeps it so until it is set up again.
+func (l *Link) SetDown(down bool) {
+	l.mu.Lock()
+	l.down = down
+	l.mu.Unlock()
+	if down {
+		l.Cut()
+	}
+}
+
+// Freeze holds up all bytes for d.
+func (l *Link) Freeze(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.thaw = time.Now().Add(d)
+}
+
+// Recorded returns all that went towards the target.
+func (l *Link) Recorded() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Clone(l.recorded.Bytes())
+}
+
+func (l *Link) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		l.work.Go(func() { l.forward(conn) })
+	}
+}
+
+func (l *Link) forward(from net.Conn) {
+	defer from.Close()
+	to, err := net.Dial("tcp", l.target)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	if !l.add(from, to) {
+		return
+	}
+	defer l.remove(from, to)
+	l.work.Go(func() {
+		_, _ = io.Copy(writer{link: l, to: from}, to)
+		_ = from.Close()
+	})
+	_, _ = io.Copy(writer{link: l, to: to, record: true}, from)
+}
+
+// add notes open connections. It refuses them while the link is down.
+func (l *Link) add(conns ...net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return false
+	}
+	for _, conn := range conns {
+		l.conns[conn] = struct{}{}
+	}
+	return true
+}
+
+func (l *Link) remove(conns ...net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range conns {
+		delete(l.conns, conn)
+	}
+}
+
+// writer passes bytes on, and waits while the link is frozen.
+type writer struct {
+	link   *Link
+	to     net.Conn
+	record bool
+}
+
+// Write implements io.Writer.
+func (w writer) Write(p []byte) (int, error) {
+	w.link.mu.Lock()
+	wait := time.Until(w.link.thaw)
+	if w.record {
+		w.link.recorded.Write(p)
+	}
+	w.link.mu.Unlock()
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	return w.to.Write(p)
+}
--- a/internal/systemtest/keys_test.go
+++ b/internal/systemtest/keys_test.go
@@ -140,7 +140,7 @@
 	}
 	for _, v := range servers {
 		seen["backend server of "+v.vm.Name] = []byte(v.seen.String())
-		seen["sidecar "+v.vm.Name] = v.link.bytes()
+		seen["sidecar "+v.vm.Name] = v.link.Recorded()
 		seen["log of "+v.vm.Name] = []byte(v.sidecar.log.String())
 	}
 	for _, r := range s.routers {
--- a/internal/systemtest/matrix_test.go
+++ b/internal/systemtest/matrix_test.go
@@ -41,7 +41,7 @@
 		{"sidecar paused and links cut", func() {
 			serving := s.servingEngine(t)
 			serving.sidecar.pause()
-			serving.link.cut()
+			serving.link.Cut()
 		}, false},
 		{"sidecar killed", func() { s.servingEngine(t).sidecar.kill() }, false},
 		{"router killed", func() { s.routers[0].kill() }, true},
--- a/internal/systemtest/orders_test.go
+++ b/internal/systemtest/orders_test.go
@@ -96,7 +96,7 @@
 
 func (s *system) cutLinks() {
 	for _, v := range s.services {
-		v.link.cut()
+		v.link.Cut()
 	}
 }
 
--- a/internal/systemtest/streams_test.go
+++ b/internal/systemtest/streams_test.go
@@ -37,10 +37,10 @@
 	}{
 		{"links cut", func() {
 			for _, e := range s.engines {
-				e.link.cut()
+				e.link.Cut()
 			}
 		}},
-		{"serving sidecar cut off", func() { s.servingEngine(t).link.setDown(true) }},
+		{"serving sidecar cut off", func() { s.servingEngine(t).link.SetDown(true) }},
 		{"engine crash", func() { s.servingEngine(t).engine.Crash(50 * time.Millisecond) }},
 		{"sidecar killed", func() { s.servingEngine(t).sidecar.kill() }},
 	}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -19,6 +19,7 @@
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
+	"github.com/wasabigate/wasabigate/internal/standin/link"
 	"github.com/wasabigate/wasabigate/internal/standin/model"
 	"github.com/wasabigate/wasabigate/internal/standin/pieces"
 	"github.com/wasabigate/wasabigate/internal/standin/service"
@@ -74,7 +75,7 @@
 // server is what every backend server has.
 type server struct {
 	sidecar *process
-	link    *link // what routers reach its sidecar through
+	link    *link.Link // what routers reach its sidecar through
 	seen    *capture
 	vm      platform.VM
 }
@@ -274,7 +275,7 @@
 	text := fmt.Sprintf(settings(name, "sidecar", address), "admin_address = "+freeAddress())
 	text += fmt.Sprintf("[sidecar]\nkind = %s\ngroup = %s\nbackend_url = %s\n%s\n", kind, group, backendURL, p.sidecar)
 	v.sidecar = newProcess(t, name, text)
-	v.vm = platform.VM{Name: name, Address: v.link.address(), AvailabilityZone: "zone-1", Group: group, State: platform.VMLive}
+	v.vm = platform.VM{Name: name, Address: v.link.Address(), AvailabilityZone: "zone-1", Group: group, State: platform.VMLive}
 	s.vms.Set(v.vm)
 	return v
 }
@@ -294,10 +295,10 @@
 func (s *system) peersSetting() string {
 	var addresses []string
 	for _, e := range s.engines {
-		addresses = append(addresses, e.link.address())
+		addresses = append(addresses, e.link.Address())
 	}
 	for _, v := range s.services {
-		addresses = append(addresses, v.link.address())
+		addresses = append(addresses, v.link.Address())
 	}
 	return "peers = " + strings.Join(addresses, ", ")
 }
@@ -363,3 +364,14 @@
 func freeAddress() string {
 	return fmt.Sprintf("%s:%d", testHost, firstPort+lastPort.Add(1))
 }
+
+// newLink returns a link to target that the test's end closes.
+func newLink(t *testing.T, target string) *link.Link {
+	t.Helper()
+	l, err := link.New(freeAddress(), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
--- a/internal/systemtest/tls_test.go
+++ b/internal/systemtest/tls_test.go
@@ -94,7 +94,7 @@
 		{"certificate of another authority", (&tls.Dialer{Config: forged}).DialContext, false},
 		{"plain text", (&net.Dialer{}).DialContext, false},
 	}
-	for _, address := range []string{s.routerAddress(t), s.engines[0].link.address()} {
+	for _, address := range []string{s.routerAddress(t), s.engines[0].link.Address()} {
 		for _, c := range cases {
 			if err := statusError(t, address, c.open); (err == nil) != c.ok {
 				t.Errorf("%s at %s: %v, want success %t", c.name, address, err, c.ok)
@@ -155,7 +155,7 @@
 	dir := newCertificates(t)
 	s := start(t, plan{routers: 1, engines: 2, engine: slowEngine, certificates: dir})
 	files := loadCertificates(t, dir)
-	addresses := []string{s.routerAddress(t), s.engines[0].link.address(), strings.TrimPrefix(s.routers[0].url, "https://")}
+	addresses := []string{s.routerAddress(t), s.engines[0].link.Address(), strings.TrimPrefix(s.routers[0].url, "https://")}
 	before := make(map[string]string)
 	for _, address := range addresses {
 		before[address] = serial(t, files, address)
@@ -170,7 +170,7 @@
 		})
 	}
 	for _, e := range s.engines {
-		e.link.cut() // what follows goes over connections under the new certificates
+		e.link.Cut() // what follows goes over connections under the new certificates
 	}
 	seen := load.requests.Load()
 	eventually(t, renewedWithin, "requests after the change", func() bool { return load.requests.Load() > seen+20 })
