--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -159,7 +159,7 @@
 			return nil, s.receiveError(err)
 		}
 		if !s.belongs(frame) {
-			logger.Warn(logging.Fields{"request": s.req.ID, "frame_request": frame.GetRequestId()}, "frame of another request dropped")
+			logger.Warn(logging.Fields{"request_id": s.req.ID, "frame_request_id": frame.GetRequestId()}, "frame of another request dropped")
 			continue
 		}
 		if frame.GetSequence() <= s.last {
@@ -214,7 +214,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	if _, err := d.backend(ctx, target.Address).Cancel(ctx, req); err != nil {
-		logger.Warn(logging.Fields{"request": req.GetRequestId(), "error": err.Error()}, "cancel failed")
+		logger.Warn(logging.Fields{"request_id": req.GetRequestId(), "error": err.Error()}, "cancel failed")
 	}
 }
 
--- a/internal/httpapi/errors.go
+++ b/internal/httpapi/errors.go
@@ -66,16 +66,16 @@
 	e := asVerdict(err)
 	requestID := c.Response().Header().Get(HeaderRequestID)
 	logger.Info(logging.Fields{
-		"request": requestID,
-		"code":    string(e.Code),
-		"verdict": e.Verdict.String(),
-		"error":   e.Error(),
+		"request_id": requestID,
+		"code":       string(e.Code),
+		"verdict":    e.Verdict.String(),
+		"error":      e.Error(),
 	}, "request refused or failed")
 	s.meters.refused.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("code", string(e.Code)), attribute.String("verdict", e.Verdict.String())))
 	setErrorHeaders(c.Response().Header(), e)
 	if err := c.JSON(e.Code.Status(), newErrorBody(e, requestID)); err != nil {
-		logger.Debug(logging.Fields{"request": requestID, "error": err.Error()}, "error not written")
+		logger.Debug(logging.Fields{"request_id": requestID, "error": err.Error()}, "error not written")
 	}
 }
 
--- a/internal/limit/guard.go
+++ b/internal/limit/guard.go
@@ -59,7 +59,7 @@
 // running says whether the process ran without a pause from the last beat to at.
 func (g *guard) running(at time.Time) bool {
 	if !g.suspended.Load() && paused(*g.beat.Load(), at) {
-		g.suspend(at, "A pause was detected; the shards rest until they are confirmed.")
+		g.suspend(at, "pause detected, the shards rest until they are confirmed")
 	}
 	return !g.suspended.Load()
 }
--- a/internal/limit/local.go
+++ b/internal/limit/local.go
@@ -82,7 +82,7 @@
 func (l *Local) Confirm(seen time.Time) {
 	l.current()
 	if l.guard.confirm(seen) {
-		l.log.Info(logging.Fields{}, "The shards are confirmed and in use again.")
+		l.log.Info(logging.Fields{}, "shards confirmed and in use again")
 	}
 }
 
@@ -169,7 +169,7 @@
 // revoked from now on.
 func (l *Local) unlisted() {
 	if l.listed.Load() {
-		l.guard.suspend(time.Now(), "This router is not listed; its shards rest until they are confirmed.")
+		l.guard.suspend(time.Now(), "this router is not listed, its shards rest until they are confirmed")
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,10 +176,10 @@
 // giveUpTarget keeps the request's next attempt away from its last target.
 func (s *stream) giveUpTarget(err error) {
 	logger.Info(logging.Fields{
-		"request": s.req.ID,
-		"attempt": s.req.Attempt,
-		"server":  s.req.Target.Name,
-		"error":   err.Error(),
+		"request_id": s.req.ID,
+		"attempt":    s.req.Attempt,
+		"server":     s.req.Target.Name,
+		"error":      err.Error(),
 	}, "attempt failed, another follows")
 	countRepair(repairRepeated)
 	s.req.NoteFailure(verdict.From(err).Code)
@@ -255,7 +255,7 @@
 	for range maxResumes {
 		inner, err := s.filter.resumer.Resume(ctx, s.req, after)
 		if err == nil {
-			logger.Info(logging.Fields{"request": s.req.ID, "after": after}, "stream resumed")
+			logger.Info(logging.Fields{"request_id": s.req.ID, "after": after}, "stream resumed")
 			countRepair(repairResumed)
 			s.replaceInner(inner, after)
 			return true
--- a/internal/route/log.go
+++ b/internal/route/log.go
@@ -14,7 +14,7 @@
 	}
 	c := &d.candidates[chosen]
 	logger.Info(logging.Fields{
-		"request":       d.req.ID,
+		"request_id":    d.req.ID,
 		"workspace":     d.req.Workspace,
 		"class":         priorityClass(d.req.Class),
 		"attempt":       d.req.Attempt,
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -70,7 +70,7 @@
 	}
 	log.Info(logging.Fields{
 		"epoch": epoch, "revoked": len(p.revoke), "released": len(p.release), "claimed": len(p.claim),
-	}, "The shard table was changed.")
+	}, "shard table changed")
 }
 
 // plan compares the known table with the view.
