--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -92,9 +92,6 @@
 	}
 }
 
-// Warm is closed when the index knows what the engines hold.
-func (f *Filter) Warm() <-chan struct{} { return f.warm }
-
 // choose returns the backend server for the request's next attempt.
 func (f *Filter) choose(req *request.Request) (request.Target, error) {
 	group := groupOf(req)
--- a/internal/standin/outage/outage.go
+++ b/internal/standin/outage/outage.go
@@ -86,9 +86,6 @@
 	return crashed, s.served
 }
 
-// Up says whether the stand-in is up.
-func (s *Switch) Up() bool { return s.Crashed() != nil }
-
 // wait waits until the stand-in is up or ctx ends.
 func (s *Switch) wait(ctx context.Context) {
 	s.mu.Lock()
