Read failure frames in one place

Cause: relay turned a failure frame into an error with a copy of what dispatch does. Change: relay calls dispatch's function. No behaviour changes; vet, and the tests of relay, dispatch, httpapi, daemon and the fault matrix pass with -race.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/dispatch"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
@@ -194,7 +195,7 @@
 	for {
 		frame, err := s.inner.Next(ctx)
 		if err == nil && frame.GetFailure() != nil {
-			err = failureOf(frame)
+			err = dispatch.FailureError(frame.GetFailure())
 		}
 		if err == nil {
 			s.last = frame.GetSequence()
@@ -210,12 +211,6 @@
 	}
 }
 
-func failureOf(frame *wire.Frame) error {
-	failure := frame.GetFailure()
-	return verdict.New(verdict.Verdict(failure.GetVerdict()), verdict.Code(failure.GetCode()), "%s", failure.GetMessage()).
-		WithRetryAfter(time.Duration(failure.GetRetryAfterMs()) * time.Millisecond)
-}
-
 // deliver notes a frame and says whether the caller gets it: a continued
 // generation has one head only.
 func (s *stream) deliver(frame *wire.Frame) bool {
