Forward requests straight to backend servers on the users' platform

Cause: the product ran only beside its own sidecars and stand-ins. The users' platform gives entry VMs, a store and backend servers that speak HTTP. Ruled out: a router in front of sidecars there, since plain services have no VM for one and two hops cost processor time on 0.3 of a core. Change: role gateway (follower of the store, match, authenticate, relay, placement by expected time to the first token, cached parts, retry budget); platform/ translates names and calls; deploy/ has the template of settings. The lease of the controller is now a package of its own.

--- a/cmd/wasabigated/main.go
+++ b/cmd/wasabigated/main.go
@@ -13,7 +13,10 @@
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/daemon"
+	"github.com/wasabigate/wasabigate/internal/gateway"
+	service "github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/version"
+	"github.com/wasabigate/wasabigate/platform"
 )
 
 const (
@@ -37,7 +40,7 @@
 		Usage:   "router or sidecar daemon",
 		Version: version.Version,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagConfig, Usage: "INI file with the daemon's settings", Required: true},
+			&cli.StringFlag{Name: flagConfig, Usage: "INI file with the daemon's settings", Required: true, Sources: cli.EnvVars(config.SettingsVariable)},
 			&cli.StringSliceFlag{Name: flagSet, Usage: "setting that overrides the file, as SECTION.KEY=VALUE"},
 			&cli.BoolFlag{Name: flagCheck, Usage: "check the settings and exit"},
 		},
@@ -54,6 +57,13 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
+	if settings.Daemon.Role == config.RoleGateway {
+		return gateway.Run(ctx, settings, gateway.Platform{
+			Store:   func(baseURL string) service.Store { return platform.NewStore(baseURL) },
+			Layout:  platform.Layout{},
+			Headers: platform.Headers{},
+		})
+	}
 	return daemon.Run(ctx, settings)
 }
 
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -10,6 +10,7 @@
 	settings.TLS = buildTLS(l.reader(sectionTLS), role)
 	settings.Router = buildRouter(l.reader(sectionRouter), role)
 	settings.Sidecar = buildSidecar(l.reader(sectionSidecar), role)
+	settings.Gateway = buildGateway(l.reader(sectionGateway), role)
 	return settings
 }
 
@@ -88,6 +89,25 @@
 	}
 }
 
+func buildGateway(r *reader, role Role) GatewaySettings {
+	if role == RoleGateway {
+		r.need("the role is gateway", "http_address", "ready_address")
+	}
+	return GatewaySettings{
+		HTTPAddress:     r.text("http_address"),
+		ReadyAddress:    r.text("ready_address"),
+		MemoryLimit:     r.size("memory_limit"),
+		WeightsDeadline: r.duration("weights_deadline"),
+		OrderLease:      r.duration("order_lease"),
+		RetryRatio:      r.number("retry_ratio"),
+		RetryWindow:     r.duration("retry_window"),
+		RetrySlack:      r.number("retry_slack"),
+		LimitWait:       r.duration("limit_wait"),
+		FailClosed:      r.boolean("fail_closed"),
+		BeliefBound:     r.duration("belief_bound"),
+	}
+}
+
 // need reports the settings that are missing although the reason asks for them.
 func (r *reader) need(reason string, keys ...string) {
 	for _, key := range keys {
--- a/internal/config/daemon_table.go
+++ b/internal/config/daemon_table.go
@@ -8,13 +8,14 @@
 	sectionLog      = "log"
 	sectionRouter   = "router"
 	sectionSidecar  = "sidecar"
+	sectionGateway  = "gateway"
 )
 
 var daemonTable = table{
 	{Section: sectionDaemon, Key: "name", Type: TypeName, Required: true,
 		Doc: "Name of the VM, as in the VM list."},
-	{Section: sectionDaemon, Key: "role", Type: TypeChoice, Required: true, Choices: []string{string(RoleRouter), string(RoleSidecar)},
-		Doc: "router on entry VMs, sidecar on the VMs of backend servers."},
+	{Section: sectionDaemon, Key: "role", Type: TypeChoice, Required: true, Choices: []string{string(RoleRouter), string(RoleSidecar), string(RoleGateway)},
+		Doc: "router on entry VMs, sidecar on the VMs of backend servers, gateway on entry VMs without sidecars."},
 	{Section: sectionDaemon, Key: "availability_zone", Type: TypeName, Required: true,
 		Doc: "Availability zone of the VM."},
 	{Section: sectionDaemon, Key: "environment", Type: TypeName, Required: true,
@@ -84,4 +85,27 @@
 		Doc: "Wait after which a deferrable request counts as urgent."},
 	{Section: sectionSidecar, Key: "stream_buffer", Type: TypeDuration, Default: "30s", Min: "0s", Max: "1h",
 		Doc: "How long a finished or abandoned stream can be resumed."},
+
+	{Section: sectionGateway, Key: "http_address", Type: TypeIPPort,
+		Doc: "Address of the listener for clients. Required for gateways."},
+	{Section: sectionGateway, Key: "ready_address", Type: TypeIPPort,
+		Doc: "Address of the listener for the balancer's readiness checks. Required for gateways."},
+	{Section: sectionGateway, Key: "memory_limit", Type: TypeSize, Default: "0B", Min: "0B", Max: "1024GiB",
+		Doc: "Memory of the process; 0B: no limit."},
+	{Section: sectionGateway, Key: "weights_deadline", Type: TypeDuration, Default: "0s", Min: "0s", Max: "24h",
+		Doc: "Time after which weights that were replaced are not used any more; 0s: no limit."},
+	{Section: sectionGateway, Key: "order_lease", Type: TypeDuration, Default: "3s", Min: "1s", Max: "10m",
+		Doc: "Time for which a gateway alone gives orders to backend servers, unless it renews its lease."},
+	{Section: sectionGateway, Key: "retry_ratio", Type: TypeNumber, Default: "0.2", Min: "0", Max: "100",
+		Doc: "Attempts beyond the first, for each request to a service."},
+	{Section: sectionGateway, Key: "retry_window", Type: TypeDuration, Default: "10s", Min: "0s", Max: "1h",
+		Doc: "Window in which attempts are bounded; 0s: no bound."},
+	{Section: sectionGateway, Key: "retry_slack", Type: TypeNumber, Unit: "attempts", Default: "50", Min: "0", Max: "1000000",
+		Doc: "Attempts beyond the first in a window, over all gateways, beside the ratio."},
+	{Section: sectionGateway, Key: "limit_wait", Type: TypeDuration, Default: "100ms", Min: "0s", Max: "1m",
+		Doc: "Longest wait for tokens of a workspace before a refusal."},
+	{Section: sectionGateway, Key: "fail_closed", Type: TypeBoolean, Default: "no",
+		Doc: "Refuses requests when the configuration could not be confirmed for belief_bound."},
+	{Section: sectionGateway, Key: "belief_bound", Type: TypeDuration, Default: "5s", Min: "100ms", Max: "24h",
+		Doc: "Age of the configuration after which a gateway with fail_closed refuses requests."},
 }
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -19,6 +19,10 @@
 // overrides: WASABIGATE_ROUTER_POLICY.
 const environmentPrefix = "WASABIGATE_"
 
+// SettingsVariable is the environment variable with the path of the file. It is
+// no override.
+const SettingsVariable = environmentPrefix + "SETTINGS"
+
 // EnvironmentOverrides returns the overrides in environment variables of the
 // form WASABIGATE_SECTION_KEY=VALUE.
 func EnvironmentOverrides(environ []string) []Override {
@@ -26,7 +30,7 @@
 	for _, variable := range environ {
 		name, value, _ := strings.Cut(variable, "=")
 		rest, found := strings.CutPrefix(name, environmentPrefix)
-		if !found {
+		if !found || name == SettingsVariable {
 			continue
 		}
 		sectionName, key, _ := strings.Cut(strings.ToLower(rest), "_")
@@ -82,7 +86,7 @@
 	faults   Faults
 }
 
-const knownSections = "daemon, platform, tls, log, router and sidecar"
+const knownSections = "daemon, platform, tls, log, router, sidecar and gateway"
 
 func (l *loader) accept(s *section) {
 	first := l.sections[s.name()]
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -44,7 +44,7 @@
 			"line 15: [router] limit_wait: 1h is out of range: 0s to 1m",
 			`line 16: [router] max_body_bytes: "8MB" is not a size: a whole number with B, KiB, MiB or GiB`,
 			"line 17: [router] speed: unknown setting: known are http_address, max_body_bytes, policy, limit_wait, prefix_entries",
-			"line 18: [routers] unknown section: known are daemon, platform, tls, log, router and sidecar"}},
+			"line 18: [routers] unknown section: known are daemon, platform, tls, log, router, sidecar and gateway"}},
 		{"doubled section", validSettings + "[log]\n[log]\n", nil, []string{"line 15: [log] stands already in line 14"}},
 		{"host name as rpc address", strings.Replace(validSettings, "127.0.0.1:7400", "router:7400", 1), nil, []string{
 			`line 6: [daemon] rpc_address: "router:7400" is not an IP number with a port, such as 10.0.0.7:7400`}},
@@ -81,7 +81,7 @@
 	_, err = LoadSettings(writeSettings(t, validSettings), append(overrides, flag))
 	got := strings.Join(faultTexts(t, err), "\n")
 	want := []string{
-		"environment variable WASABIGATE_BOGUS: [bogus] unknown section: known are daemon, platform, tls, log, router and sidecar",
+		"environment variable WASABIGATE_BOGUS: [bogus] unknown section: known are daemon, platform, tls, log, router, sidecar and gateway",
 		`flag --set log.level: [log] level: "loud" is not one of debug, info, warn, error`,
 		`environment variable WASABIGATE_ROUTER_LIMIT_WAIT: [router] limit_wait: "5" is not a duration: a number with ms, s, m or h`,
 	}
--- a/internal/config/page_test.go
+++ b/internal/config/page_test.go
@@ -68,6 +68,8 @@
 		switch s.Type {
 		case TypeInteger:
 			r.integer(s.Key)
+		case TypeNumber:
+			r.number(s.Key)
 		case TypeSize:
 			r.size(s.Key)
 		case TypeDuration:
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -144,19 +144,23 @@
 }
 
 func (r *reader) integer(key string) int64 {
-	return number(r, key, parseInteger)
+	return inRange(r, key, parseInteger)
 }
 
 func (r *reader) size(key string) int64 {
-	return number(r, key, parseSize)
+	return inRange(r, key, parseSize)
 }
 
 func (r *reader) duration(key string) time.Duration {
-	return number(r, key, parseDuration)
+	return inRange(r, key, parseDuration)
 }
 
-// number parses a value and checks its range.
-func number[T int64 | time.Duration](r *reader, key string, parse func(string) (T, error)) T {
+func (r *reader) number(key string) float64 {
+	return inRange(r, key, parseNumber)
+}
+
+// inRange parses a value and checks its range.
+func inRange[T int64 | time.Duration | float64](r *reader, key string, parse func(string) (T, error)) T {
 	value, setting, found := r.raw(key)
 	if !found {
 		return 0
@@ -183,6 +187,14 @@
 	return parsed, nil
 }
 
+func parseNumber(value string) (float64, error) {
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return 0, errors.Errorf("%q is not a number", value)
+	}
+	return parsed, nil
+}
+
 func parseSize(value string) (int64, error) {
 	match := sizePattern.FindStringSubmatch(value)
 	if match == nil {
--- a/internal/config/setting.go
+++ b/internal/config/setting.go
@@ -8,6 +8,7 @@
 	TypeText     Type = "text"
 	TypeName     Type = "name"     // lower-case letters, digits, ".", "_", "-"
 	TypeInteger  Type = "integer"  // a plain number
+	TypeNumber   Type = "number"   // a decimal number
 	TypeBoolean  Type = "boolean"  // yes or no
 	TypeDuration Type = "duration" // number with unit: 300ms, 5s, 2m
 	TypeSize     Type = "size"     // number with unit: 64KiB, 8MiB
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -9,6 +9,7 @@
 const (
 	RoleRouter  Role = "router"
 	RoleSidecar Role = "sidecar"
+	RoleGateway Role = "gateway"
 )
 
 // Settings are a daemon's own settings, from its INI file, flags and
@@ -20,6 +21,7 @@
 	Log      LogSettings
 	Router   RouterSettings
 	Sidecar  SidecarSettings
+	Gateway  GatewaySettings
 }
 
 // DaemonSettings is the section [daemon].
@@ -80,3 +82,18 @@
 	AgeingBound   time.Duration // after this wait a deferrable request counts as urgent
 	StreamBuffer  time.Duration // how long a finished or abandoned stream can be resumed
 }
+
+// GatewaySettings is the section [gateway].
+type GatewaySettings struct {
+	HTTPAddress     string
+	ReadyAddress    string
+	MemoryLimit     int64         // bytes; 0: none
+	WeightsDeadline time.Duration // after which replaced weights may not be used; 0: none
+	OrderLease      time.Duration // for which one gateway alone gives orders
+	RetryRatio      float64
+	RetryWindow     time.Duration // 0: no bound
+	RetrySlack      float64       // attempts
+	LimitWait       time.Duration
+	FailClosed      bool
+	BeliefBound     time.Duration // with FailClosed
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/lease"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
@@ -23,6 +24,10 @@
 type fields = logging.Fields
 
 const (
+	// leaseTTL is how long the platform keeps a lease that is not renewed.
+	leaseTTL = 10 * time.Second
+	// renewInterval is the time between renewals of the lease.
+	renewInterval = 2 * time.Second
 	// stepInterval is the time between two looks at the desired state.
 	stepInterval = 200 * time.Millisecond
 	// acquireInterval is the time between two tries to get the lease.
@@ -32,6 +37,14 @@
 	maxCandidates = 3
 )
 
+// leaseDuration is that of the lease under which orders are given.
+var leaseDuration = lease.Duration{TTL: leaseTTL, Margin: time.Second}
+
+const keyPrefix = "wasabigate/controller/"
+
+// leaseKey is the key that the holder of an environment's lease has created.
+func leaseKey(environment string) string { return keyPrefix + environment + "/lease" }
+
 // Servers reaches the sidecars.
 type Servers interface {
 	GetLoad(ctx context.Context, address string) (*wire.Load, error)
@@ -56,7 +69,7 @@
 	results chan func()
 	calls   sync.WaitGroup
 
-	term        *term // nil: another router may hold the lease
+	term        *lease.Term // nil: another router may hold the lease
 	nextAcquire time.Time
 	nextRenewal time.Time
 	nextLoad    time.Time // of the next try to order loads
@@ -66,7 +79,7 @@
 	servers     map[string]*server // by rpc address
 	store       storeView
 
-	holding atomic.Pointer[term]
+	holding atomic.Pointer[lease.Term]
 	running atomic.Int64
 	missing atomic.Int64
 }
@@ -86,7 +99,7 @@
 // Holding says whether this router is the controller.
 func (c *Controller) Holding() bool {
 	t := c.holding.Load()
-	return t != nil && t.valid()
+	return t != nil && t.Valid()
 }
 
 // Run tries to be the controller until ctx ends. It gives the lease back then.
@@ -139,29 +152,29 @@
 		c.nextAcquire = now.Add(acquireInterval*3/4 + rand.N(acquireInterval/2))
 		return c.acquire(ctx)
 	}
-	if !c.term.valid() {
+	if !c.term.Valid() {
 		c.stepDown(ctx, "lease lapsed")
 		return false
 	}
 	if !now.Before(c.nextRenewal) {
 		c.renew(ctx)
 	}
-	return c.term != nil && !c.unrenewed && c.term.valid()
+	return c.term != nil && !c.unrenewed && c.term.Valid()
 }
 
 // acquire gets the lease and takes over the record of loads.
 func (c *Controller) acquire(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
-	t, err := acquire(ctx, c.opts.KV, leaseKey(c.opts.Environment), c.opts.Self)
+	t, err := lease.Acquire(ctx, c.opts.KV, leaseKey(c.opts.Environment), c.opts.Self, leaseDuration)
 	if err != nil {
 		logger.Debug(fields{"error": err.Error()}, "lease not acquired")
 		return false
 	}
 	taken := &ledger{kv: c.opts.KV, key: recordKey(c.opts.Environment)}
-	if err := taken.takeOver(ctx, uint64(t.fence)); err != nil {
+	if err := taken.takeOver(ctx, uint64(t.Fence())); err != nil {
 		logger.Warn(fields{"error": err.Error()}, "record of loads not taken over")
-		t.release(context.WithoutCancel(ctx))
+		t.Release(context.WithoutCancel(ctx))
 		return false
 	}
 	c.begin(t, taken)
@@ -169,7 +182,7 @@
 }
 
 // begin starts a term, in which nothing is known of the servers yet.
-func (c *Controller) begin(t *term, taken *ledger) {
+func (c *Controller) begin(t *lease.Term, taken *ledger) {
 	now := time.Now()
 	c.term = t
 	c.ledger = taken
@@ -184,14 +197,14 @@
 	}
 	c.holding.Store(t)
 	c.meters.terms.Add(context.Background(), 1)
-	logger.Info(fields{"fence": t.fence, "loads": len(c.loads)}, "lease acquired")
+	logger.Info(fields{"fence": t.Fence(), "loads": len(c.loads)}, "lease acquired")
 }
 
 func (c *Controller) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
 	c.nextRenewal = time.Now().Add(renewInterval)
-	err := c.term.renew(ctx)
+	err := c.term.Renew(ctx)
 	c.unrenewed = err != nil
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
@@ -207,7 +220,7 @@
 	if c.term == nil {
 		return
 	}
-	logger.Info(fields{"fence": c.term.fence, "reason": reason}, "lease given up")
+	logger.Info(fields{"fence": c.term.Fence(), "reason": reason}, "lease given up")
 	ended := c.term
 	c.term = nil
 	c.holding.Store(nil)
@@ -215,7 +228,7 @@
 	c.nextAcquire = time.Now().Add(acquireInterval)
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
-	ended.release(ctx)
+	ended.Release(ctx)
 }
 
 // follow keeps the servers in step with the listed ones.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -171,7 +171,7 @@
 			if b.Holding() {
 				holder = b
 			}
-			if fence := holder.holding.Load().fence; fence <= last {
+			if fence := holder.holding.Load().Fence(); fence <= last {
 				t.Errorf("fence %d after %d", fence, last)
 			} else {
 				last = fence
@@ -206,8 +206,8 @@
 		a := w.start("a", &lossyKV{KV: w.kv, lost: make(map[string]bool)}, nil)
 		w.eventually(time.Second, "a holds at the first try", a.Holding)
 		entry, err := w.kv.Get(w.ctx, leaseKey("test"))
-		if err != nil || entry.Version != a.holding.Load().fence {
-			t.Errorf("lease key %+v, %v; fence %d", entry, err, a.holding.Load().fence)
+		if err != nil || entry.Version != a.holding.Load().Fence() {
+			t.Errorf("lease key %+v, %v; fence %d", entry, err, a.holding.Load().Fence())
 		}
 	})
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcerr"
 
+	"github.com/wasabigate/wasabigate/internal/lease"
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar"
@@ -49,7 +50,7 @@
 
 // after runs call outside the controller's goroutine and then handle in it,
 // unless the term has ended meanwhile.
-func (c *Controller) after(ctx context.Context, call func(t *term) error, handle func(err error)) {
+func (c *Controller) after(ctx context.Context, call func(t *lease.Term) error, handle func(err error)) {
 	t := c.term
 	c.calls.Go(func() {
 		err := call(t)
@@ -89,7 +90,7 @@
 func (c *Controller) pollOne(ctx context.Context, s *server, interval time.Duration) {
 	s.calling = true
 	var report *wire.Load
-	call := func(t *term) (err error) {
+	call := func(t *lease.Term) (err error) {
 		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 		defer cancel()
 		report, err = c.report(ctx, t, s.address, s.fenced)
@@ -107,14 +108,14 @@
 	})
 }
 
-func (c *Controller) report(ctx context.Context, t *term, address string, fenced bool) (*wire.Load, error) {
+func (c *Controller) report(ctx context.Context, t *lease.Term, address string, fenced bool) (*wire.Load, error) {
 	if fenced {
 		return c.opts.Servers.GetLoad(ctx, address)
 	}
-	if !t.valid() {
+	if !t.Valid() {
 		return nil, errLapsed
 	}
-	reply, err := c.opts.Servers.Order(ctx, address, &wire.OrderRequest{Fence: uint64(t.fence)})
+	reply, err := c.opts.Servers.Order(ctx, address, &wire.OrderRequest{Fence: uint64(t.Fence())})
 	return reply.GetLoad(), err
 }
 
@@ -206,15 +207,15 @@
 
 // send gives one order.
 func (c *Controller) send(ctx context.Context, o order) {
-	req := &wire.OrderRequest{Fence: uint64(c.term.fence), Revisions: c.opts.Source.Snapshot().Revisions()}
+	req := &wire.OrderRequest{Fence: uint64(c.term.Fence()), Revisions: c.opts.Source.Snapshot().Revisions()}
 	if o.kind == orderLoad {
 		req.Load = wireOf(o.weights)
 	} else {
 		req.Unload = wireOf(o.weights)
 	}
 	logger.Info(c.describe(o), "order given")
-	call := func(t *term) error {
-		if !t.valid() {
+	call := func(t *lease.Term) error {
+		if !t.Valid() {
 			return errLapsed
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -232,7 +233,7 @@
 		"model":   o.weights.Model,
 		"adapter": o.weights.Adapter,
 		"version": o.weights.Version,
-		"fence":   c.term.fence,
+		"fence":   c.term.Fence(),
 	}
 }
 
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/lease"
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
 
@@ -52,7 +53,7 @@
 func (c *Controller) look(ctx context.Context, w weights) {
 	c.store.asking[w.Model] = true
 	var found []weights
-	call := func(*term) (err error) {
+	call := func(*lease.Term) (err error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		found, err = c.opts.Weights.Versions(ctx, w.Model)
--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,182 @@
+// Package deployment describes a deployment whose backend servers a gateway
+// calls directly: the operators' configuration, the backend servers that are
+// listed, and the weights that they are to hold. All types are immutable once
+// they are published.
+package deployment
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a request.
+type Kind uint8
+
+// The zero Kind is AtMostOnce, so that a forgotten kind is the safe one.
+const (
+	AtMostOnce Kind = iota
+	Idempotent
+	Stream
+)
+
+// String returns the name used in log lines.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "at-most-once"
+	}
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version    uint64
+	Limits     Limits
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+
+	routesByHost map[string][]*Route // longest prefix first
+	services     map[string]*Service
+	keys         map[KeyDigest]*Workspace
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes int64
+	BodyBytes   int64
+	IdleTimeout time.Duration
+}
+
+// Route leads requests to services.
+type Route struct {
+	Name          string
+	Host          string
+	Prefix        string // begins and ends with a slash
+	Kind          Kind
+	Resumable     bool // a stream may be resumed at another backend server
+	Public        bool // needs no key
+	Sticky        bool // requests carry prompts whose parts are shared
+	Priority      int  // 0 is the most urgent
+	MaxAttempts   int  // backend servers that one request may be sent to
+	Timeout       time.Duration
+	TargetLatency time.Duration
+	TargetGap     time.Duration // longest pause between events that is on time
+	Targets       []Target
+}
+
+// Target is a service that receives a share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// MayRepeat says whether a request whose outcome is unknown may run again from
+// its start.
+func (r *Route) MayRepeat() bool { return r.Kind == Idempotent }
+
+// Service is a group of backend servers, or a store of kept KV cache.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	Engine         *Engine  // nil: a plain service
+	KVStore        *KVStore // nil: no store
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots            int
+	KVCapacityTokens int64
+	KVTokenBytes     int64
+	LinkMbps         float64
+	Models           []string
+}
+
+// KVStore is a store of kept KV cache.
+type KVStore struct {
+	Address          string
+	AvailabilityZone string
+	CapacityTokens   int64
+}
+
+// Workspace is a customer with its keys and limits.
+type Workspace struct {
+	Name           string
+	Keys           []KeyDigest
+	HasPriority    bool
+	Priority       int  // goes before a route's
+	Isolated       bool // shares no KV cache with other workspaces
+	CountsTokens   bool // limits are in tokens, else in requests
+	UncachedTokens int64
+	Rate           int64 // per second; 0: no limit
+	Burst          int64
+}
+
+// Limited says whether the workspace has a rate.
+func (w *Workspace) Limited() bool { return w.Rate > 0 || w.Burst > 0 }
+
+// KeyDigest is the SHA-256 of an API key.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key's text.
+func DigestKey(text string) KeyDigest { return sha256.Sum256([]byte(text)) }
+
+// Index prepares the lookups. It must be called once, before the configuration
+// is published.
+func (c *Config) Index() *Config {
+	c.routesByHost = make(map[string][]*Route)
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		c.routesByHost[route.Host] = append(c.routesByHost[route.Host], route)
+	}
+	for _, routes := range c.routesByHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	c.services = make(map[string]*Service, len(c.Services))
+	for i := range c.Services {
+		c.services[c.Services[i].Name] = &c.Services[i]
+	}
+	c.keys = make(map[KeyDigest]*Workspace)
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			c.keys[key] = &c.Workspaces[i]
+		}
+	}
+	return c
+}
+
+// Route returns the route of the host with the longest prefix of the path, or
+// nil.
+func (c *Config) Route(host, path string) *Route {
+	for _, route := range c.routesByHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// Workspace returns the workspace that holds the key, or nil.
+func (c *Config) Workspace(key KeyDigest) *Workspace { return c.keys[key] }
+
+// NeedsKeys says whether requests need a key, but for public routes.
+func (c *Config) NeedsKeys() bool { return len(c.Workspaces) > 0 }
+
+// KVStore returns the store of kept KV cache, or nil.
+func (c *Config) KVStore() *KVStore {
+	for i := range c.Services {
+		if store := c.Services[i].KVStore; store != nil {
+			return store
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/deployment/server.go
@@ -0,0 +1,69 @@
+package deployment
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Server is a backend server as it was listed last.
+type Server struct {
+	ID               string // of this incarnation, mostly
+	Service          string
+	Address          string // host:port
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+	ColdUntil        time.Time // slow until then
+	Incarnation      int64     // start of the process, Unix milliseconds; 0: unknown
+	Weights          map[string]uint64
+}
+
+// SameProcess says whether both entries are of one incarnation.
+func (s *Server) SameProcess(other *Server) bool {
+	return s.ID == other.ID && s.Incarnation == other.Incarnation && s.Address == other.Address
+}
+
+// WeightsOf returns the version of a model's weights, or 0.
+func (s *Server) WeightsOf(model string) uint64 { return s.Weights[model] }
+
+// Gateway is another process of the role gateway.
+type Gateway struct {
+	Address string // of its rpc listener
+	Since   uint64 // store position at which it registered
+}
+
+// Snapshot is what a gateway believes at one time. It is immutable.
+type Snapshot struct {
+	Position uint64 // of the platform's store
+	Config   *Config
+	Servers  map[string]*Server // by id
+	Weights  map[string]WeightsTarget
+	Gateways []Gateway
+	Leader   string // value of the key of the gateway that gives orders
+
+	byService map[string][]*Server
+}
+
+// WeightsTarget is the version of a model's weights that operators want.
+type WeightsTarget struct {
+	Version uint64
+	Since   time.Time // when this process learned of it
+}
+
+// Index prepares the lookups. It must be called once, before the snapshot is
+// published.
+func (s *Snapshot) Index() *Snapshot {
+	s.byService = make(map[string][]*Server)
+	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
+		server := s.Servers[id]
+		s.byService[server.Service] = append(s.byService[server.Service], server)
+	}
+	return s
+}
+
+// ServersOf returns the listed servers of a service, draining ones included.
+func (s *Snapshot) ServersOf(service string) []*Server { return s.byService[service] }
+
+// Ready says whether requests can be judged and routed.
+func (s *Snapshot) Ready() bool { return s.Config != nil }
--- /dev/null
+++ b/internal/eventstream/reader.go
@@ -0,0 +1,121 @@
+// Package eventstream splits a stream of server-sent events at the ends of its
+// events, without changing a byte.
+package eventstream
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// minRead is the least room offered to the underlying reader, in bytes.
+	minRead = 2 << 10
+	// maxEventBytes bounds an event. An engine's event holds a few tokens.
+	maxEventBytes = 1 << 20
+)
+
+// ErrTooLarge means that an event is larger than is plausible.
+var ErrTooLarge = errors.New("event too large")
+
+// Batch is one or more whole events.
+type Batch struct {
+	Raw    []byte // valid until the next call
+	Count  int
+	LastID string // of the last event that has one; empty: none has
+}
+
+// Reader reads whole events.
+type Reader struct {
+	source io.Reader
+	buffer []byte
+	start  int // of the bytes that were not returned yet
+	end    int
+	err    error // of the source
+}
+
+// NewReader returns a Reader of source.
+func NewReader(source io.Reader) *Reader {
+	return &Reader{source: source, buffer: make([]byte, 2*minRead)}
+}
+
+// Next waits for at least one whole event and returns all that have arrived. It
+// returns io.EOF after the last event, and io.ErrUnexpectedEOF if the stream
+// ends within one.
+func (r *Reader) Next() (Batch, error) {
+	for {
+		if size := wholeEvents(r.buffer[r.start:r.end]); size > 0 {
+			raw := r.buffer[r.start : r.start+size]
+			r.start += size
+			return describe(raw), nil
+		}
+		if r.err != nil {
+			return Batch{}, r.failure()
+		}
+		if err := r.fill(); err != nil {
+			return Batch{}, err
+		}
+	}
+}
+
+// failure returns the error of a stream that has no whole event left.
+func (r *Reader) failure() error {
+	if errors.Is(r.err, io.EOF) && len(bytes.TrimSpace(r.buffer[r.start:r.end])) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return r.err
+}
+
+func (r *Reader) fill() error {
+	if r.start > 0 {
+		r.end = copy(r.buffer, r.buffer[r.start:r.end])
+		r.start = 0
+	}
+	if r.end > maxEventBytes {
+		return ErrTooLarge
+	}
+	if len(r.buffer)-r.end < minRead {
+		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
+	}
+	n, err := r.source.Read(r.buffer[r.end:])
+	r.end += n
+	r.err = err
+	return nil
+}
+
+// wholeEvents returns the length of the whole events at the start of data.
+func wholeEvents(data []byte) int {
+	return max(lastEnd(data, "\n\n"), lastEnd(data, "\r\n\r\n"))
+}
+
+func lastEnd(data []byte, end string) int {
+	i := bytes.LastIndex(data, []byte(end))
+	if i < 0 {
+		return 0
+	}
+	return i + len(end)
+}
+
+var idField = []byte("id:")
+
+// describe counts the events and finds the last id.
+func describe(raw []byte) Batch {
+	batch := Batch{Raw: raw}
+	inEvent := false
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if inEvent {
+				batch.Count++
+			}
+			inEvent = false
+			continue
+		}
+		inEvent = true
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			batch.LastID = string(bytes.TrimSpace(value))
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,266 @@
+// Package follower keeps a gateway's belief about its deployment in step with
+// the platform's store. One goroutine owns the belief and publishes immutable
+// snapshots; another one reads the store for it.
+package follower
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+var logger = logging.For("follower")
+
+type fields = logging.Fields
+
+const (
+	// watchWait is how long the store holds a call when nothing changes. A silent
+	// connection is found out after it.
+	watchWait = 1500 * time.Millisecond
+	// gatherTime is how long changes are gathered between two watches, since each
+	// call has its price. It is a tenth of the shortest time in which a change must
+	// be in force.
+	gatherTime = 150 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call.
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// contactLostAfter is the silence after which the store counts as lost.
+	contactLostAfter = 2500 * time.Millisecond
+	// returnGrace is how long servers that vanished while the store was lost may
+	// take to be listed again: two seconds, and the time until a watch tells.
+	returnGrace = 2500 * time.Millisecond
+)
+
+// KeyPrefix starts the keys that gateways write.
+const KeyPrefix = "wasabigate/"
+
+// Keys of the gateways' own entries.
+const (
+	GatewayPrefix = KeyPrefix + "gateways/" // then the rpc address, a slash, and the incarnation
+	LeaderKey     = KeyPrefix + "orders/leader"
+)
+
+// Item is what an entry of the store says. At most one field is set.
+type Item struct {
+	Config  *deployment.Config
+	Server  *deployment.Server
+	Weights Weights
+}
+
+// Weights is the version that operators want of a model's weights.
+type Weights struct {
+	Model   string
+	Version uint64
+}
+
+// Layout decodes the entries that operators and backend servers write.
+type Layout interface {
+	// Decode returns what the entry says; an empty Item if it does not concern the
+	// gateways.
+	Decode(key string, value []byte, now time.Time) (Item, error)
+	// ServerID returns the id of the backend server whose entry has the key.
+	ServerID(key string) (string, bool)
+}
+
+// Follower follows the store.
+type Follower struct {
+	feed     platform.Feed
+	layout   Layout
+	onChange func(*deployment.Snapshot)
+	batches  chan batch
+	current  atomic.Pointer[deployment.Snapshot]
+	contact  atomic.Int64 // time of the last answer of the store, Unix nanoseconds
+
+	belief belief // of the owning goroutine
+}
+
+// batch is a set of changes in the order in which they were made.
+type batch struct {
+	events   []platform.Event
+	position platform.Version
+	complete bool          // events are the whole state
+	silence  time.Duration // of the store before the batch
+}
+
+// New returns a Follower. onChange is called by the owning goroutine with each
+// new snapshot, and must not block.
+func New(feed platform.Feed, layout Layout, onChange func(*deployment.Snapshot)) *Follower {
+	f := &Follower{feed: feed, layout: layout, onChange: onChange, batches: make(chan batch), belief: newBelief()}
+	f.current.Store((&deployment.Snapshot{}).Index())
+	return f
+}
+
+// Snapshot returns what is believed now. It is never nil.
+func (f *Follower) Snapshot() *deployment.Snapshot { return f.current.Load() }
+
+// Silence returns the time since the store answered last.
+func (f *Follower) Silence(now time.Time) time.Duration {
+	contact := f.contact.Load()
+	if contact == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return now.Sub(time.Unix(0, contact))
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.read(ctx)
+	ticker := time.NewTicker(gatherTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-f.batches:
+			f.apply(b, time.Now())
+		case <-ticker.C:
+			if f.belief.expire(time.Now()) {
+				f.publish()
+			}
+		}
+	}
+}
+
+// apply changes the belief and publishes it.
+func (f *Follower) apply(b batch, now time.Time) {
+	if b.complete {
+		keys, servers := f.keysOf(b.events)
+		f.belief.begin(keys, servers, b.silence, now)
+	}
+	changed := b.complete
+	for i := range b.events {
+		changed = f.applyEvent(&b.events[i], b.silence, now) || changed
+	}
+	f.belief.position = max(f.belief.position, uint64(b.position))
+	if changed {
+		f.publish()
+	}
+}
+
+// keysOf returns the keys of the whole state, and the ids of its backend servers.
+func (f *Follower) keysOf(state []platform.Event) (keys, servers map[string]struct{}) {
+	keys = make(map[string]struct{}, len(state))
+	servers = make(map[string]struct{})
+	for i := range state {
+		keys[state[i].Key] = struct{}{}
+		if id, ok := f.layout.ServerID(state[i].Key); ok {
+			servers[id] = struct{}{}
+		}
+	}
+	return keys, servers
+}
+
+func (f *Follower) applyEvent(event *platform.Event, silence time.Duration, now time.Time) bool {
+	if !f.belief.isNews(event) {
+		return false
+	}
+	if strings.HasPrefix(event.Key, KeyPrefix) {
+		return f.belief.applyOwn(event)
+	}
+	id, isServer := f.layout.ServerID(event.Key)
+	if event.Deleted {
+		return isServer && f.belief.removeServer(id, silence >= contactLostAfter, now)
+	}
+	item, err := f.layout.Decode(event.Key, event.Value, now)
+	if err != nil {
+		logger.Warn(fields{"key": event.Key, "revision": uint64(event.Version), "error": err.Error()}, "entry passed by")
+		return isServer && f.belief.removeServer(id, false, now)
+	}
+	return f.belief.applyItem(&item, now)
+}
+
+func (f *Follower) publish() {
+	snapshot := f.belief.snapshot()
+	f.current.Store(snapshot)
+	f.onChange(snapshot)
+}
+
+// read passes the store's state and changes on until ctx ends.
+func (f *Follower) read(ctx context.Context) {
+	pause := retryMin
+	lost := false
+	for ctx.Err() == nil {
+		position, err := f.readAll(ctx)
+		for err == nil {
+			if lost {
+				logger.Info(fields{"position": uint64(position)}, "store regained")
+				lost = false
+			}
+			pause = retryMin
+			position, err = f.watch(ctx, position)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost && !errors.Is(err, platform.ErrCompacted) {
+			logger.Warn(fields{"error": err.Error()}, "store lost")
+			lost = true
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, retryMax)
+	}
+}
+
+// readAll reads the whole state.
+func (f *Follower) readAll(ctx context.Context) (platform.Version, error) {
+	entries, position, err := f.feed.Read(ctx, "")
+	if err != nil {
+		return 0, err
+	}
+	events := make([]platform.Event, 0, len(entries))
+	for _, entry := range entries {
+		events = append(events, platform.Event{Entry: entry})
+	}
+	return position, f.pass(ctx, batch{events: events, position: position, complete: true})
+}
+
+// watch waits for changes. A call that fails is repeated a few times from the same
+// position, since reading everything costs more.
+func (f *Follower) watch(ctx context.Context, after platform.Version) (platform.Version, error) {
+	var err error
+	for pause := retryMin; ; pause = min(2*pause, retryMax) {
+		var events []platform.Event
+		var position platform.Version
+		events, position, err = f.feed.Changes(ctx, "", after, watchWait)
+		if err == nil {
+			sleep(ctx, gatherTime)
+			return position, f.pass(ctx, batch{events: events, position: position})
+		}
+		if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrNotFound) || ctx.Err() != nil {
+			return 0, err
+		}
+		if f.Silence(time.Now()) > contactLostAfter {
+			return 0, err
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// pass gives a batch to the owning goroutine.
+func (f *Follower) pass(ctx context.Context, b batch) error {
+	now := time.Now()
+	b.silence = f.Silence(now)
+	f.contact.Store(now.UnixNano())
+	select {
+	case f.batches <- b:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/forward/authenticate.go
@@ -0,0 +1,28 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// Authenticate finds out whose request it is. It removes the key, so that no
+// backend server sees it.
+type Authenticate struct{}
+
+// Name implements pipeline.Filter.
+func (Authenticate) Name() string { return "authenticate" }
+
+// Handle implements pipeline.Filter.
+func (Authenticate) Handle(ctx context.Context, req *Request, next Handler) (*Answer, error) {
+	credential := req.Credential
+	req.Credential = ""
+	if credential != "" {
+		req.Workspace = req.Snapshot.Config.Workspace(deployment.DigestKey(credential))
+	}
+	if req.Workspace == nil && req.Snapshot.Config.NeedsKeys() && !req.Route.Public {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthenticated, "the API key is not valid")
+	}
+	return next.Handle(ctx, req)
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,95 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/eventstream"
+	"github.com/wasabigate/wasabigate/internal/fleet"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+func hash(text string) uint64 { return xxhash.Sum64String(text) }
+
+// stream passes events on, and goes on at another server when one breaks off and
+// the route allows it.
+type stream struct {
+	run    *run
+	flight *fleet.Attempt
+	body   io.Closer
+	reader *eventstream.Reader
+	first  *eventstream.Batch // read ahead
+	ended  bool
+}
+
+// Next implements Events.
+func (s *stream) Next(ctx context.Context) ([]byte, error) {
+	for {
+		batch, err := s.next()
+		if err == nil {
+			if batch.LastID != "" {
+				s.run.lastID = batch.LastID
+			}
+			return batch.Raw, nil
+		}
+		if errors.Is(err, io.EOF) {
+			s.end(fleet.Succeeded)
+			return nil, io.EOF
+		}
+		if err := s.resume(ctx, err); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *stream) next() (eventstream.Batch, error) {
+	if first := s.first; first != nil {
+		s.first = nil
+		return *first, nil
+	}
+	return s.reader.Next()
+}
+
+// resume goes on at another server after the last event that the client has.
+func (s *stream) resume(ctx context.Context, cause error) error {
+	outcome := fleet.Failed
+	if ctx.Err() != nil {
+		outcome = fleet.Refused
+	}
+	s.end(outcome)
+	broken := verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeStreamLost, "%s broke off the stream", s.run.req.Log.Server)
+	if !s.run.req.MayRepeat() || !s.run.mayTryAgain(ctx, broken) {
+		return broken
+	}
+	answer, err := s.run.answer(ctx)
+	if err != nil {
+		return err
+	}
+	if answer.Events == nil && answer.Status == http.StatusOK {
+		return io.EOF // nothing was left to send
+	}
+	next, ok := answer.Events.(*stream)
+	if !ok {
+		return broken
+	}
+	*s = *next
+	logger.Info(fields{"request_id": s.run.req.ID, "server": s.run.req.Log.Server, "after": s.run.lastID}, "stream resumed")
+	return nil
+}
+
+// Close implements Events.
+func (s *stream) Close() { s.end(fleet.Refused) }
+
+func (s *stream) end(outcome fleet.Outcome) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	_ = s.body.Close() // what is left of a stream that ends here is not used
+	s.flight.End(outcome, time.Now())
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -83,3 +83,6 @@
 	logger, ok := log.Log.(*log.Logger)
 	return !ok || logger.Level <= level
 }
+
+// DebugLevel is the level of details of decisions.
+const DebugLevel = log.DebugLevel
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -63,6 +63,7 @@
 	CodeBackendFailed    Code = "backend_failed"
 	CodeStreamLost       Code = "stream_lost"
 	CodeCancelled        Code = "cancelled"
+	CodeTimeout          Code = "timeout"
 	CodeInternal         Code = "internal_error"
 )
 
@@ -89,6 +90,7 @@
 	CodeBackendFailed:    http.StatusBadGateway,
 	CodeStreamLost:       http.StatusBadGateway,
 	CodeCancelled:        statusClientClosedRequest,
+	CodeTimeout:          http.StatusGatewayTimeout,
 }
 
 // statusClientClosedRequest is the customary status for a caller that left.
