Order new weights, share rates and load between gateways

Cause: nobody ordered weights (VERSION broken), limits were not kept and each gateway knew its own requests alone. Ruled out: the shard table with writes of its own, since each gateway can derive it from the list of gateways, which costs no call. Change: rollout (a lease, few engines at a time, emptied first), peering (load, weights seen, entries for a gateway that the store does not serve), roster (registration, derived shard table) under the existing limiter.

--- a/cmd/wasabigated/main.go
+++ b/cmd/wasabigated/main.go
@@ -62,6 +62,7 @@
 			Store:   func(baseURL string) service.Store { return platform.NewStore(baseURL) },
 			Layout:  platform.Layout{},
 			Headers: platform.Headers{},
+			Engines: platform.NewEngines(),
 		})
 	}
 	return daemon.Run(ctx, settings)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -41,10 +41,11 @@
 }
 
 func newLimiter(b *base, source control.Source) *limit.Local {
+	self := b.settings.Daemon.RPCAddress
 	return limit.New(limit.Options{
-		Self:   b.settings.Daemon.RPCAddress,
+		Self:   self,
 		Source: source,
-		Peers:  limitPeers{dialer: b.dialer, source: source, self: b.settings.Daemon.RPCAddress},
+		Peers:  limit.RPCPeers{Dialer: b.dialer, List: func() []string { return otherRouters(source, self) }},
 		Wait:   b.settings.Router.LimitWait,
 	})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,7 @@
 	latencyMs    float64
 	suspectUntil time.Time
 	loadingUntil time.Time
+	ordered      bool // this gateway gave the order to load
 	weights      map[string]sight
 }
 
@@ -50,6 +51,7 @@
 type sight struct {
 	version uint64
 	at      time.Time
+	heard   bool // from another gateway
 }
 
 // remote is what another gateway told.
@@ -197,12 +199,29 @@
 	f.state(id).weights[model] = sight{version: version, at: now}
 }
 
-// SetLoading notes that a server loads weights and refuses requests until then,
-// unless it tells otherwise. A time that has passed ends that.
+// SetLoading notes that a server loads weights, or is emptied for that, until
+// then. A time that has passed ends that. Other gateways are told.
 func (f *Fleet) SetLoading(id string, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state(id).loadingUntil = until
+	s := f.state(id)
+	s.loadingUntil, s.ordered = until, true
+}
+
+// PassOver keeps requests away from a server that refuses them for the moment.
+func (f *Fleet) PassOver(id string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.state(id); s.loadingUntil.Before(until) {
+		s.loadingUntil, s.ordered = until, false
+	}
+}
+
+// Running returns the requests in flight at a server, from all gateways.
+func (f *Fleet) Running(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loadOf(id, f.state(id), time.Now()).Running
 }
 
 // Own returns this gateway's share of the load.
@@ -225,6 +244,52 @@
 	f.remotes[gateway] = remote{at: now, loads: loads}
 }
 
+// Note is what a gateway knows of a server before it is listed.
+type Note struct {
+	Server      string
+	Incarnation int64
+	Model       string
+	Weights     uint64        // 0: not known
+	Loading     time.Duration // for which it still refuses requests
+}
+
+// Notes returns what other gateways should know: the weights that servers showed
+// lately, and which of them load. A server that loads no more is told of, too.
+func (f *Fleet) Notes(now time.Time) []Note {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var notes []Note
+	for id, s := range f.servers {
+		loading := max(0, s.loadingUntil.Sub(now))
+		if s.ordered && now.Sub(s.loadingUntil) < remoteLife {
+			notes = append(notes, Note{Server: id, Incarnation: s.incarnation, Loading: loading})
+		}
+		for model, seen := range s.weights {
+			if now.Sub(seen.at) < remoteLife && !seen.heard {
+				notes = append(notes, Note{Server: id, Incarnation: s.incarnation, Model: model, Weights: seen.version})
+			}
+		}
+	}
+	return notes
+}
+
+// Heard takes in a note of another gateway.
+func (f *Fleet) Heard(note Note, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[note.Server]
+	if s == nil || s.incarnation != note.Incarnation {
+		return
+	}
+	if note.Model == "" {
+		s.loadingUntil = now.Add(note.Loading)
+		return
+	}
+	if note.Weights >= s.weights[note.Model].version {
+		s.weights[note.Model] = sight{version: note.Weights, at: now, heard: true}
+	}
+}
+
 // View returns the servers of a service as a placement needs them.
 func (f *Fleet) View(snapshot *deployment.Snapshot, service, model string, now time.Time) []placement.Server {
 	listed := snapshot.ServersOf(service)
--- a/internal/follower/belief.go
+++ b/internal/follower/belief.go
@@ -14,6 +14,7 @@
 type belief struct {
 	position  uint64
 	revisions map[string]platform.Version // by key, of what was applied
+	values    map[string][]byte           // by key
 	config    *deployment.Config
 	servers   map[string]*deployment.Server
 	vanished  map[string]time.Time // servers to drop, unless listed again until then
@@ -25,6 +26,7 @@
 func newBelief() belief {
 	return belief{
 		revisions: make(map[string]platform.Version),
+		values:    make(map[string][]byte),
 		servers:   make(map[string]*deployment.Server),
 		vanished:  make(map[string]time.Time),
 		weights:   make(map[string]deployment.WeightsTarget),
@@ -36,6 +38,7 @@
 // operators' configuration is never forgotten.
 func (b *belief) begin(keys, servers map[string]struct{}, silence time.Duration, now time.Time) {
 	maps.DeleteFunc(b.revisions, func(key string, _ platform.Version) bool { return !has(keys, key) })
+	maps.DeleteFunc(b.values, func(key string, _ []byte) bool { return !has(keys, key) })
 	maps.DeleteFunc(b.gateways, func(key string, _ uint64) bool { return !has(keys, key) })
 	for id := range b.servers {
 		if !has(servers, id) {
@@ -61,6 +64,24 @@
 	return true
 }
 
+// keep remembers an entry for other gateways.
+func (b *belief) keep(event *platform.Event) {
+	if event.Deleted {
+		delete(b.values, event.Key)
+		return
+	}
+	b.values[event.Key] = event.Value
+}
+
+// entries returns what is remembered.
+func (b *belief) entries() []platform.Entry {
+	entries := make([]platform.Entry, 0, len(b.values))
+	for key, value := range b.values {
+		entries = append(entries, platform.Entry{Key: key, Value: value, Version: b.revisions[key]})
+	}
+	return entries
+}
+
 // applyItem takes in an entry of the operators or of a backend server.
 func (b *belief) applyItem(item *Item, now time.Time) bool {
 	switch {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -38,6 +38,9 @@
 	returnGrace = 2500 * time.Millisecond
 )
 
+// MaxPause is the longest regular time between two answers of the store.
+const MaxPause = watchWait + gatherTime
+
 // KeyPrefix starts the keys that gateways write.
 const KeyPrefix = "wasabigate/"
 
@@ -76,7 +79,9 @@
 	onChange func(*deployment.Snapshot)
 	batches  chan batch
 	current  atomic.Pointer[deployment.Snapshot]
-	contact  atomic.Int64 // time of the last answer of the store, Unix nanoseconds
+	started  time.Time
+	contact  atomic.Int64 // time of the last answer of the store since started, nanoseconds
+	entries  atomic.Pointer[[]platform.Entry]
 
 	belief belief // of the owning goroutine
 }
@@ -86,13 +91,14 @@
 	events   []platform.Event
 	position platform.Version
 	complete bool          // events are the whole state
+	hearsay  bool          // from another gateway
 	silence  time.Duration // of the store before the batch
 }
 
 // New returns a Follower. onChange is called by the owning goroutine with each
 // new snapshot, and must not block.
 func New(feed platform.Feed, layout Layout, onChange func(*deployment.Snapshot)) *Follower {
-	f := &Follower{feed: feed, layout: layout, onChange: onChange, batches: make(chan batch), belief: newBelief()}
+	f := &Follower{feed: feed, layout: layout, onChange: onChange, started: time.Now(), batches: make(chan batch), belief: newBelief()}
 	f.current.Store((&deployment.Snapshot{}).Index())
 	return f
 }
@@ -100,13 +106,39 @@
 // Snapshot returns what is believed now. It is never nil.
 func (f *Follower) Snapshot() *deployment.Snapshot { return f.current.Load() }
 
+// Entries returns the entries that concern gateways, as they are stored, and the
+// position up to which they are known.
+func (f *Follower) Entries() ([]platform.Entry, platform.Version) {
+	entries := f.entries.Load()
+	if entries == nil {
+		return nil, 0
+	}
+	return *entries, platform.Version(f.Snapshot().Position)
+}
+
+// Learn takes in entries that another gateway read from the store.
+func (f *Follower) Learn(ctx context.Context, entries []platform.Entry) {
+	select {
+	case f.batches <- batch{events: eventsOf(entries), hearsay: true}:
+	case <-ctx.Done():
+	}
+}
+
+func eventsOf(entries []platform.Entry) []platform.Event {
+	events := make([]platform.Event, 0, len(entries))
+	for _, entry := range entries {
+		events = append(events, platform.Event{Entry: entry})
+	}
+	return events
+}
+
 // Silence returns the time since the store answered last.
 func (f *Follower) Silence(now time.Time) time.Duration {
 	contact := f.contact.Load()
 	if contact == 0 {
 		return time.Duration(1<<63 - 1)
 	}
-	return now.Sub(time.Unix(0, contact))
+	return time.Duration(int64(now.Sub(f.started)) - contact)
 }
 
 // Run follows the store until ctx ends.
@@ -161,6 +193,7 @@
 	if !f.belief.isNews(event) {
 		return false
 	}
+	f.belief.keep(event)
 	if strings.HasPrefix(event.Key, KeyPrefix) {
 		return f.belief.applyOwn(event)
 	}
@@ -177,9 +210,11 @@
 }
 
 func (f *Follower) publish() {
+	entries := f.belief.entries()
+	f.entries.Store(&entries)
 	snapshot := f.belief.snapshot()
-	f.current.Store(snapshot)
 	f.onChange(snapshot)
+	f.current.Store(snapshot)
 }
 
 // read passes the store's state and changes on until ctx ends.
@@ -214,11 +249,7 @@
 	if err != nil {
 		return 0, err
 	}
-	events := make([]platform.Event, 0, len(entries))
-	for _, entry := range entries {
-		events = append(events, platform.Event{Entry: entry})
-	}
-	return position, f.pass(ctx, batch{events: events, position: position, complete: true})
+	return position, f.pass(ctx, batch{events: eventsOf(entries), position: position, complete: true})
 }
 
 // watch waits for changes. A call that fails is repeated a few times from the same
@@ -247,7 +278,7 @@
 func (f *Follower) pass(ctx context.Context, b batch) error {
 	now := time.Now()
 	b.silence = f.Silence(now)
-	f.contact.Store(now.UnixNano())
+	f.contact.Store(int64(now.Sub(f.started)))
 	select {
 	case f.batches <- b:
 		return nil
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -297,7 +297,7 @@
 	case answer.Status == http.StatusMisdirectedRequest && answer.ServerID != "" && answer.ServerID != call.ServerID:
 		outcome = fleet.Unreachable
 	case call.HasPriority:
-		r.relay.Fleet.SetLoading(call.ServerID, now.Add(loadingPause))
+		r.relay.Fleet.PassOver(call.ServerID, now.Add(loadingPause))
 	}
 	flight.End(outcome, now)
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused the request with status %d", call.ServerID, answer.Status).WithRetryAfter(retryAfter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
 	"github.com/wasabigate/wasabigate/internal/config"
@@ -23,9 +24,14 @@
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/metrics"
+	"github.com/wasabigate/wasabigate/internal/peering"
 	"github.com/wasabigate/wasabigate/internal/pipeline"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/retrybudget"
+	"github.com/wasabigate/wasabigate/internal/rollout"
+	"github.com/wasabigate/wasabigate/internal/roster"
+	"github.com/wasabigate/wasabigate/internal/rpc"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
 var logger = logging.For("gateway")
@@ -55,6 +61,7 @@
 	Store   func(baseURL string) platform.Store
 	Layout  follower.Layout
 	Headers Headers
+	Engines rollout.Engines
 }
 
 // Gateway is the running daemon.
@@ -65,6 +72,10 @@
 	follower *follower.Follower
 	fleet    *fleet.Fleet
 	budget   *retrybudget.Budget
+	rollout  *rollout.Rollout
+	dialer   *rpc.Dialer
+	limits   *limits
+	exchange *peering.Exchange
 	ingress  *ingress
 }
 
@@ -85,14 +96,32 @@
 }
 
 func newGateway(settings *config.Settings, adapter Platform) *Gateway {
-	g := &Gateway{settings: settings, platform: adapter, fleet: fleet.New()}
+	g := &Gateway{settings: settings, platform: adapter, fleet: fleet.New(), dialer: rpc.NewDialer(nil)}
 	g.store = adapter.Store(settings.Platform.KeyValue)
+	g.limits = newLimits(settings, g.dialer)
 	g.follower = follower.New(g.store, adapter.Layout, g.changed)
+	g.limits.follower = g.follower
+	g.exchange = peering.New(peering.Options{
+		Self:     settings.Daemon.RPCAddress,
+		Seeds:    settings.Daemon.Peers,
+		Dialer:   g.dialer,
+		Follower: g.follower,
+		Fleet:    g.fleet,
+	})
 	g.budget = retrybudget.New(retrybudget.Bound{
 		Ratio:  settings.Gateway.RetryRatio,
 		Window: settings.Gateway.RetryWindow,
 		Slack:  settings.Gateway.RetrySlack,
 	}, time.Now())
+	g.rollout = rollout.New(rollout.Options{
+		Self:    settings.Daemon.Name,
+		Lease:   settings.Gateway.OrderLease,
+		LeaseKV: g.store,
+		Key:     follower.LeaderKey,
+		Source:  g.follower,
+		Fleet:   g.fleet,
+		Engines: adapter.Engines,
+	})
 	g.ingress = newIngress(g.follower, adapter.Headers, g.chain())
 	return g
 }
@@ -111,6 +140,7 @@
 		relay,
 		forward.Match{},
 		forward.Authenticate{},
+		&forward.Limit{Limiter: g.limits.local},
 	)
 }
 
@@ -118,6 +148,7 @@
 func (g *Gateway) changed(snapshot *deployment.Snapshot) {
 	g.fleet.Forget(snapshot)
 	g.budget.SetGateways(len(snapshot.Gateways))
+	g.limits.update(snapshot, time.Now())
 }
 
 // serve runs all listeners and background work until ctx ends, then drains.
@@ -133,7 +164,15 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, background := errgroup.WithContext(background)
+	if err := g.serveRPC(background, group); err != nil {
+		return err
+	}
 	group.Go(func() error { g.follower.Run(background); return nil })
+	group.Go(func() error { g.exchange.Run(background); return nil })
+	group.Go(func() error { g.limits.run(background); return nil })
+	group.Go(func() error { g.rollout.Run(ctx); return nil })
+	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
+	group.Go(func() error { registration.Run(background); return nil })
 	clients := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	group.Go(func() error { return ignoreClosed(clients.Serve(front)) })
 	checks := &http.Server{Handler: g.ingress.checks(), ReadHeaderTimeout: readHeaderTimeout}
@@ -151,9 +190,30 @@
 	g.drain(clients)
 	stop()
 	_ = checks.Close() // the process ends
+	return group.Wait()
+}
+
+// serveRPC serves the other gateways.
+func (g *Gateway) serveRPC(ctx context.Context, group *errgroup.Group) error {
+	mux := drpcmux.New()
+	if err := g.limits.register(mux); err != nil {
+		return err
+	}
+	if err := wire.DRPCRegisterGateways(mux, g.exchange); err != nil {
+		return errors.Wrap(err, "gateways service")
+	}
+	listener, err := net.Listen("tcp", g.settings.Daemon.RPCAddress)
+	if err != nil {
+		return errors.Wrap(err, "rpc listener")
+	}
+	group.Go(func() error { return rpc.Serve(ctx, listener, mux, nil, logRPCError) })
 	return nil
 }
 
+func logRPCError(err error) {
+	logger.Debug(fields{"error": err.Error()}, "rpc connection failed")
+}
+
 func serveAdmin(group *errgroup.Group, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- /dev/null
+++ b/internal/peering/peering.go
@@ -0,0 +1,259 @@
+// Package peering exchanges what gateways see: each one's share of the backend
+// servers' load, and what a server showed of itself before it is listed. Gateways
+// that the store does not serve learn the operators' entries from the others.
+package peering
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/fleet"
+	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rpc"
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+var logger = logging.For("peering")
+
+type fields = logging.Fields
+
+const (
+	// minInterval is the time between two exchanges with few peers: a request runs
+	// for some hundred milliseconds, so older numbers would be of little use.
+	minInterval = 100 * time.Millisecond
+	// intervalPerPeer bounds the cost: a call takes about 100 microseconds of the
+	// processor, so that it stays near one hundredth of a core.
+	intervalPerPeer = 8 * time.Millisecond
+	// callTimeout bounds an exchange.
+	callTimeout = 300 * time.Millisecond
+	// failurePause is how long a peer that did not answer is left alone.
+	failurePause = time.Second
+	// quietStore is the silence of the store after which peers are asked for the
+	// operators' entries, if they know a newer configuration.
+	quietStore = 400 * time.Millisecond
+	// catchUpInterval is the time between two reads of the entries from peers while
+	// the store is silent.
+	catchUpInterval = time.Second
+)
+
+// Options are the parts that an Exchange works with.
+type Options struct {
+	Self     string   // rpc address
+	Seeds    []string // rpc addresses that are tried while no gateway is listed
+	Dialer   *rpc.Dialer
+	Follower *follower.Follower
+	Fleet    *fleet.Fleet
+}
+
+// Exchange talks to the other gateways. It implements wire.DRPCGatewaysServer.
+type Exchange struct {
+	opts Options
+
+	mu       sync.Mutex
+	peers    map[string]*peer // by rpc address
+	caughtUp time.Time
+}
+
+// peer is another gateway.
+type peer struct {
+	busy    bool
+	failing bool
+	nextTry time.Time
+}
+
+var _ wire.DRPCGatewaysServer = (*Exchange)(nil)
+
+// New returns an Exchange that Run starts.
+func New(opts Options) *Exchange {
+	return &Exchange{opts: opts, peers: make(map[string]*peer)}
+}
+
+// Run exchanges reports until ctx ends.
+func (x *Exchange) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		addresses := x.addresses()
+		interval := max(minInterval, time.Duration(len(addresses))*intervalPerPeer)
+		now := time.Now()
+		for _, address := range addresses {
+			if x.begin(address, now) {
+				go x.exchange(ctx, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
+// addresses returns the peers to call. Of each pair one calls, since the answer
+// carries a report too; a gateway whose store is silent calls all.
+func (x *Exchange) addresses() []string {
+	silent := x.opts.Follower.Silence(time.Now()) > quietStore+follower.MaxPause
+	var addresses []string
+	for _, gateway := range x.opts.Follower.Snapshot().Gateways {
+		if gateway.Address > x.opts.Self || silent && gateway.Address != x.opts.Self {
+			addresses = append(addresses, gateway.Address)
+		}
+	}
+	for _, seed := range x.opts.Seeds {
+		if silent && seed != x.opts.Self && !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+// begin says whether the peer is to be called now.
+func (x *Exchange) begin(address string, now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peers[address]
+	if p == nil {
+		p = &peer{}
+		x.peers[address] = p
+	}
+	if p.busy || now.Before(p.nextTry) {
+		return false
+	}
+	p.busy = true
+	return true
+}
+
+// exchange makes one call and takes in the answer.
+func (x *Exchange) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(ctx, address))
+	report, err := client.Exchange(ctx, x.report())
+	x.end(address, err)
+	if err != nil {
+		return
+	}
+	x.learn(report)
+	if x.behind(report) {
+		x.catchUp(ctx, client, address)
+	}
+}
+
+func (x *Exchange) end(address string, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peers[address]
+	p.busy = false
+	switch {
+	case err != nil && !p.failing:
+		logger.Warn(fields{"peer": address, "error": err.Error()}, "gateway lost")
+	case err == nil && p.failing:
+		logger.Info(fields{"peer": address}, "gateway regained")
+	}
+	p.failing = err != nil
+	if err != nil {
+		p.nextTry = time.Now().Add(failurePause)
+	}
+}
+
+// Exchange implements wire.DRPCGatewaysServer.
+func (x *Exchange) Exchange(_ context.Context, report *wire.GatewayReport) (*wire.GatewayReport, error) {
+	x.learn(report)
+	return x.report(), nil
+}
+
+// OperatorEntries implements wire.DRPCGatewaysServer: it gives what this gateway
+// knows from the store.
+func (x *Exchange) OperatorEntries(context.Context, *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
+	entries, position := x.opts.Follower.Entries()
+	reply := &wire.OperatorEntriesReply{Position: uint64(position)}
+	for _, entry := range entries {
+		reply.Entries = append(reply.Entries, &wire.StoredEntry{Key: entry.Key, Value: entry.Value, Revision: uint64(entry.Version)})
+	}
+	return reply, nil
+}
+
+// report returns what this gateway tells.
+func (x *Exchange) report() *wire.GatewayReport {
+	report := &wire.GatewayReport{
+		Sender:         x.opts.Self,
+		ConfigVersion:  versionOf(x.opts.Follower.Snapshot()),
+		StoreSilenceMs: x.opts.Follower.Silence(time.Now()).Milliseconds(),
+	}
+	for id, load := range x.opts.Fleet.Own() {
+		report.Loads = append(report.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), PendingTokens: load.PendingTokens})
+	}
+	now := time.Now()
+	for _, note := range x.opts.Fleet.Notes(now) {
+		report.Notes = append(report.Notes, &wire.ServerNote{
+			Server: note.Server, Incarnation: note.Incarnation, Model: note.Model, Weights: note.Weights,
+			LoadingMs: note.Loading.Milliseconds(),
+		})
+	}
+	return report
+}
+
+func versionOf(snapshot *deployment.Snapshot) uint64 {
+	if snapshot.Config == nil {
+		return 0
+	}
+	return snapshot.Config.Version
+}
+
+// learn takes in a peer's report.
+func (x *Exchange) learn(report *wire.GatewayReport) {
+	now := time.Now()
+	loads := make(map[string]fleet.Load, len(report.Loads))
+	for _, load := range report.Loads {
+		loads[load.Server] = fleet.Load{Running: int(load.Running), PendingTokens: load.PendingTokens}
+	}
+	x.opts.Fleet.SetRemote(report.Sender, loads, now)
+	for _, note := range report.Notes {
+		x.opts.Fleet.Heard(fleet.Note{
+			Server: note.Server, Incarnation: note.Incarnation, Model: note.Model, Weights: note.Weights,
+			Loading: time.Duration(note.LoadingMs) * time.Millisecond,
+		}, now)
+	}
+}
+
+// behind says whether the peer knows more of the operators' entries: it has a newer
+// configuration, or the store answers it alone.
+func (x *Exchange) behind(report *wire.GatewayReport) bool {
+	silence := x.opts.Follower.Silence(time.Now())
+	if silence <= quietStore {
+		return false
+	}
+	if report.ConfigVersion > versionOf(x.opts.Follower.Snapshot()) {
+		return true
+	}
+	heard := time.Duration(report.StoreSilenceMs) * time.Millisecond
+	return silence > follower.MaxPause+quietStore && heard <= follower.MaxPause && x.mayCatchUp()
+}
+
+func (x *Exchange) mayCatchUp() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	if now.Sub(x.caughtUp) < catchUpInterval {
+		return false
+	}
+	x.caughtUp = now
+	return true
+}
+
+// catchUp reads the operators' entries from a peer.
+func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string) {
+	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{})
+	if err != nil {
+		logger.Warn(fields{"peer": address, "error": err.Error()}, "entries not read from a gateway")
+		return
+	}
+	entries := make([]platform.Entry, 0, len(reply.Entries))
+	for _, entry := range reply.Entries {
+		entries = append(entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: platform.Version(entry.Revision)})
+	}
+	logger.Info(fields{"peer": address, "entries": len(entries), "position": reply.Position}, "entries read from a gateway")
+	x.opts.Follower.Learn(ctx, entries)
+}
