Place by what callers lose, and share what engines hold

Ruled out: probing engines for load and lists, which costs a price for each call. Change: placement weighs what the caller loses by lateness, old weights, failure and moving; gateways tell each other which engine used which part; idle connections last as long as servers announce.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -31,9 +31,12 @@
 	keepAliveCount    = 3
 	// userTimeout is how long sent bytes may stay without an acknowledgement.
 	userTimeout = 1500 * time.Millisecond
-	// idleTimeout closes idle connections before a backend server does: the
-	// shortest time-out that they announce is whole seconds.
-	idleTimeout = 900 * time.Millisecond
+	// firstIdleTimeout is used until a backend server has announced its own: time-outs
+	// are announced in whole seconds, so that one is at least a second.
+	firstIdleTimeout = 900 * time.Millisecond
+	// idleShare is the part of the announced time-out after which an idle connection
+	// is closed from this side, so that no request meets the other side's close.
+	idleShare = 0.6
 	// idleConnsPerServer are kept for the next requests.
 	idleConnsPerServer = 64
 	// maxHeaderBytes bounds the head of an answer.
@@ -64,6 +67,7 @@
 	NotRun    bool // the server promises that the request did not run
 	Signed    bool // the answer is a server's own
 	Weights   uint64
+	KeepIdle  time.Duration // how long the server keeps an idle connection; 0: not said
 }
 
 // Codec writes and reads the headers.
@@ -95,11 +99,17 @@
 // Client calls backend servers.
 type Client struct {
 	codec     Codec
-	transport *http.Transport
+	transport atomic.Pointer[http.Transport]
 }
 
 // NewClient returns a Client.
 func NewClient(codec Codec) *Client {
+	c := &Client{codec: codec}
+	c.transport.Store(newTransport(firstIdleTimeout))
+	return c
+}
+
+func newTransport(idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -107,13 +117,27 @@
 		},
 		Control: setUserTimeout,
 	}
-	return &Client{codec: codec, transport: &http.Transport{
+	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        idle,
 		MaxIdleConnsPerHost:    idleConnsPerServer,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
+}
+
+// keepIdle adapts the time for which idle connections are kept to the shortest one
+// that was announced. Requests on the former connections go on.
+func (c *Client) keepIdle(announced time.Duration) {
+	idle := time.Duration(float64(announced) * idleShare)
+	current := c.transport.Load()
+	first := current.IdleConnTimeout == firstIdleTimeout
+	if announced <= 0 || !first && idle >= current.IdleConnTimeout || idle == current.IdleConnTimeout {
+		return
+	}
+	if c.transport.CompareAndSwap(current, newTransport(idle)) {
+		current.CloseIdleConnections()
+	}
 }
 
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
@@ -134,7 +158,7 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	response, err := c.transport.RoundTrip(c.request(traced, call))
+	response, err := c.transport.Load().RoundTrip(c.request(traced, call))
 	if err != nil {
 		return nil, callError(ctx, err, call.Address, sent.Load())
 	}
@@ -144,6 +168,7 @@
 		Description: c.codec.Describe(response.StatusCode, response.Header),
 		Body:        response.Body,
 	}
+	c.keepIdle(answer.KeepIdle)
 	if answer.RequestID != "" && answer.RequestID != call.RequestID {
 		closeBody(response.Body)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s sent the answer of another request", call.Address)
--- a/internal/config/daemon_table.go
+++ b/internal/config/daemon_table.go
@@ -102,7 +102,7 @@
 		Doc: "Window in which attempts are bounded; 0s: no bound."},
 	{Section: sectionGateway, Key: "retry_slack", Type: TypeNumber, Unit: "attempts", Default: "50", Min: "0", Max: "1000000",
 		Doc: "Attempts beyond the first in a window, over all gateways, beside the ratio."},
-	{Section: sectionGateway, Key: "limit_wait", Type: TypeDuration, Default: "100ms", Min: "0s", Max: "1m",
+	{Section: sectionGateway, Key: "limit_wait", Type: TypeDuration, Default: "300ms", Min: "0s", Max: "1m",
 		Doc: "Longest wait for tokens of a workspace before a refusal."},
 	{Section: sectionGateway, Key: "fail_closed", Type: TypeBoolean, Default: "no",
 		Doc: "Refuses requests when the configuration could not be confirmed for belief_bound."},
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -45,10 +45,41 @@
 	byService map[string][]*Server
 }
 
-// WeightsTarget is the version of a model's weights that operators want.
+// WeightsTarget is the version of a model's weights that operators want, with
+// the earlier ones that this process saw them name.
 type WeightsTarget struct {
 	Version uint64
-	Since   time.Time // when this process learned of it
+	Named   []NamedWeights // in order; the last is Version
+}
+
+// NamedWeights is a version, and when this process learned of it.
+type NamedWeights struct {
+	Version uint64
+	Since   time.Time
+}
+
+// maxNamed bounds the versions that are remembered. Older ones have no server
+// left, or one that gets no requests.
+const maxNamed = 16
+
+// Name returns the target after operators named a newer version.
+func (t WeightsTarget) Name(version uint64, now time.Time) WeightsTarget {
+	named := append(slices.Clone(t.Named), NamedWeights{Version: version, Since: now})
+	if len(named) > maxNamed {
+		named = named[len(named)-maxNamed:]
+	}
+	return WeightsTarget{Version: version, Named: named}
+}
+
+// ReplacedFor returns for how long a newer version than the given one has been
+// named; 0 if none has.
+func (t WeightsTarget) ReplacedFor(version uint64, now time.Time) time.Duration {
+	for i := range t.Named {
+		if t.Named[i].Version > version {
+			return now.Sub(t.Named[i].Since)
+		}
+	}
+	return 0
 }
 
 // Index prepares the lookups. It must be called once, before the snapshot is
--- a/internal/follower/belief.go
+++ b/internal/follower/belief.go
@@ -149,7 +149,7 @@
 	if wanted.Version <= b.weights[wanted.Model].Version {
 		return false
 	}
-	b.weights[wanted.Model] = deployment.WeightsTarget{Version: wanted.Version, Since: now}
+	b.weights[wanted.Model] = b.weights[wanted.Model].Name(wanted.Version, now)
 	logger.Info(fields{"model": wanted.Model, "version": wanted.Version}, "weights named")
 	return true
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -51,12 +51,12 @@
 // Relay is the last handler of the chain: it sends a request to backend servers
 // until one has answered it or none may.
 type Relay struct {
-	Zone      string
-	MaxOldAge time.Duration // how long replaced weights may be used
-	Fleet     *fleet.Fleet
-	Cache     *kvcache.Directory
-	Backend   Backend
-	Budget    Budget
+	Zone        string
+	MaxReplaced time.Duration // how long replaced weights may be used
+	Fleet       *fleet.Fleet
+	Cache       *kvcache.Directory
+	Backend     Backend
+	Budget      Budget
 }
 
 // Handle implements pipeline.Handler.
@@ -153,27 +153,29 @@
 	r.req.Log.Attempts++
 	r.req.Log.Server = choice.Server.ID
 	if logging.Enabled(logging.DebugLevel) {
-		logger.Debug(fields{"request_id": r.req.ID, "server": choice.Server.ID, "cost_ms": choice.CostMs, "missing": choice.Missing, "home": choice.AtHome(),
+		logger.Debug(fields{"request_id": r.req.ID, "server": choice.Server.ID, "wait_ms": choice.WaitMs, "loss": choice.Loss, "missing": choice.Missing, "home": choice.AtHome(),
 			"weights": call.Weights, "running": choice.Server.Running, "fetch_from": call.FetchFrom, "position": r.req.Snapshot.Position}, "placed")
 	}
 }
 
 // query describes the request to the placement.
 func (r *run) query(now time.Time) *placement.Query {
-	q := &placement.Query{Zone: r.relay.Zone, MaxOldAge: r.relay.MaxOldAge, Tried: func(id string) bool { return r.tried[id] }}
+	q := &placement.Query{Zone: r.relay.Zone, Target: r.req.Route.TargetLatency, MaxReplaced: r.relay.MaxReplaced, Tried: func(id string) bool { return r.tried[id] }}
 	service := r.req.Snapshot.Config.Service(r.service)
 	if service == nil || service.Engine == nil || r.req.Model == "" {
 		return q
 	}
 	q.Engine = true
-	if wanted, ok := r.req.Snapshot.Weights[r.req.Model]; ok {
-		q.WantedWeights, q.WantedAge = wanted.Version, now.Sub(wanted.Since)
+	wanted := r.req.Snapshot.Weights[r.req.Model]
+	if wanted.Version > 0 {
+		q.Replaced = func(weights uint64) time.Duration { return wanted.ReplacedFor(weights, now) }
 	}
 	for _, part := range r.req.Shared() {
 		q.SharedTokens += part.Tokens
 		q.HomeKey = part.ID
 	}
 	q.OwnTokens = max(0, r.req.PromptTokens-q.SharedTokens)
+	q.SharedKnown = q.HomeKey == "" || r.relay.Cache.Knows(kvcache.Salt(r.req.Model, wanted.Version, r.req.Workspace), q.HomeKey, now)
 	return q
 }
 
@@ -349,7 +351,10 @@
 	}
 	flight.Started()
 	if shared := r.req.Shared(); len(shared) > 0 {
-		r.relay.Cache.Used(call.CacheSalt, shared[len(shared)-1].ID, kvcache.Holder{ID: call.ServerID, Address: call.Address}, call.SaveTo != "", time.Now())
+		r.relay.Cache.Used(&kvcache.Use{
+			Salt: call.CacheSalt, Part: shared[len(shared)-1].ID, Saved: call.SaveTo != "",
+			Holder: kvcache.Holder{ID: call.ServerID, Address: call.Address},
+		}, time.Now())
 	}
 	if err != nil {
 		s.end(fleet.Succeeded)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	store    platform.Store
 	follower *follower.Follower
 	fleet    *fleet.Fleet
+	cache    *kvcache.Directory
 	budget   *retrybudget.Budget
 	rollout  *rollout.Rollout
 	dialer   *rpc.Dialer
@@ -96,7 +97,13 @@
 }
 
 func newGateway(settings *config.Settings, adapter Platform) *Gateway {
-	g := &Gateway{settings: settings, platform: adapter, fleet: fleet.New(), dialer: rpc.NewDialer(nil)}
+	g := &Gateway{
+		settings: settings,
+		platform: adapter,
+		fleet:    fleet.New(),
+		cache:    kvcache.NewDirectory(),
+		dialer:   rpc.NewDialer(nil),
+	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
 	g.limits = newLimits(settings, g.dialer)
 	g.follower = follower.New(g.store, adapter.Layout, g.changed)
@@ -107,6 +114,7 @@
 		Dialer:   g.dialer,
 		Follower: g.follower,
 		Fleet:    g.fleet,
+		Cache:    g.cache,
 	})
 	g.budget = retrybudget.New(retrybudget.Bound{
 		Ratio:  settings.Gateway.RetryRatio,
@@ -129,12 +137,12 @@
 // chain declares the filters in the order in which they act.
 func (g *Gateway) chain() forward.Handler {
 	relay := &forward.Relay{
-		Zone:      g.settings.Daemon.AvailabilityZone,
-		MaxOldAge: g.settings.Gateway.WeightsDeadline,
-		Fleet:     g.fleet,
-		Cache:     kvcache.NewDirectory(),
-		Backend:   backend.NewClient(g.platform.Headers),
-		Budget:    g.budget,
+		Zone:        g.settings.Daemon.AvailabilityZone,
+		MaxReplaced: g.settings.Gateway.WeightsDeadline,
+		Fleet:       g.fleet,
+		Cache:       g.cache,
+		Backend:     backend.NewClient(g.platform.Headers),
+		Budget:      g.budget,
 	}
 	return pipeline.Chain[*forward.Request, *forward.Answer](
 		relay,
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -66,8 +66,22 @@
 type Directory struct {
 	mu      sync.Mutex
 	records *lru.Cache[key, *record]
+	news    [maxNews]Use // the latest uses of this gateway, a ring
+	made    uint64       // uses of this gateway so far
 }
 
+// Use says that an engine read or fetched a prompt up to a part.
+type Use struct {
+	Salt   string
+	Part   string
+	Holder Holder
+	Saved  bool // it was told to save the parts to the store
+}
+
+// maxNews bounds the uses that wait to be told to other gateways: those of a second
+// at five hundred requests a second.
+const maxNews = 512
+
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
 	records, err := lru.New[key, *record](maxParts)
@@ -112,22 +126,59 @@
 	return false
 }
 
-// Used notes that an engine has read or fetched the prompt up to the part, and
-// whether it was told to save it.
-func (d *Directory) Used(salt, part string, holder Holder, saved bool, now time.Time) {
+// Knows says whether some engine or the store is expected to have the prompt up
+// to the part.
+func (d *Directory) Knows(salt, part string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.records.Get(key{salt, part})
+	return ok && (now.Sub(r.saved) < saveInterval || now.Sub(r.holders[0].at) < holdTime)
+}
+
+// Used notes a use by a request of this gateway.
+func (d *Directory) Used(use *Use, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.note(use, now)
+	d.news[d.made%maxNews] = *use
+	d.made++
+}
+
+// Heard notes a use that another gateway told of.
+func (d *Directory) Heard(use *Use, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.note(use, now)
+}
+
+// News returns the uses of this gateway after the first ones, which were told
+// already, and how many there are by now.
+func (d *Directory) News(told uint64) ([]Use, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	k := key{salt, part}
+	if d.made-told > maxNews {
+		told = d.made - maxNews
+	}
+	uses := make([]Use, 0, d.made-told)
+	for ; told < d.made; told++ {
+		uses = append(uses, d.news[told%maxNews])
+	}
+	return uses, d.made
+}
+
+// note remembers a use. The caller holds the lock.
+func (d *Directory) note(use *Use, now time.Time) {
+	k := key{use.Salt, use.Part}
 	r, ok := d.records.Get(k)
 	if !ok {
 		r = &record{}
 		d.records.Add(k, r)
 	}
-	if r.holders[0].holder != holder {
+	if r.holders[0].holder != use.Holder {
 		r.holders[1] = r.holders[0]
 	}
-	r.holders[0] = sighting{holder: holder, at: now}
-	if saved {
+	r.holders[0] = sighting{holder: use.Holder, at: now}
+	if use.Saved {
 		r.saved = now
 	}
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -12,6 +12,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc"
@@ -48,6 +49,7 @@
 	Dialer   *rpc.Dialer
 	Follower *follower.Follower
 	Fleet    *fleet.Fleet
+	Cache    *kvcache.Directory
 }
 
 // Exchange talks to the other gateways. It implements wire.DRPCGatewaysServer.
@@ -61,6 +63,7 @@
 
 // peer is another gateway.
 type peer struct {
+	told    uint64 // uses of cached parts that it was told of
 	busy    bool
 	failing bool
 	nextTry time.Time
@@ -113,11 +116,7 @@
 func (x *Exchange) begin(address string, now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := x.peers[address]
-	if p == nil {
-		p = &peer{}
-		x.peers[address] = p
-	}
+	p := x.peer(address)
 	if p.busy || now.Before(p.nextTry) {
 		return false
 	}
@@ -125,12 +124,22 @@
 	return true
 }
 
+// peer returns the entry of a gateway. The caller holds the lock.
+func (x *Exchange) peer(address string) *peer {
+	p := x.peers[address]
+	if p == nil {
+		p = &peer{}
+		x.peers[address] = p
+	}
+	return p
+}
+
 // exchange makes one call and takes in the answer.
 func (x *Exchange) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(ctx, address))
-	report, err := client.Exchange(ctx, x.report())
+	report, err := client.Exchange(ctx, x.report(address))
 	x.end(address, err)
 	if err != nil {
 		return
@@ -161,7 +170,7 @@
 // Exchange implements wire.DRPCGatewaysServer.
 func (x *Exchange) Exchange(_ context.Context, report *wire.GatewayReport) (*wire.GatewayReport, error) {
 	x.learn(report)
-	return x.report(), nil
+	return x.report(report.Sender), nil
 }
 
 // OperatorEntries implements wire.DRPCGatewaysServer: it gives what this gateway
@@ -175,8 +184,8 @@
 	return reply, nil
 }
 
-// report returns what this gateway tells.
-func (x *Exchange) report() *wire.GatewayReport {
+// report returns what this gateway tells a peer.
+func (x *Exchange) report(address string) *wire.GatewayReport {
 	report := &wire.GatewayReport{
 		Sender:         x.opts.Self,
 		ConfigVersion:  versionOf(x.opts.Follower.Snapshot()),
@@ -192,9 +201,24 @@
 			LoadingMs: note.Loading.Milliseconds(),
 		})
 	}
+	for _, use := range x.news(address) {
+		report.Uses = append(report.Uses, &wire.CacheUse{
+			Salt: use.Salt, Part: use.Part, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
+		})
+	}
 	return report
 }
 
+// news returns the uses of cached parts that the peer was not told of.
+func (x *Exchange) news(address string) []kvcache.Use {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peer(address)
+	uses, told := x.opts.Cache.News(p.told)
+	p.told = told
+	return uses
+}
+
 func versionOf(snapshot *deployment.Snapshot) uint64 {
 	if snapshot.Config == nil {
 		return 0
@@ -216,6 +240,12 @@
 			Loading: time.Duration(note.LoadingMs) * time.Millisecond,
 		}, now)
 	}
+	for _, use := range report.Uses {
+		x.opts.Cache.Heard(&kvcache.Use{
+			Salt: use.Salt, Part: use.Part, Saved: use.Saved,
+			Holder: kvcache.Holder{ID: use.Server, Address: use.Address},
+		}, now)
+	}
 }
 
 // behind says whether the peer knows more of the operators' entries: it has a newer
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,35 +15,53 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Costs are expected times to the first token, in milliseconds.
+// Expected times to the first token, in milliseconds.
 const (
 	// prefillTokensPerMs is the rate at which an engine reads a prompt, measured on
 	// engines that were alone with one request.
 	prefillTokensPerMs = 36.0
 	// runningMs is what each running request adds: its share of a step of the batch.
 	runningMs = 2.5
-	// awayMs is what a request costs elsewhere than at its home, beside the
-	// transfer: the memory that a second copy takes from other prompts.
-	awayMs = 20.0
 	// fetchMs and fetchTokensPerMs are the time that a transfer of cached parts takes.
 	fetchMs          = 6.0
 	fetchTokensPerMs = 600.0
 	// zoneMs is what another availability zone adds.
 	zoneMs = 1.0
-	// oldWeightsMs is what weights that were replaced cost the caller: an answer that
-	// is worth a fifth less, against an answer whose worth halves when it is late.
-	oldWeightsMs = 300.0
-	// failureMs is the price of an attempt that is sure to fail: the time until the
-	// next one.
-	failureMs = 400.0
-	// coldFactor is how much slower a server is right after its start.
-	coldFactor = 1.6
+	// defaultTargetMs is used where a route has no target.
+	defaultTargetMs = 1000.0
 )
 
+// Losses are parts of what a request is worth to its caller.
+const (
+	// lateLoss is lost by an answer after its target; half and more, by the users'
+	// tables.
+	lateLoss = 0.6
+	// lateFrom is the part of the target from which lateness is feared: an estimate is
+	// often wrong by a third.
+	lateFrom = 0.5
+	// oldWeightsLoss is lost by an answer on weights that were replaced.
+	oldWeightsLoss = 0.2
+	// awayLoss is the price of moving a prompt's shared parts to a second engine, and
+	// of the memory that they take there.
+	awayLoss = 0.015
+	// waitLoss is lost by an answer that takes its whole target: a little, so that
+	// the faster of two servers is chosen.
+	waitLoss = 0.1
+	// failureLoss is lost by an attempt that is sure to fail.
+	failureLoss = 0.7
+)
+
+// coldFactor is how much slower a server is right after its start.
+const coldFactor = 1.6
+
 // oldWeightsGrace is how long after new weights were named answers on the former
-// ones are worth as much.
+// ones are worth as much: 1.5 s, less the time until this process learned of it.
 const oldWeightsGrace = 1200 * time.Millisecond
 
+// deadlineMargin is how long before their deadline replaced weights are given up:
+// a request waits at the server before it begins.
+const deadlineMargin = 1500 * time.Millisecond
+
 // Server is what is known of a backend server when a decision is made.
 type Server struct {
 	ID            string
@@ -63,22 +81,24 @@
 
 // Query is a request to place.
 type Query struct {
-	Zone          string
-	Engine        bool
-	HomeKey       string // of the last shared part; empty: none
-	SharedTokens  int64
-	OwnTokens     int64
-	WantedWeights uint64
-	WantedAge     time.Duration // since WantedWeights was named
-	MaxOldAge     time.Duration // after which older weights may not be used
-	Tried         func(id string) bool
+	Zone         string
+	Engine       bool
+	Target       time.Duration // within which an answer has its full worth
+	HomeKey      string        // of the last shared part; empty: none
+	SharedTokens int64
+	SharedKnown  bool // some engine or the store has the shared parts
+	OwnTokens    int64
+	Replaced     func(weights uint64) time.Duration // for how long a newer version has been named; 0: it is the newest
+	MaxReplaced  time.Duration                      // after which replaced weights may not be used; 0: no limit
+	Tried        func(id string) bool
 }
 
 // Choice is the outcome of a decision.
 type Choice struct {
 	Server  *Server
 	Home    *Server // nil: the request has none
-	CostMs  float64 // expected time to the first token
+	WaitMs  float64 // expected time to the first token
+	Loss    float64 // expected part of the request's worth
 	Missing int64   // prompt tokens that the server has to read
 }
 
@@ -92,11 +112,10 @@
 		return Choice{}, false
 	}
 	home := homeOf(q, usable)
-	best := Choice{CostMs: math.Inf(1)}
+	best := Choice{Loss: math.Inf(1)}
 	for _, s := range usable {
-		cost, missing := score(q, s, home)
-		if cost < best.CostMs {
-			best = Choice{Server: s, Home: home, CostMs: cost, Missing: missing}
+		if choice := q.weigh(s, home); choice.Loss < best.Loss {
+			best = choice
 		}
 	}
 	return best, true
@@ -125,7 +144,15 @@
 
 // tooOld says whether the server's weights may not be used any more.
 func (q *Query) tooOld(s *Server) bool {
-	return s.Weights < q.WantedWeights && q.MaxOldAge > 0 && q.WantedAge > q.MaxOldAge
+	return q.MaxReplaced > 0 && q.replaced(s) > q.MaxReplaced-deadlineMargin
+}
+
+// replaced returns for how long newer weights than the server's have been named.
+func (q *Query) replaced(s *Server) time.Duration {
+	if q.Replaced == nil {
+		return 0
+	}
+	return q.Replaced(s.Weights)
 }
 
 // homeOf returns the server with the highest rendezvous hash of the query's key.
@@ -145,51 +172,66 @@
 	return home
 }
 
-// newer says whether a holds the wanted weights and b does not.
-func (q *Query) newer(a, b *Server) bool {
-	return a.Weights >= q.WantedWeights && b.Weights < q.WantedWeights
-}
+// newer says whether a holds the newest weights and b does not.
+func (q *Query) newer(a, b *Server) bool { return q.replaced(a) == 0 && q.replaced(b) > 0 }
 
-// score returns the expected time to the first token and the prompt tokens that
-// the server has to read.
-func score(q *Query, s *Server, home *Server) (float64, int64) {
+// weigh returns what the request is expected to lose at a server.
+func (q *Query) weigh(s, home *Server) Choice {
+	choice := Choice{Server: s, Home: home}
 	if q.Engine {
-		return scoreEngine(q, s, home)
+		choice.WaitMs, choice.Missing = q.engineWait(s, home)
+	} else {
+		choice.WaitMs = serviceWait(s)
+	}
+	if s.Zone != q.Zone {
+		choice.WaitMs += zoneMs
 	}
-	return scoreService(q, s), 0
+	choice.Loss = q.lossOf(&choice)
+	return choice
 }
 
-func scoreEngine(q *Query, s *Server, home *Server) (float64, int64) {
+// engineWait returns the expected time to the first token and the prompt tokens
+// that the engine has to read.
+func (q *Query) engineWait(s, home *Server) (float64, int64) {
 	missing := q.OwnTokens
-	cost := float64(s.PendingTokens+missing)/prefillTokensPerMs + float64(s.Running)*runningMs
-	if home != nil && s != home {
-		cost += awayMs + fetchMs + float64(q.SharedTokens)/fetchTokensPerMs
+	wait := float64(s.Running) * runningMs
+	switch {
+	case !q.SharedKnown:
+		missing += q.SharedTokens
+	case home != nil && s != home:
+		wait += fetchMs + float64(q.SharedTokens)/fetchTokensPerMs
 	}
-	if s.Weights < q.WantedWeights && q.WantedAge > oldWeightsGrace {
-		cost += oldWeightsMs
+	read := float64(s.PendingTokens+missing) / prefillTokensPerMs
+	if s.Cold {
+		read *= coldFactor
 	}
-	return cost + common(q, s), missing
+	return wait + read, missing
 }
 
-// scoreService expects a request to wait for those ahead of it, as far as they
+// serviceWait expects a request to wait for those ahead of it, as far as they
 // exceed the slots, and then to take as long as recent ones.
-func scoreService(q *Query, s *Server) float64 {
+func serviceWait(s *Server) float64 {
 	latency := max(1, s.LatencyMs)
-	slots := max(1, s.Slots)
 	if s.Cold {
 		latency *= coldFactor
 	}
-	turns := 1 + float64(s.Running)/float64(slots)
-	return latency*turns + common(q, s)
+	return latency * (1 + float64(s.Running)/float64(max(1, s.Slots)))
 }
 
-func common(q *Query, s *Server) float64 {
-	cost := s.FailureRate * failureMs
-	if s.Zone != q.Zone {
-		cost += zoneMs
+// lossOf joins what a choice is expected to cost the caller.
+func (q *Query) lossOf(choice *Choice) float64 {
+	target := defaultTargetMs
+	if q.Target > 0 {
+		target = float64(q.Target) / float64(time.Millisecond)
+	}
+	part := choice.WaitMs / target
+	loss := waitLoss*part + lateLoss*min(1, max(0, (part-lateFrom)/(1-lateFrom)))
+	loss += failureLoss * choice.Server.FailureRate
+	if q.replaced(choice.Server) > oldWeightsGrace {
+		loss += oldWeightsLoss
 	}
-	if s.Cold && q.Engine {
-		cost += float64(q.OwnTokens) / prefillTokensPerMs * (coldFactor - 1)
+	if choice.Home != nil && !choice.AtHome() {
+		loss += awayLoss
 	}
-	return cost
+	return loss
 }
