Reload on SIGHUP, and learn from peers when weights were named

Change: settings are read again and checked whole; reports carry when versions were named; engines with the oldest weights load first; a stream without events broke off.

--- a/cmd/wasabigated/main.go
+++ b/cmd/wasabigated/main.go
@@ -59,6 +59,7 @@
 	}
 	if settings.Daemon.Role == config.RoleGateway {
 		return gateway.Run(ctx, settings, gateway.Platform{
+			Reload:  func() (*config.Settings, error) { return loadSettings(c) },
 			Store:   func(baseURL string) service.Store { return platform.NewStore(baseURL) },
 			Layout:  platform.Layout{},
 			Headers: platform.Headers{},
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -71,6 +72,23 @@
 	return WeightsTarget{Version: version, Named: named}
 }
 
+// Heard returns the target after another gateway told when it learned of a version,
+// and whether that changes anything. A process that was restarted knows only the
+// newest version by itself.
+func (t WeightsTarget) Heard(heard NamedWeights) (WeightsTarget, bool) {
+	i, found := slices.BinarySearchFunc(t.Named, heard.Version, func(n NamedWeights, v uint64) int { return cmp.Compare(n.Version, v) })
+	if heard.Version > t.Version || found && !heard.Since.Before(t.Named[i].Since) {
+		return t, false
+	}
+	named := slices.Clone(t.Named)
+	if found {
+		named[i].Since = heard.Since
+	} else {
+		named = slices.Insert(named, i, heard)
+	}
+	return WeightsTarget{Version: t.Version, Named: named}, true
+}
+
 // ReplacedFor returns for how long a newer version than the given one has been
 // named; 0 if none has.
 func (t WeightsTarget) ReplacedFor(version uint64, now time.Time) time.Duration {
--- a/internal/follower/belief.go
+++ b/internal/follower/belief.go
@@ -154,6 +154,15 @@
 	return true
 }
 
+// applyNamed takes in when another gateway learned of a version.
+func (b *belief) applyNamed(named *Named) bool {
+	target, changed := b.weights[named.Model].Heard(named.NamedWeights)
+	if changed {
+		b.weights[named.Model] = target
+	}
+	return changed
+}
+
 // applyOwn takes in an entry that a gateway wrote.
 func (b *belief) applyOwn(event *platform.Event) bool {
 	switch {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -91,7 +91,7 @@
 	events   []platform.Event
 	position platform.Version
 	complete bool          // events are the whole state
-	hearsay  bool          // from another gateway
+	named    []Named       // versions of weights that another gateway told of
 	silence  time.Duration // of the store before the batch
 }
 
@@ -119,11 +119,45 @@
 // Learn takes in entries that another gateway read from the store.
 func (f *Follower) Learn(ctx context.Context, entries []platform.Entry) {
 	select {
-	case f.batches <- batch{events: eventsOf(entries), hearsay: true}:
+	case f.batches <- batch{events: eventsOf(entries)}:
 	case <-ctx.Done():
 	}
 }
 
+// Named is a version of a model's weights, and when a gateway learned of it.
+type Named struct {
+	Model string
+	deployment.NamedWeights
+}
+
+// LearnNamed takes in when another gateway learned of versions of weights.
+func (f *Follower) LearnNamed(ctx context.Context, named []Named) {
+	if !f.isNews(named) {
+		return
+	}
+	select {
+	case f.batches <- batch{named: named}:
+	case <-ctx.Done():
+	}
+}
+
+// earlierBy is the least difference between two gateways' times that matters: the
+// time that an exchange takes is uncertain.
+const earlierBy = 200 * time.Millisecond
+
+// isNews says whether any of the versions was learned of notably earlier than here.
+func (f *Follower) isNews(named []Named) bool {
+	weights := f.Snapshot().Weights
+	for i := range named {
+		later := named[i].NamedWeights
+		later.Since = later.Since.Add(earlierBy)
+		if _, news := weights[named[i].Model].Heard(later); news {
+			return true
+		}
+	}
+	return false
+}
+
 func eventsOf(entries []platform.Entry) []platform.Event {
 	events := make([]platform.Event, 0, len(entries))
 	for _, entry := range entries {
@@ -170,6 +204,9 @@
 	for i := range b.events {
 		changed = f.applyEvent(&b.events[i], b.silence, now) || changed
 	}
+	for i := range b.named {
+		changed = f.belief.applyNamed(&b.named[i]) || changed
+	}
 	f.belief.position = max(f.belief.position, uint64(b.position))
 	if changed {
 		f.publish()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -346,7 +346,10 @@
 func (r *run) stream(ctx context.Context, flight *fleet.Attempt, call *backend.Call, answer *backend.Answer) (*Answer, *verdict.Error) {
 	s := &stream{run: r, flight: flight, body: answer.Body, reader: eventstream.NewReader(answer.Body)}
 	first, err := s.reader.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF // a stream without events did not end, it broke off
+	}
+	if err != nil {
 		return nil, r.timedOut(ctx, r.spoiled(flight, answer, err))
 	}
 	flight.Started()
@@ -356,10 +359,6 @@
 			Holder: kvcache.Holder{ID: call.ServerID, Address: call.Address},
 		}, time.Now())
 	}
-	if err != nil {
-		s.end(fleet.Succeeded)
-		return &Answer{Status: answer.Status, Header: answer.Header}, nil
-	}
 	s.first = &first
 	return &Answer{Status: answer.Status, Header: answer.Header, Events: s}, nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -70,9 +69,6 @@
 	if err != nil {
 		return err
 	}
-	if answer.Events == nil && answer.Status == http.StatusOK {
-		return io.EOF // nothing was left to send
-	}
 	next, ok := answer.Events.(*stream)
 	if !ok {
 		return broken
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +60,7 @@
 
 // Platform is what translates between the users' platform and the gateway.
 type Platform struct {
+	Reload  func() (*config.Settings, error) // reads the settings again
 	Store   func(baseURL string) platform.Store
 	Layout  follower.Layout
 	Headers Headers
@@ -116,11 +119,7 @@
 		Fleet:    g.fleet,
 		Cache:    g.cache,
 	})
-	g.budget = retrybudget.New(retrybudget.Bound{
-		Ratio:  settings.Gateway.RetryRatio,
-		Window: settings.Gateway.RetryWindow,
-		Slack:  settings.Gateway.RetrySlack,
-	}, time.Now())
+	g.budget = retrybudget.New(boundOf(settings), time.Now())
 	g.rollout = rollout.New(rollout.Options{
 		Self:    settings.Daemon.Name,
 		Lease:   settings.Gateway.OrderLease,
@@ -181,6 +180,7 @@
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
 	group.Go(func() error { registration.Run(background); return nil })
+	group.Go(func() error { g.reloadOnSignal(background); return nil })
 	clients := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	group.Go(func() error { return ignoreClosed(clients.Serve(front)) })
 	checks := &http.Server{Handler: g.ingress.checks(), ReadHeaderTimeout: readHeaderTimeout}
@@ -201,6 +201,44 @@
 	return group.Wait()
 }
 
+// reloadOnSignal reads the settings again at each SIGHUP.
+func (g *Gateway) reloadOnSignal(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			g.reload()
+		}
+	}
+}
+
+// reload checks the settings whole and takes over those that may change while the
+// process runs: the log's level and the bound of repeats.
+func (g *Gateway) reload() {
+	settings, err := g.platform.Reload()
+	if err != nil {
+		logger.Error(fields{"error": err.Error()}, "settings not reloaded, the former ones stay in force")
+		return
+	}
+	if err := logging.SetLevel(settings.Log.Level); err != nil {
+		logger.Error(fields{"error": err.Error()}, "log level not changed")
+	}
+	g.budget.SetBound(boundOf(settings))
+	logger.Info(fields{"level": settings.Log.Level}, "settings reloaded")
+}
+
+func boundOf(settings *config.Settings) retrybudget.Bound {
+	return retrybudget.Bound{
+		Ratio:  settings.Gateway.RetryRatio,
+		Window: settings.Gateway.RetryWindow,
+		Slack:  settings.Gateway.RetrySlack,
+	}
+}
+
 // serveRPC serves the other gateways.
 func (g *Gateway) serveRPC(ctx context.Context, group *errgroup.Group) error {
 	mux := drpcmux.New()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return
 	}
-	x.learn(report)
+	x.learn(ctx, report)
 	if x.behind(report) {
 		x.catchUp(ctx, client, address)
 	}
@@ -168,8 +168,8 @@
 }
 
 // Exchange implements wire.DRPCGatewaysServer.
-func (x *Exchange) Exchange(_ context.Context, report *wire.GatewayReport) (*wire.GatewayReport, error) {
-	x.learn(report)
+func (x *Exchange) Exchange(ctx context.Context, report *wire.GatewayReport) (*wire.GatewayReport, error) {
+	x.learn(ctx, report)
 	return x.report(report.Sender), nil
 }
 
@@ -201,6 +201,11 @@
 			LoadingMs: note.Loading.Milliseconds(),
 		})
 	}
+	for model, target := range x.opts.Follower.Snapshot().Weights {
+		for _, n := range target.Named {
+			report.Named = append(report.Named, &wire.NamedWeights{Model: model, Version: n.Version, AgeMs: now.Sub(n.Since).Milliseconds()})
+		}
+	}
 	for _, use := range x.news(address) {
 		report.Uses = append(report.Uses, &wire.CacheUse{
 			Salt: use.Salt, Part: use.Part, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
@@ -227,7 +232,7 @@
 }
 
 // learn takes in a peer's report.
-func (x *Exchange) learn(report *wire.GatewayReport) {
+func (x *Exchange) learn(ctx context.Context, report *wire.GatewayReport) {
 	now := time.Now()
 	loads := make(map[string]fleet.Load, len(report.Loads))
 	for _, load := range report.Loads {
@@ -246,6 +251,16 @@
 			Holder: kvcache.Holder{ID: use.Server, Address: use.Address},
 		}, now)
 	}
+	x.learnNamed(ctx, report.Named, now)
+}
+
+func (x *Exchange) learnNamed(ctx context.Context, list []*wire.NamedWeights, now time.Time) {
+	named := make([]follower.Named, 0, len(list))
+	for _, n := range list {
+		since := now.Add(-time.Duration(n.AgeMs) * time.Millisecond)
+		named = append(named, follower.Named{Model: n.Model, NamedWeights: deployment.NamedWeights{Version: n.Version, Since: since}})
+	}
+	x.opts.Follower.LearnNamed(ctx, named)
 }
 
 // behind says whether the peer knows more of the operators' entries: it has a newer
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -49,6 +49,16 @@
 	return &Budget{bound: bound, start: now, gateways: 1, services: make(map[string]*window)}
 }
 
+// SetBound changes the bound. A new window starts the counts anew.
+func (b *Budget) SetBound(bound Bound) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bound.Window != b.bound.Window {
+		clear(b.services)
+	}
+	b.bound = bound
+}
+
 // SetGateways sets the number of gateways that share the fixed allowance.
 func (b *Budget) SetGateways(n int) {
 	b.mu.Lock()
@@ -66,11 +76,11 @@
 
 // Repeat spends one attempt beyond the first, or says that none is left.
 func (b *Budget) Repeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.bound.Window <= 0 {
 		return true
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	w := b.window(service, now)
 	allowed := caution * (b.bound.Ratio*sum(&w.requests) + b.bound.Slack/float64(b.gateways))
 	if sum(&w.repeats)+1 > allowed {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -36,6 +36,7 @@
 	id       string
 	phase    phase
 	behind   bool // its weights are older than the wanted ones
+	weights  uint64
 	running  int
 	retryAt  time.Time // not before
 	draining bool
@@ -47,7 +48,8 @@
 	return max(1, min(byRate, n/minServing))
 }
 
-// pick returns the engines to begin with now, the least busy first.
+// pick returns the engines to begin with now: those with the oldest weights, which
+// may not be used for much longer, and of these the least busy.
 func pick(engines []engine, now time.Time) []string {
 	busy, usable := 0, 0
 	var waiting []*engine
@@ -65,7 +67,7 @@
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b *engine) int {
-		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(a.weights, b.weights), cmp.Compare(a.running, b.running), cmp.Compare(a.id, b.id))
 	})
 	free := max(0, min(len(waiting), maxLoads(usable)-busy))
 	ids := make([]string, 0, free)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -168,7 +168,7 @@
 	defer r.mu.Unlock()
 	for i := range view {
 		s := &view[i]
-		e := engine{id: s.ID, behind: s.Weights < version, running: s.Running, draining: s.Draining}
+		e := engine{id: s.ID, behind: s.Weights < version, weights: s.Weights, running: s.Running, draining: s.Draining}
 		if j := r.jobs[s.ID]; j != nil {
 			e.phase, e.retryAt = j.phase, j.retryAt
 		}
