--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -346,7 +346,7 @@
 func (r *run) stream(ctx context.Context, flight *fleet.Attempt, call *backend.Call, answer *backend.Answer) (*Answer, *verdict.Error) {
 	s := &stream{run: r, flight: flight, body: answer.Body, reader: eventstream.NewReader(answer.Body)}
 	first, err := s.reader.Next()
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF {
 		err = io.ErrUnexpectedEOF // a stream without events did not end, it broke off
 	}
 	if err != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
-
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -36,7 +34,7 @@
 			}
 			return batch.Raw, nil
 		}
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF { // not errors.Is: a failure may wrap the EOF of a connection
 			s.end(fleet.Succeeded)
 			return nil, io.EOF
 		}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -169,7 +169,7 @@
 	controller := http.NewResponseController(w)
 	for {
 		raw, err := events.Next(ctx)
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF { // not errors.Is: a failure may wrap the EOF of a connection
 			return nil
 		}
 		if err != nil {
