Fetch what is known anywhere, and load engines in turns

Change: the store of a prompt by rendezvous; the deepest part known anywhere is fetched; no save beside an own part twice as long; an idle engine is ordered at once, one is emptied ahead.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -44,6 +44,7 @@
 	routesByHost map[string][]*Route // longest prefix first
 	services     map[string]*Service
 	keys         map[KeyDigest]*Workspace
+	stores       []*KVStore
 }
 
 // Limits bound what a client may send.
@@ -141,6 +142,9 @@
 	c.services = make(map[string]*Service, len(c.Services))
 	for i := range c.Services {
 		c.services[c.Services[i].Name] = &c.Services[i]
+		if store := c.Services[i].KVStore; store != nil {
+			c.stores = append(c.stores, store)
+		}
 	}
 	c.keys = make(map[KeyDigest]*Workspace)
 	for i := range c.Workspaces {
@@ -171,12 +175,5 @@
 // NeedsKeys says whether requests need a key, but for public routes.
 func (c *Config) NeedsKeys() bool { return len(c.Workspaces) > 0 }
 
-// KVStore returns the store of kept KV cache, or nil.
-func (c *Config) KVStore() *KVStore {
-	for i := range c.Services {
-		if store := c.Services[i].KVStore; store != nil {
-			return store
-		}
-	}
-	return nil
-}
+// KVStores returns the stores of kept KV cache.
+func (c *Config) KVStores() []*KVStore { return c.stores }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -209,18 +209,26 @@
 	call.Priority, call.HasPriority = rank(r.req), true
 	call.Weights = choice.Server.Weights
 	call.CacheSalt = kvcache.Salt(r.req.Model, choice.Server.Weights, r.req.Workspace)
-	shared := r.req.Shared()
-	if len(shared) == 0 || choice.Server.Weights == 0 {
+	if len(r.req.Shared()) == 0 || choice.Server.Weights == 0 {
 		return
 	}
-	store := ""
-	if kept := r.req.Snapshot.Config.KVStore(); kept != nil {
-		store = kept.Address
-	}
-	sources := r.relay.Cache.Plan(call.CacheSalt, shared[len(shared)-1].ID, holderOf(choice.Server), store, r.usable, now)
+	prompt := promptOf(r.req, call.CacheSalt)
+	store := prompt.StoreOf(r.req.Snapshot.Config.KVStores())
+	sources := r.relay.Cache.Plan(prompt, holderOf(choice.Server), store, r.usable, now)
 	call.FetchFrom, call.SaveTo = sources.FetchFrom, sources.SaveTo
 }
 
+// promptOf describes the shared parts of a request's prompt.
+func promptOf(req *Request, salt string) *kvcache.Prompt {
+	prompt := &kvcache.Prompt{Salt: salt, OwnTokens: req.PromptTokens}
+	for _, part := range req.Shared() {
+		prompt.Parts = append(prompt.Parts, part.ID)
+		prompt.SharedTokens += part.Tokens
+		prompt.OwnTokens -= part.Tokens
+	}
+	return prompt
+}
+
 func holderOf(s *placement.Server) kvcache.Holder {
 	return kvcache.Holder{ID: s.ID, Address: s.Address}
 }
@@ -353,9 +361,9 @@
 		return nil, r.timedOut(ctx, r.spoiled(flight, answer, err))
 	}
 	flight.Started()
-	if shared := r.req.Shared(); len(shared) > 0 {
+	if len(r.req.Shared()) > 0 {
 		r.relay.Cache.Used(&kvcache.Use{
-			Salt: call.CacheSalt, Part: shared[len(shared)-1].ID, Saved: call.SaveTo != "",
+			Salt: call.CacheSalt, Parts: promptOf(r.req, "").Parts, Saved: call.SaveTo != "",
 			Holder: kvcache.Holder{ID: call.ServerID, Address: call.Address},
 		}, time.Now())
 	}
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -18,11 +19,16 @@
 
 const (
 	// holdTime is how long an engine is expected to keep a part that it used: a
-	// third of the shortest time in which half of an engine's memory turns over.
-	holdTime = 4 * time.Second
+	// third of the time in which an engine's memory turns over under load.
+	holdTime = 2 * time.Second
 	// saveInterval is how long a part in the store is taken to be there. The store
 	// drops what was not used for longest.
-	saveInterval = 30 * time.Second
+	saveInterval = 15 * time.Second
+	// keptTime is how long a part that was saved is looked for in the store first.
+	keptTime = time.Minute
+	// maxOwnShare is how many times longer than the shared parts a request's own may
+	// be for a save.
+	maxOwnShare = 2.0
 	// maxParts bounds the memory: 20,000 parts of 150 bytes are 3 MB.
 	maxParts = 20_000
 )
@@ -73,7 +79,7 @@
 // Use says that an engine read or fetched a prompt up to a part.
 type Use struct {
 	Salt   string
-	Part   string
+	Parts  []string // ids of the shared parts, in order
 	Holder Holder
 	Saved  bool // it was told to save the parts to the store
 }
@@ -91,30 +97,73 @@
 	return &Directory{records: records}
 }
 
-// Plan says from where target fetches the prompt up to its last shared part.
+// Prompt is the part of a prompt that requests share, with what is the request's
+// own.
+type Prompt struct {
+	Salt         string
+	Parts        []string // ids of the shared parts, in order; not empty
+	SharedTokens int64
+	OwnTokens    int64
+}
+
+// last returns the id of the last shared part.
+func (p *Prompt) last() string { return p.Parts[len(p.Parts)-1] }
+
+// StoreOf returns the store that keeps the prompt, of several the one with the
+// highest rendezvous hash; empty if there is none.
+func (p *Prompt) StoreOf(stores []*deployment.KVStore) string {
+	address, highest := "", uint64(0)
+	for _, store := range stores {
+		if hash := xxhash.Sum64String(p.last() + " " + store.Address); address == "" || hash > highest {
+			address, highest = store.Address, hash
+		}
+	}
+	return address
+}
+
+// Plan says from where target fetches the shared parts, and whether it saves them.
 // usable says whether another engine may be asked.
-func (d *Directory) Plan(salt, part string, target Holder, store string, usable func(Holder) bool, now time.Time) Sources {
+func (d *Directory) Plan(p *Prompt, target Holder, store string, usable func(Holder) bool, now time.Time) Sources {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r, ok := d.records.Get(key{salt, part})
-	if !ok {
-		return Sources{FetchFrom: store, SaveTo: store}
-	}
-	var sources Sources
-	if store != "" && now.Sub(r.saved) > saveInterval {
-		sources.SaveTo = store
+	return Sources{
+		FetchFrom: d.source(p, target, store, usable, now),
+		SaveTo:    d.saveTo(p, store, now),
 	}
-	if r.holds(target, now) {
-		return sources
+}
+
+// saveTo returns the store if the prompt should be saved. A request's own part
+// takes room there, too, which a long one is not worth.
+func (d *Directory) saveTo(p *Prompt, store string, now time.Time) string {
+	r, ok := d.records.Get(key{p.Salt, p.last()})
+	if ok && now.Sub(r.saved) <= saveInterval || float64(p.OwnTokens) > maxOwnShare*float64(p.SharedTokens) {
+		return ""
 	}
-	sources.FetchFrom = store
-	for _, s := range r.holders {
-		if s.holder.ID != "" && s.holder.ID != target.ID && now.Sub(s.at) < holdTime && usable(s.holder) {
-			sources.FetchFrom = s.holder.Address
-			break
+	return store
+}
+
+// source returns from where to fetch: for the deepest part that is known anywhere,
+// another engine that used it lately, else the store. An engine that holds the parts
+// itself fetches nothing, so that the store may be named in any case.
+func (d *Directory) source(p *Prompt, target Holder, store string, usable func(Holder) bool, now time.Time) string {
+	for i := len(p.Parts) - 1; i >= 0; i-- {
+		r, ok := d.records.Get(key{p.Salt, p.Parts[i]})
+		if !ok {
+			continue
+		}
+		if r.holds(target, now) {
+			return store
+		}
+		for _, s := range r.holders {
+			if s.holder.ID != "" && now.Sub(s.at) < holdTime && usable(s.holder) {
+				return s.holder.Address
+			}
+		}
+		if now.Sub(r.saved) < keptTime {
+			return store
 		}
 	}
-	return sources
+	return store
 }
 
 func (r *record) holds(holder Holder, now time.Time) bool {
@@ -132,7 +181,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r, ok := d.records.Get(key{salt, part})
-	return ok && (now.Sub(r.saved) < saveInterval || now.Sub(r.holders[0].at) < holdTime)
+	return ok && (now.Sub(r.saved) < keptTime || now.Sub(r.holders[0].at) < holdTime)
 }
 
 // Used notes a use by a request of this gateway.
@@ -168,17 +217,23 @@
 
 // note remembers a use. The caller holds the lock.
 func (d *Directory) note(use *Use, now time.Time) {
-	k := key{use.Salt, use.Part}
-	r, ok := d.records.Get(k)
-	if !ok {
-		r = &record{}
-		d.records.Add(k, r)
+	for i, part := range use.Parts {
+		k := key{use.Salt, part}
+		r, ok := d.records.Get(k)
+		if !ok {
+			r = &record{}
+			d.records.Add(k, r)
+		}
+		r.used(use.Holder, now)
+		if use.Saved && i == len(use.Parts)-1 {
+			r.saved = now
+		}
 	}
-	if r.holders[0].holder != use.Holder {
+}
+
+func (r *record) used(holder Holder, now time.Time) {
+	if r.holders[0].holder != holder {
 		r.holders[1] = r.holders[0]
 	}
-	r.holders[0] = sighting{holder: use.Holder, at: now}
-	if use.Saved {
-		r.saved = now
-	}
+	r.holders[0] = sighting{holder: holder, at: now}
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -208,7 +208,7 @@
 	}
 	for _, use := range x.news(address) {
 		report.Uses = append(report.Uses, &wire.CacheUse{
-			Salt: use.Salt, Part: use.Part, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
+			Salt: use.Salt, Parts: use.Parts, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
 		})
 	}
 	return report
@@ -247,7 +247,7 @@
 	}
 	for _, use := range report.Uses {
 		x.opts.Cache.Heard(&kvcache.Use{
-			Salt: use.Salt, Part: use.Part, Saved: use.Saved,
+			Salt: use.Salt, Parts: use.Parts, Saved: use.Saved,
 			Holder: kvcache.Holder{ID: use.Server, Address: use.Address},
 		}, now)
 	}
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -12,9 +12,6 @@
 	// emptyTime is how long running requests may end before an engine is ordered to
 	// load: a few more than half of them do.
 	emptyTime = 400 * time.Millisecond
-	// noticeTime is how long the other gateways may take to learn that an engine is
-	// being emptied: two exchanges.
-	noticeTime = 150 * time.Millisecond
 	// loadTime is the shortest load that was seen.
 	loadTime = time.Second
 	// reportInterval is the time between two reports of an engine that loads.
@@ -80,7 +77,7 @@
 func (j *job) run(ctx context.Context) {
 	fleet := j.rollout.opts.Fleet
 	started := time.Now()
-	fleet.SetLoading(j.server.ID, started.Add(maxLoadTime))
+	fleet.SetLoading(j.server.ID, started.Add(2*maxLoadTime))
 	j.empty(ctx, started)
 	ok := j.load(ctx)
 	fleet.SetLoading(j.server.ID, time.Now())
@@ -94,8 +91,7 @@
 // empty waits until the engine's requests have ended, within bounds.
 func (j *job) empty(ctx context.Context, started time.Time) {
 	for ctx.Err() == nil {
-		waited := time.Since(started)
-		if waited >= emptyTime || waited >= noticeTime && j.rollout.opts.Fleet.Running(j.server.ID) == 0 {
+		if time.Since(started) >= emptyTime || j.rollout.opts.Fleet.Running(j.server.ID) == 0 {
 			return
 		}
 		pause(ctx, stepInterval/2)
@@ -113,10 +109,18 @@
 	if report.Weights[j.model] >= j.version {
 		return j.done()
 	}
-	if !report.Busy && !j.order(ctx, report.Accepted) {
-		return false
+	if report.Busy {
+		j.rollout.setPhase(j, phaseLoading, time.Time{})
+		return j.await(ctx, report.Accepted)
+	}
+	for !j.rollout.takeTurn(j) {
+		if ctx.Err() != nil {
+			return false
+		}
+		pause(ctx, stepInterval/2)
 	}
-	return j.await(ctx, report.Accepted)
+	j.version = max(j.version, j.rollout.wanted(j.model))
+	return j.order(ctx, report.Accepted) && j.await(ctx, report.Accepted)
 }
 
 // order gives the order. Without an answer it may be carried out all the same.
@@ -136,7 +140,6 @@
 		f["error"] = err.Error()
 	}
 	logger.Info(f, "order given")
-	j.rollout.setPhase(j, phaseLoading, time.Time{})
 	return result == OrderAccepted || result == OrderHolds || result == OrderUnknown
 }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -17,7 +17,10 @@
 const (
 	// enginesPerLoad is the number of engines for each one that may load at a time:
 	// loads take longer when more run at once.
-	enginesPerLoad = 5
+	enginesPerLoad = 6
+	// aheadLoads is the number of engines that are emptied before their turn to load,
+	// so that the next load begins when one ends.
+	aheadLoads = 1
 	// minServing is the part of the engines that must stay able to serve.
 	minServing = 2 // one in two
 )
@@ -42,7 +45,7 @@
 	draining bool
 }
 
-// maxLoads returns how many of n engines may be taken out of service at once.
+// maxLoads returns how many of n engines may load at once.
 func maxLoads(n int) int {
 	byRate := (n + enginesPerLoad - 1) / enginesPerLoad
 	return max(1, min(byRate, n/minServing))
@@ -51,15 +54,12 @@
 // pick returns the engines to begin with now: those with the oldest weights, which
 // may not be used for much longer, and of these the least busy.
 func pick(engines []engine, now time.Time) []string {
-	busy, usable := 0, 0
+	busy := 0
 	var waiting []*engine
 	for i := range engines {
 		e := &engines[i]
-		if e.draining {
-			continue
-		}
-		usable++
 		switch {
+		case e.draining:
 		case e.phase != phaseIdle:
 			busy++
 		case e.behind && !now.Before(e.retryAt):
@@ -69,10 +69,21 @@
 	slices.SortStableFunc(waiting, func(a, b *engine) int {
 		return cmp.Or(cmp.Compare(a.weights, b.weights), cmp.Compare(a.running, b.running), cmp.Compare(a.id, b.id))
 	})
-	free := max(0, min(len(waiting), maxLoads(usable)-busy))
+	free := max(0, min(len(waiting), maxLoads(usable(engines))+aheadLoads-busy))
 	ids := make([]string, 0, free)
 	for _, e := range waiting[:free] {
 		ids = append(ids, e.id)
 	}
 	return ids
 }
+
+// usable counts the engines that do not leave.
+func usable(engines []engine) int {
+	n := 0
+	for i := range engines {
+		if !engines[i].draining {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -57,14 +57,15 @@
 	nextAcquire time.Time
 	nextRenewal time.Time
 
-	mu    sync.Mutex
-	jobs  map[string]*job // by server id
-	group sync.WaitGroup
+	mu     sync.Mutex
+	jobs   map[string]*job // by server id
+	limits map[string]int  // engines that may load at once, by service
+	group  sync.WaitGroup
 }
 
 // New returns a Rollout that Run starts.
 func New(opts Options) *Rollout {
-	return &Rollout{opts: opts, jobs: make(map[string]*job)}
+	return &Rollout{opts: opts, jobs: make(map[string]*job), limits: make(map[string]int)}
 }
 
 // Run gives orders until ctx ends, and gives the lease back then.
@@ -177,6 +178,7 @@
 	for _, id := range pick(engines, now) {
 		r.begin(ctx, snapshot.Servers[id], model, version)
 	}
+	r.limits[service] = maxLoads(usable(engines))
 }
 
 // begin starts the job of one engine. The caller holds the lock.
@@ -197,6 +199,23 @@
 	return r.opts.Source.Snapshot().Weights[model].Version
 }
 
+// takeTurn says whether the job's engine may load now: few of a service do at once.
+func (r *Rollout) takeTurn(j *job) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loading := 0
+	for _, other := range r.jobs {
+		if other.phase == phaseLoading && other.server.Service == j.server.Service {
+			loading++
+		}
+	}
+	if loading >= max(1, r.limits[j.server.Service]) {
+		return false
+	}
+	j.phase = phaseLoading
+	return true
+}
+
 func (r *Rollout) setPhase(j *job, p phase, retryAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
