--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,365 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/forward"
+	"github.com/wasabigate/wasabigate/internal/platform"
+)
+
+// memoryStore is a store with one configuration.
+type memoryStore struct {
+	mu      sync.Mutex
+	current *deployment.Config
+	servers []*deployment.Server
+	version platform.Version
+}
+
+func (s *memoryStore) set(c *deployment.Config, servers ...*deployment.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current, s.servers = c.Index(), servers
+	s.version++
+}
+
+func (s *memoryStore) Read(context.Context, string) ([]platform.Entry, platform.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil {
+		return nil, 0, platform.ErrUnavailable
+	}
+	entries := []platform.Entry{{Key: "config", Version: s.version}}
+	for _, server := range s.servers {
+		entries = append(entries, platform.Entry{Key: "servers/" + server.ID, Version: s.version})
+	}
+	return entries, s.version, nil
+}
+
+func (s *memoryStore) Changes(ctx context.Context, _ string, after platform.Version, _ time.Duration) ([]platform.Event, platform.Version, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(20 * time.Millisecond):
+	}
+	entries, position, err := s.Read(ctx, "")
+	var events []platform.Event
+	if position > after {
+		for _, entry := range entries {
+			events = append(events, platform.Event{Entry: entry})
+		}
+	}
+	return events, position, err
+}
+
+func (*memoryStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{}, platform.ErrNotFound
+}
+
+func (*memoryStore) CompareAndSwap(context.Context, string, []byte, platform.Version, platform.LeaseID) (platform.Version, error) {
+	return 1, nil
+}
+
+func (*memoryStore) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
+	return 1, nil
+}
+func (*memoryStore) RenewLease(context.Context, platform.LeaseID) error  { return nil }
+func (*memoryStore) RevokeLease(context.Context, platform.LeaseID) error { return nil }
+
+// ServerID implements follower.Layout.
+func (*memoryStore) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "servers/") }
+
+// Decode implements follower.Layout.
+func (s *memoryStore) Decode(key string, _ []byte, _ time.Time) (follower.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id, ok := strings.CutPrefix(key, "servers/"); ok {
+		for _, server := range s.servers {
+			if server.ID == id {
+				return follower.Item{Server: server}, nil
+			}
+		}
+	}
+	return follower.Item{Config: s.current}, nil
+}
+
+// testHeaders are headers with names of their own.
+type testHeaders struct{}
+
+func (testHeaders) ReadRequest(header http.Header) forward.Facts {
+	facts := forward.Facts{ID: header.Get("Request"), Credential: header.Get("Key"), LastEventID: header.Get("Last")}
+	header.Del("Key")
+	return facts
+}
+
+func (testHeaders) Instruct(header http.Header, in *backend.Instructions) {
+	header.Set("Workspace", in.Workspace)
+	header.Set("Last", in.LastEventID)
+}
+
+func (testHeaders) Describe(_ int, header http.Header) backend.Description {
+	return backend.Description{Signed: header.Get("Signed") != "", NotRun: header.Get("Not-Run") != ""}
+}
+
+func (testHeaders) SetRetryAfter(header http.Header, after time.Duration) {
+	header.Set("Retry-After", fmt.Sprint(after.Seconds()))
+}
+
+func (testHeaders) SetRequestID(header http.Header, id string) { header.Set("Request", id) }
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// system is a running gateway before backend servers.
+type system struct {
+	store    *memoryStore
+	settings *config.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func startSystem(t *testing.T) *system {
+	s := &system{store: &memoryStore{}, done: make(chan error, 1), settings: &config.Settings{
+		Daemon: config.DaemonSettings{Name: "g1", AvailabilityZone: "a", RPCAddress: freeAddress(t), DrainTimeout: 8 * time.Second},
+		Log:    config.LogSettings{Level: "warn", Format: "json"},
+		Gateway: config.GatewaySettings{
+			HTTPAddress: freeAddress(t), ReadyAddress: freeAddress(t), OrderLease: 3 * time.Second,
+			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100, LimitWait: 50 * time.Millisecond,
+		},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go func() {
+		s.done <- Run(ctx, s.settings, Platform{
+			Store:   func(string) platform.Store { return s.store },
+			Layout:  s.store,
+			Headers: testHeaders{},
+			Reload:  func() (*config.Settings, error) { return s.settings, nil },
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-s.done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func (s *system) ready() int {
+	response, err := http.Get("http://" + s.settings.Gateway.ReadyAddress + "/ready")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (s *system) awaitReady(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if s.ready() == http.StatusOK {
+			time.Sleep(300 * time.Millisecond) // buckets fill
+			return
+		}
+	}
+	t.Fatal("the gateway is not ready")
+}
+
+func (s *system) send(t *testing.T, method, path, key, body string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+s.settings.Gateway.HTTPAddress+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "api.example"
+	request.Header.Set("Request", "r1")
+	request.Header.Set("Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+func testConfig(version uint64, kind deployment.Kind) *deployment.Config {
+	return &deployment.Config{
+		Version: version,
+		Routes: []deployment.Route{{
+			Name: "r", Host: "api.example", Prefix: "/x/", Kind: kind, MaxAttempts: 2, Timeout: 2 * time.Second, Resumable: true,
+			Targets: []deployment.Target{{Service: "s", Weight: 1}},
+		}},
+		Services:   []deployment.Service{{Name: "s"}},
+		Workspaces: []deployment.Workspace{{Name: "w", Keys: []deployment.KeyDigest{deployment.DigestKey("good")}, Rate: 1000, Burst: 1000}},
+	}
+}
+
+func serverAt(id, address string) *deployment.Server {
+	return &deployment.Server{ID: id, Service: "s", Address: address, AvailabilityZone: "a", Slots: 6}
+}
+
+func TestRequestsThroughTheGateway(t *testing.T) {
+	var seen atomic.Pointer[http.Request]
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Store(r.Clone(context.Background()))
+		w.Header().Set("Signed", "1")
+		_, _ = io.Copy(w, r.Body)
+	}))
+	defer server.Close()
+	s := startSystem(t)
+	time.Sleep(100 * time.Millisecond)
+	if status := s.ready(); status != http.StatusServiceUnavailable {
+		t.Errorf("without a configuration the readiness check gives %d", status)
+	}
+	s.store.set(testConfig(1, deployment.Idempotent), serverAt("a", server.Listener.Addr().String()))
+	s.awaitReady(t)
+
+	cases := []struct {
+		name, path, key string
+		status          int
+	}{
+		{"answered", "/x/1?q=%20a", "good", http.StatusOK},
+		{"unknown key", "/x/1", "bad", http.StatusUnauthorized},
+		{"no key", "/x/1", "", http.StatusUnauthorized},
+		{"no route", "/y/1", "good", http.StatusNotFound},
+	}
+	for _, c := range cases {
+		response := s.send(t, http.MethodPost, c.path, c.key, "the body")
+		body, _ := io.ReadAll(response.Body)
+		if response.StatusCode != c.status || response.Header.Get("Request") == "" && c.status != http.StatusOK {
+			t.Errorf("%s: %d %q", c.name, response.StatusCode, body)
+		}
+		if c.status == http.StatusOK && string(body) != "the body" {
+			t.Errorf("%s: body %q", c.name, body)
+		}
+	}
+	got := seen.Load()
+	if got.RequestURI != "/x/1?q=%20a" || got.Header.Get("Key") != "" || got.Header.Get("Workspace") != "w" || got.Host != "api.example" {
+		t.Errorf("the server saw %s of %s with %v", got.RequestURI, got.Host, got.Header)
+	}
+
+	withoutKey := testConfig(2, deployment.Idempotent)
+	withoutKey.Workspaces[0].Keys = nil
+	s.store.set(withoutKey, serverAt("a", server.Listener.Addr().String()))
+	time.Sleep(2 * time.Second) // the users' bound for a change
+	if response := s.send(t, http.MethodPost, "/x/1", "good", ""); response.StatusCode != http.StatusUnauthorized {
+		t.Errorf("a withdrawn key gives %d", response.StatusCode)
+	}
+}
+
+// A stream that breaks off does not look complete to the client.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "1")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\nda")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	s := startSystem(t)
+	s.store.set(testConfig(1, deployment.Stream), serverAt("a", server.Listener.Addr().String()))
+	s.awaitReady(t)
+	response := s.send(t, http.MethodPost, "/x/1", "good", "")
+	body, err := io.ReadAll(response.Body)
+	if err == nil || string(body) != "id: 1\ndata: a\n\n" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// A stream goes on at another server after the last whole event.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	var calls atomic.Int64
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "1")
+		if calls.Add(1) == 1 {
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\nda")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: 2\ndata: after %s\n\n", r.Header.Get("Last"))
+	})
+	one, two := httptest.NewServer(handler), httptest.NewServer(handler)
+	defer one.Close()
+	defer two.Close()
+	s := startSystem(t)
+	s.store.set(testConfig(1, deployment.Stream), serverAt("a", one.Listener.Addr().String()), serverAt("b", two.Listener.Addr().String()))
+	s.awaitReady(t)
+	response := s.send(t, http.MethodPost, "/x/1", "good", "")
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != "id: 1\ndata: a\n\nid: 2\ndata: after 1\n\n" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// A request that has used its route's time is answered then.
+func TestTimeout(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	s := startSystem(t)
+	s.store.set(testConfig(1, deployment.AtMostOnce), serverAt("a", server.Listener.Addr().String()))
+	s.awaitReady(t)
+	start := time.Now()
+	response := s.send(t, http.MethodPost, "/x/1", "good", "x")
+	if took := time.Since(start); response.StatusCode != http.StatusGatewayTimeout || took < 1900*time.Millisecond || took > 2500*time.Millisecond {
+		t.Errorf("status %d after %v", response.StatusCode, took)
+	}
+}
+
+// A planned stop lets a running request end, and asks clients to leave.
+func TestStopCutsNoRequest(t *testing.T) {
+	started := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		time.Sleep(1500 * time.Millisecond)
+		w.Header().Set("Signed", "1")
+		_, _ = io.WriteString(w, "whole")
+	}))
+	defer server.Close()
+	s := startSystem(t)
+	s.store.set(testConfig(1, deployment.AtMostOnce), serverAt("a", server.Listener.Addr().String()))
+	s.awaitReady(t)
+	go func() {
+		<-started
+		s.stop()
+	}()
+	response := s.send(t, http.MethodPost, "/x/1", "good", "x")
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != "whole" {
+		t.Errorf("%q, %v", body, err)
+	}
+	if status := s.ready(); status != http.StatusServiceUnavailable {
+		t.Errorf("a stopping gateway's readiness check gives %d", status)
+	}
+	conn, err := net.Dial("tcp", s.settings.Gateway.HTTPAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "GET /y HTTP/1.1\r\nHost: api.example\r\n\r\n")
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || !answer.Close {
+		t.Errorf("%+v, %v: the connection is to be closed", answer, err)
+	}
+}
