Keep the port of a server that is gone bound in TestOutcomes

Cause: the test closed a server and took its port to refuse connections; other tests run at the same time and may be given that port. With a foreign server on it, put there on purpose in a scratch copy, the test fails just as it was seen to. Ruled out: the time-out of 300 ms, 60 runs beside 40 busy processes passed. Change: the port stays bound, without a listener.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(GO) run ./internal/tools/redtest -known KNOWN-RED.txt -- -race -timeout 15m $(PACKAGES)
 
 lint:
-	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd internal platform); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	$(GO) vet $(PACKAGES)
 	$(GO) tool staticcheck $(PACKAGES)
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -135,12 +136,29 @@
 	}
 }
 
+// refusingAddress returns an address at which connections are refused. The port
+// stays bound until the test ends: a free one may be taken by another process.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
 func TestOutcomes(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(answers))
 	defer server.Close()
-	gone := httptest.NewServer(nil)
-	gone.Close()
-	sender := newSender([]string{gone.URL, server.URL}, "m", 300*time.Millisecond)
+	sender := newSender([]string{"http://" + refusingAddress(t), server.URL}, "m", 300*time.Millisecond)
 	defer sender.client.CloseIdleConnections()
 	for prompt, want := range map[string]ending{
 		"good": endAnswered, "cut": endFailed, "late": endUnfinished, "limited": endRefused, "store": endHeld, "broken": endFailed,
