Open the gateway's listeners before it runs

Cause: tests took free ports and listened later, which may give a port twice, and the shards of absent gateways were looked at only when the store changed.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -29,6 +29,9 @@
 	// call has its price. It is a tenth of the shortest time in which a change must
 	// be in force.
 	gatherTime = 150 * time.Millisecond
+	// publishInterval is the longest time between two snapshots, so that what only
+	// depends on time is looked at, too.
+	publishInterval = time.Second
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
@@ -84,7 +87,8 @@
 	contact  atomic.Int64 // time of the last answer of the store since started, nanoseconds from 1; 0: none
 	entries  atomic.Pointer[[]platform.Entry]
 
-	belief belief // of the owning goroutine
+	belief    belief    // of the owning goroutine
+	published time.Time // by it
 }
 
 // batch is a set of changes in the order in which they were made.
@@ -190,7 +194,7 @@
 		case b := <-f.batches:
 			f.apply(b, time.Now())
 		case <-ticker.C:
-			if f.belief.expire(time.Now()) {
+			if f.belief.expire(time.Now()) || time.Since(f.published) >= publishInterval {
 				f.publish()
 			}
 		}
@@ -250,6 +254,7 @@
 }
 
 func (f *Follower) publish() {
+	f.published = time.Now()
 	entries := f.belief.entries()
 	f.entries.Store(&entries)
 	snapshot := f.belief.snapshot()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,6 @@
 	// idleTimeout closes connections that no client uses: above the longest idle time
 	// that operators allow.
 	idleTimeout = 5 * time.Minute
-	// housekeepingInterval is the time between two looks at what has grown old.
-	housekeepingInterval = time.Second
 )
 
 // Platform is what translates between the users' platform and the gateway.
@@ -95,8 +93,43 @@
 	if err != nil {
 		return err
 	}
-	g := newGateway(settings, adapter)
-	return g.serve(ctx, metricsHandler)
+	open, err := listen(settings)
+	if err != nil {
+		return err
+	}
+	return newGateway(settings, adapter).serve(ctx, open, metricsHandler)
+}
+
+// listeners are the sockets that a gateway serves.
+type listeners struct {
+	clients net.Listener
+	checks  net.Listener
+	rpc     net.Listener
+	admin   net.Listener // nil: none
+}
+
+func listen(settings *config.Settings) (*listeners, error) {
+	open := &listeners{}
+	for _, l := range []struct {
+		name    string
+		address string
+		opened  *net.Listener
+	}{
+		{"clients", settings.Gateway.HTTPAddress, &open.clients},
+		{"readiness checks", settings.Gateway.ReadyAddress, &open.checks},
+		{"other gateways", settings.Daemon.RPCAddress, &open.rpc},
+		{"metrics", settings.Daemon.AdminAddress, &open.admin},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listener for %s", l.name)
+		}
+		*l.opened = listener
+	}
+	return open, nil
 }
 
 func newGateway(settings *config.Settings, adapter Platform) *Gateway {
@@ -159,37 +192,20 @@
 }
 
 // serve runs all listeners and background work until ctx ends, then drains.
-func (g *Gateway) serve(ctx context.Context, metricsHandler http.Handler) error {
-	front, err := net.Listen("tcp", g.settings.Gateway.HTTPAddress)
-	if err != nil {
-		return errors.Wrap(err, "clients' listener")
-	}
-	ready, err := net.Listen("tcp", g.settings.Gateway.ReadyAddress)
-	if err != nil {
-		return errors.Wrap(err, "readiness listener")
-	}
+func (g *Gateway) serve(ctx context.Context, open *listeners, metricsHandler http.Handler) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	if err := g.serveRPC(background, group); err != nil {
+	if err := g.serveRPC(background, group, open.rpc); err != nil {
 		return err
 	}
-	group.Go(func() error { g.follower.Run(background); return nil })
-	group.Go(func() error { g.exchange.Run(background); return nil })
-	group.Go(func() error { g.limits.run(background); return nil })
-	group.Go(func() error { g.rollout.Run(ctx); return nil })
-	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	group.Go(func() error { registration.Run(background); return nil })
-	group.Go(func() error { g.reloadOnSignal(background); return nil })
+	g.startWorkers(ctx, background, group)
 	clients := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	group.Go(func() error { return ignoreClosed(clients.Serve(front)) })
 	checks := &http.Server{Handler: g.ingress.checks(), ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return ignoreClosed(checks.Serve(ready)) })
-	if address := g.settings.Daemon.AdminAddress; address != "" {
-		if err := serveAdmin(group, address, metricsHandler); err != nil {
-			return err
-		}
-	}
+	admin := &http.Server{Handler: adminHandler(metricsHandler), ReadHeaderTimeout: readHeaderTimeout}
+	serveHTTP(group, clients, open.clients)
+	serveHTTP(group, checks, open.checks)
+	serveHTTP(group, admin, open.admin)
 	logger.Info(fields{"name": g.settings.Daemon.Name, "zone": g.settings.Daemon.AvailabilityZone, "clients": g.settings.Gateway.HTTPAddress}, "gateway started")
 	select {
 	case <-ctx.Done():
@@ -198,9 +214,38 @@
 	g.drain(clients)
 	stop()
 	_ = checks.Close() // the process ends
+	_ = admin.Close()  // the process ends
 	return group.Wait()
 }
 
+// startWorkers starts what runs beside the traffic. Orders end with ctx, before the
+// gateway drains; the rest goes on while it does.
+func (g *Gateway) startWorkers(ctx, background context.Context, group *errgroup.Group) {
+	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal} {
+		group.Go(func() error { work(background); return nil })
+	}
+	group.Go(func() error { g.rollout.Run(ctx); return nil })
+}
+
+func serveHTTP(group *errgroup.Group, server *http.Server, listener net.Listener) {
+	if listener == nil {
+		return
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "HTTP server")
+		}
+		return nil
+	})
+}
+
+func adminHandler(metricsHandler http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metricsHandler)
+	return mux
+}
+
 // reloadOnSignal reads the settings again at each SIGHUP.
 func (g *Gateway) reloadOnSignal(ctx context.Context) {
 	signals := make(chan os.Signal, 1)
@@ -240,7 +285,7 @@
 }
 
 // serveRPC serves the other gateways.
-func (g *Gateway) serveRPC(ctx context.Context, group *errgroup.Group) error {
+func (g *Gateway) serveRPC(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
 	mux := drpcmux.New()
 	if err := g.limits.register(mux); err != nil {
 		return err
@@ -248,10 +293,6 @@
 	if err := wire.DRPCRegisterGateways(mux, g.exchange); err != nil {
 		return errors.Wrap(err, "gateways service")
 	}
-	listener, err := net.Listen("tcp", g.settings.Daemon.RPCAddress)
-	if err != nil {
-		return errors.Wrap(err, "rpc listener")
-	}
 	group.Go(func() error { return rpc.Serve(ctx, listener, mux, nil, logRPCError) })
 	return nil
 }
@@ -260,18 +301,6 @@
 	logger.Debug(fields{"error": err.Error()}, "rpc connection failed")
 }
 
-func serveAdmin(group *errgroup.Group, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "admin listener")
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
-	return nil
-}
-
 // drain stops taking requests and lets running ones finish.
 func (g *Gateway) drain(clients *http.Server) {
 	logger.Info(nil, "draining")
@@ -285,10 +314,3 @@
 	}
 	logger.Info(nil, "stopped")
 }
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "HTTP server")
-}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -120,13 +120,14 @@
 
 func (testHeaders) SetRequestID(header http.Header, id string) { header.Set("Request", id) }
 
-func freeAddress(t *testing.T) string {
+// loopback opens a listener whose port nobody else has.
+func loopback(t *testing.T) net.Listener {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return listener
 }
 
 // system is a running gateway before backend servers.
@@ -138,23 +139,25 @@
 }
 
 func startSystem(t *testing.T) *system {
+	open := &listeners{clients: loopback(t), checks: loopback(t), rpc: loopback(t)}
 	s := &system{store: &memoryStore{}, done: make(chan error, 1), settings: &config.Settings{
-		Daemon: config.DaemonSettings{Name: "g1", AvailabilityZone: "a", RPCAddress: freeAddress(t), DrainTimeout: 8 * time.Second},
+		Daemon: config.DaemonSettings{Name: "g1", AvailabilityZone: "a", RPCAddress: open.rpc.Addr().String(), DrainTimeout: 8 * time.Second},
 		Log:    config.LogSettings{Level: "warn", Format: "json"},
 		Gateway: config.GatewaySettings{
-			HTTPAddress: freeAddress(t), ReadyAddress: freeAddress(t), OrderLease: 3 * time.Second,
+			HTTPAddress: open.clients.Addr().String(), ReadyAddress: open.checks.Addr().String(), OrderLease: 3 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100, LimitWait: 50 * time.Millisecond,
 		},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
 	go func() {
-		s.done <- Run(ctx, s.settings, Platform{
+		gateway := newGateway(s.settings, Platform{
 			Store:   func(string) platform.Store { return s.store },
 			Layout:  s.store,
 			Headers: testHeaders{},
 			Reload:  func() (*config.Settings, error) { return s.settings, nil },
 		})
+		s.done <- gateway.serve(ctx, open, http.NotFoundHandler())
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -175,12 +175,23 @@
 		}
 		engines = append(engines, e)
 	}
+	r.forget(snapshot)
 	for _, id := range pick(engines, now) {
 		r.begin(ctx, snapshot.Servers[id], model, version)
 	}
 	r.limits[service] = maxLoads(usable(engines))
 }
 
+// forget drops the jobs of engines that are listed no more. The caller holds the
+// lock.
+func (r *Rollout) forget(snapshot *deployment.Snapshot) {
+	for id, j := range r.jobs {
+		if snapshot.Servers[id] == nil && j.phase == phaseIdle {
+			delete(r.jobs, id)
+		}
+	}
+}
+
 // begin starts the job of one engine. The caller holds the lock.
 func (r *Rollout) begin(ctx context.Context, server *deployment.Server, model string, version uint64) {
 	j := r.jobs[server.ID]
