Log each decision without blocking, and measure the gateway

Cause: the log was written by the goroutine that serves a request, decisions on attempts were debug lines, and the gateway had no metrics. Change: lines go through two bounded queues, warnings first; losses are counted and told; lines that concern no request are summed up; a line for each placement and failed attempt; OpenTelemetry metrics at the metrics address.

--- /dev/null
+++ b/internal/forward/meters.go
@@ -0,0 +1,47 @@
+package forward
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/wasabigate/wasabigate/internal/fleet"
+)
+
+// meters are the metrics of the relay.
+type meters struct {
+	attempts metric.Int64Counter
+	resumed  metric.Int64Counter
+}
+
+var outcomeLabels = map[fleet.Outcome]metric.MeasurementOption{
+	fleet.Succeeded:   outcomeLabel("succeeded"),
+	fleet.Failed:      outcomeLabel("failed"),
+	fleet.Unreachable: outcomeLabel("unreachable"),
+	fleet.Refused:     outcomeLabel("refused"),
+}
+
+func outcomeLabel(outcome string) metric.MeasurementOption {
+	return metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", outcome)))
+}
+
+func newMeters() meters {
+	meter := otel.Meter("wasabigate/forward")
+	counter := func(name, unit, description string) metric.Int64Counter {
+		c, err := meter.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(description))
+		if err != nil {
+			otel.Handle(err)
+		}
+		return c
+	}
+	return meters{
+		attempts: counter("wasabigate.forward.attempts", "{attempt}", "Attempts at backend servers, by outcome."),
+		resumed:  counter("wasabigate.forward.resumed", "{stream}", "Streams that went on at another backend server."),
+	}
+}
+
+func (m *meters) ended(outcome fleet.Outcome) {
+	m.attempts.Add(context.Background(), 1, outcomeLabels[outcome])
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -51,6 +51,8 @@
 // Relay is the last handler of the chain: it sends a request to backend servers
 // until one has answered it or none may.
 type Relay struct {
+	meters meters
+
 	Zone        string
 	MaxReplaced time.Duration // how long replaced weights may be used
 	Fleet       *fleet.Fleet
@@ -59,6 +61,12 @@
 	Budget      Budget
 }
 
+// NewRelay returns a Relay of its parts.
+func NewRelay(parts Relay) *Relay {
+	parts.meters = newMeters()
+	return &parts
+}
+
 // Handle implements pipeline.Handler.
 func (r *Relay) Handle(ctx context.Context, req *Request) (*Answer, error) {
 	service := chooseTarget(req.Route, req.ID)
@@ -91,12 +99,22 @@
 		if err == nil {
 			return answer, nil
 		}
-		if again := r.mayTryAgain(ctx, err); !again {
+		again := r.mayTryAgain(ctx, err)
+		r.logFailure(err, again)
+		if !again {
 			return r.giveUp(err)
 		}
 	}
 }
 
+// logFailure tells why an attempt failed and whether another follows.
+func (r *run) logFailure(err *verdict.Error, again bool) {
+	logger.Info(fields{
+		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": r.req.Log.Server, "code": string(err.Code),
+		"verdict": err.Verdict.String(), "error": err.Error(), "again": again,
+	}, "attempt failed")
+}
+
 // giveUp returns the final answer of a request that no server has served.
 func (r *run) giveUp(err *verdict.Error) (*Answer, error) {
 	if r.failed != nil {
@@ -152,12 +170,16 @@
 	r.tried[choice.Server.ID] = true
 	r.req.Log.Attempts++
 	r.req.Log.Server = choice.Server.ID
-	if logging.Enabled(logging.DebugLevel) {
-		logger.Debug(fields{"request_id": r.req.ID, "server": choice.Server.ID, "wait_ms": choice.WaitMs, "loss": choice.Loss, "missing": choice.Missing, "home": choice.AtHome(),
-			"weights": call.Weights, "running": choice.Server.Running, "fetch_from": call.FetchFrom, "position": r.req.Snapshot.Position}, "placed")
-	}
+	logger.Info(fields{
+		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": choice.Server.ID, "address": choice.Server.Address,
+		"wait_ms": round(choice.WaitMs), "loss": choice.Loss, "missing": choice.Missing, "home": choice.AtHome(),
+		"running": choice.Server.Running, "failures": choice.Server.FailureRate, "weights": call.Weights,
+		"fetch_from": call.FetchFrom, "after": call.LastEventID, "position": r.req.Snapshot.Position,
+	}, "placed")
 }
 
+func round(ms float64) int64 { return int64(ms + 0.5) }
+
 // query describes the request to the placement.
 func (r *run) query(now time.Time) *placement.Query {
 	q := &placement.Query{Zone: r.relay.Zone, Target: r.req.Route.TargetLatency, MaxReplaced: r.relay.MaxReplaced, Tried: func(id string) bool { return r.tried[id] }}
@@ -258,7 +280,7 @@
 	if ctx.Err() != nil {
 		outcome = fleet.Refused
 	}
-	flight.End(outcome, time.Now())
+	r.end(flight, outcome)
 	if failure.Verdict != verdict.NotRun {
 		r.sends++
 		r.ran()
@@ -266,6 +288,12 @@
 	return r.timedOut(ctx, failure)
 }
 
+// end notes the outcome of an attempt.
+func (r *run) end(flight *fleet.Attempt, outcome fleet.Outcome) {
+	r.relay.meters.ended(outcome)
+	flight.End(outcome, time.Now())
+}
+
 // ran notes that a server may have run the request.
 func (r *run) ran() {
 	r.executions++
@@ -309,14 +337,14 @@
 	case call.HasPriority:
 		r.relay.Fleet.PassOver(call.ServerID, now.Add(loadingPause))
 	}
-	flight.End(outcome, now)
+	r.end(flight, outcome)
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused the request with status %d", call.ServerID, answer.Status).WithRetryAfter(retryAfter)
 }
 
 // spoiled judges an answer that can't be passed on.
 func (r *run) spoiled(flight *fleet.Attempt, answer *backend.Answer, cause error) *verdict.Error {
 	_ = answer.Body.Close() // nothing in it is used
-	flight.End(fleet.Failed, time.Now())
+	r.end(flight, fleet.Failed)
 	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeBackendFailed, "%s broke off", r.req.Log.Server)
 }
 
@@ -328,10 +356,10 @@
 	}
 	result := &Answer{Status: answer.Status, Header: answer.Header, Body: body}
 	if success || answer.Status < http.StatusInternalServerError {
-		flight.End(fleet.Succeeded, time.Now())
+		r.end(flight, fleet.Succeeded)
 		return r.honest(result)
 	}
-	flight.End(fleet.Failed, time.Now())
+	r.end(flight, fleet.Failed)
 	if _, err := r.honest(result); err != nil {
 		return nil, err
 	}
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -92,7 +92,7 @@
 
 func testRelay(steps []step, repeats int) (Handler, *fakeBackend) {
 	f := &fakeBackend{steps: steps}
-	relay := &Relay{Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: repeats}}
+	relay := NewRelay(Relay{Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: repeats}})
 	return handlerFunc(func(ctx context.Context, req *Request) (*Answer, error) {
 		return Match{}.Handle(ctx, req, relay)
 	}), f
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
+	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -72,7 +72,8 @@
 		return broken
 	}
 	*s = *next
-	logger.Info(fields{"request_id": s.run.req.ID, "server": s.run.req.Log.Server, "after": s.run.lastID}, "stream resumed")
+	s.run.relay.meters.resumed.Add(ctx, 1)
+	logger.Info(fields{logging.FieldRequest: s.run.req.ID, "server": s.run.req.Log.Server, "after": s.run.lastID}, "stream resumed")
 	return nil
 }
 
@@ -85,5 +86,5 @@
 	}
 	s.ended = true
 	_ = s.body.Close() // what is left of a stream that ends here is not used
-	s.flight.End(outcome, time.Now())
+	s.run.end(s.flight, outcome)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,9 +83,11 @@
 
 // Run runs the gateway until ctx ends, then drains it.
 func Run(ctx context.Context, settings *config.Settings, adapter Platform) error {
-	if err := logging.Setup(os.Stdout, settings.Log.Level, settings.Log.Format); err != nil {
+	flush, err := logging.SetupAsync(os.Stdout, settings.Log.Level, settings.Log.Format, settings.Daemon.Name)
+	if err != nil {
 		return err
 	}
+	defer flush()
 	if limit := settings.Gateway.MemoryLimit; limit > 0 {
 		debug.SetMemoryLimit(int64(float64(limit) * memoryShare))
 	}
@@ -144,6 +146,7 @@
 	g.limits = newLimits(settings, g.dialer)
 	g.follower = follower.New(g.store, adapter.Layout, g.changed)
 	g.limits.follower = g.follower
+	observeBelief(g.follower)
 	g.exchange = peering.New(peering.Options{
 		Self:     settings.Daemon.RPCAddress,
 		Seeds:    settings.Daemon.Peers,
@@ -168,14 +171,14 @@
 
 // chain declares the filters in the order in which they act.
 func (g *Gateway) chain() forward.Handler {
-	relay := &forward.Relay{
+	relay := forward.NewRelay(forward.Relay{
 		Zone:        g.settings.Daemon.AvailabilityZone,
 		MaxReplaced: g.settings.Gateway.WeightsDeadline,
 		Fleet:       g.fleet,
 		Cache:       g.cache,
 		Backend:     backend.NewClient(g.platform.Headers),
 		Budget:      g.budget,
-	}
+	})
 	return pipeline.Chain[*forward.Request, *forward.Answer](
 		relay,
 		forward.Match{},
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/follower"
 	"github.com/wasabigate/wasabigate/internal/forward"
+	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -43,11 +44,12 @@
 	headers  Headers
 	handler  forward.Handler
 	echo     *echo.Echo
+	meters   meters
 	draining atomic.Bool
 }
 
 func newIngress(f *follower.Follower, headers Headers, handler forward.Handler) *ingress {
-	in := &ingress{follower: f, headers: headers, handler: handler, echo: echo.New()}
+	in := &ingress{follower: f, headers: headers, handler: handler, echo: echo.New(), meters: newMeters()}
 	in.echo.HideBanner = true
 	in.echo.HidePort = true
 	in.echo.Any("/*", in.forward)
@@ -156,6 +158,7 @@
 		return
 	}
 	defer answer.Events.Close()
+	in.meters.began(req)
 	w.WriteHeader(answer.Status)
 	err := copyEvents(ctx, w, answer.Events)
 	in.finished(req, answer.Status, err)
@@ -220,6 +223,7 @@
 
 // finished logs the end of a request that a server answered.
 func (in *ingress) finished(req *forward.Request, status int, err error) {
+	in.meters.ended(req, status)
 	f := in.fieldsOf(req, status)
 	if err != nil {
 		f["error"] = err.Error()
@@ -231,7 +235,9 @@
 
 // refused logs the end of a request that the gateway answered itself.
 func (in *ingress) refused(req *forward.Request, status int, failure *verdict.Error, err error) {
+	in.meters.ended(req, status)
 	f := in.fieldsOf(req, status)
+	f["code"], f["verdict"] = string(failure.Code), failure.Verdict.String()
 	f["error"] = failure.Error()
 	if err != nil {
 		f["write_error"] = err.Error()
@@ -241,7 +247,7 @@
 
 func (in *ingress) fieldsOf(req *forward.Request, status int) fields {
 	f := fields{
-		"request_id": req.ID, "status": status, "ms": time.Since(req.Arrived).Milliseconds(),
+		logging.FieldRequest: req.ID, "status": status, "ms": time.Since(req.Arrived).Milliseconds(),
 		"attempts": req.Log.Attempts, "server": req.Log.Server, "position": req.Snapshot.Position,
 	}
 	if req.Route != nil {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -30,6 +30,47 @@
 	return SetLevel(level)
 }
 
+// SetupAsync configures the process's log like Setup, but lines are written by a
+// goroutine of their own: logging never blocks, and lines that come too fast are
+// counted instead. Each line names the process. The returned function writes what
+// is left.
+func SetupAsync(w io.Writer, level, format, process string) (flush func(), err error) {
+	var wrap func(io.Writer) log.Handler
+	switch format {
+	case FormatText:
+		wrap = func(w io.Writer) log.Handler { return logfmt.New(w) }
+	case FormatJSON:
+		wrap = func(w io.Writer) log.Handler { return json.New(w) }
+	default:
+		return nil, errors.Errorf("unknown log format %q", format)
+	}
+	a := startAsync(w, wrap)
+	log.SetHandler(named{next: a, process: process})
+	return func() {
+		done := make(chan struct{})
+		a.flush <- done
+		<-done
+	}, SetLevel(level)
+}
+
+// FieldProcess is the name of the field with the process's name.
+const FieldProcess = "process"
+
+// named adds the process's name to each line.
+type named struct {
+	next    log.Handler
+	process string
+}
+
+// HandleLog implements log.Handler.
+func (n named) HandleLog(e *log.Entry) error {
+	if e.Fields == nil {
+		e.Fields = make(log.Fields, 1)
+	}
+	e.Fields[FieldProcess] = n.process
+	return n.next.HandleLog(e)
+}
+
 // SetLevel changes the level at run time.
 func SetLevel(level string) error {
 	parsed, err := log.ParseLevel(level)
