--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -54,6 +54,7 @@
 	meters meters
 
 	Zone        string
+	Source      func() *deployment.Snapshot
 	MaxReplaced time.Duration // how long replaced weights may be used
 	Fleet       *fleet.Fleet
 	Cache       *kvcache.Directory
@@ -147,6 +148,7 @@
 // attempt sends the request to the best server that is left.
 func (r *run) attempt(ctx context.Context) (*Answer, *verdict.Error) {
 	now := time.Now()
+	r.refresh()
 	choice, ok := placement.Pick(r.query(now), r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now))
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request", r.service).WithRetryAfter(retryAfter)
@@ -162,6 +164,17 @@
 	return r.judge(ctx, flight, call, answer)
 }
 
+// refresh takes the current belief for an attempt that comes after the first, unless
+// the service is gone from the configuration.
+func (r *run) refresh() {
+	if r.req.Log.Attempts == 0 {
+		return
+	}
+	if current := r.relay.Source(); current.Ready() && current.Config.Service(r.service) != nil {
+		r.req.Snapshot = current
+	}
+}
+
 // note remembers the decision for the request's log line.
 func (r *run) note(choice *placement.Choice, call *backend.Call) {
 	if r.tried == nil {
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -93,8 +93,12 @@
 func testRelay(steps []step, repeats int) (Handler, *fakeBackend) {
 	f := &fakeBackend{steps: steps}
 	relay := NewRelay(Relay{Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: repeats}})
+	now := func(req *Request) *Relay {
+		relay.Source = func() *deployment.Snapshot { return req.Snapshot }
+		return relay
+	}
 	return handlerFunc(func(ctx context.Context, req *Request) (*Answer, error) {
-		return Match{}.Handle(ctx, req, relay)
+		return Match{}.Handle(ctx, req, now(req))
 	}), f
 }
 
@@ -217,6 +221,36 @@
 	}
 }
 
+// An attempt that comes later knows what has happened since the request arrived: a
+// server that leaves gets no new work.
+func TestLaterAttemptsUseTheCurrentBelief(t *testing.T) {
+	route := testRoute(deployment.Stream, true)
+	now := testSnapshot(route)
+	f := &fakeBackend{steps: []step{{status: 200, body: first, cut: io.ErrUnexpectedEOF}, {status: 200, body: second}}}
+	relay := NewRelay(Relay{
+		Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: plenty},
+		Source: func() *deployment.Snapshot { return now },
+	})
+	req := testRequest(route)
+	req.Route = &route
+	answer, err := relay.Handle(context.Background(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, server := range now.Servers {
+		leaving := *server
+		leaving.Draining = id != "e"
+		now.Servers[id] = &leaving
+	}
+	now.Index()
+	for err == nil {
+		_, err = answer.Events.Next(context.Background())
+	}
+	if len(f.calls) != 2 || f.calls[1].ServerID != "e" {
+		t.Errorf("%d attempts, the last one at %s: all but e leave", len(f.calls), f.calls[len(f.calls)-1].ServerID)
+	}
+}
+
 // A stream that ends before its first event has not ended well.
 func TestStreamWithoutEvents(t *testing.T) {
 	for _, resumable := range []bool{true, false} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,7 @@
 // chain declares the filters in the order in which they act.
 func (g *Gateway) chain() forward.Handler {
 	relay := forward.NewRelay(forward.Relay{
+		Source:      func() *deployment.Snapshot { return g.follower.Snapshot() },
 		Zone:        g.settings.Daemon.AvailabilityZone,
 		MaxReplaced: g.settings.Gateway.WeightsDeadline,
 		Fleet:       g.fleet,
