--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -34,6 +34,7 @@
 		statusCommand(),
 		drainCommand(),
 		logLevelCommand(),
+		explainCommand(),
 		versionCommand(),
 	}
 	root := &cli.Command{
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -76,8 +76,8 @@
 // exitWith ends the command with a code after its output said why.
 func exitWith(code ExitCode) error { return &commandError{code: code} }
 
-// explain gives err its exit code and hint.
-func explain(err error) *commandError {
+// classify gives err its exit code and hint.
+func classify(err error) *commandError {
 	var command *commandError
 	var faults config.Faults
 	var conflict *configstore.ConflictError
@@ -123,7 +123,7 @@
 	if err == nil {
 		return ExitOK
 	}
-	explained := explain(err)
+	explained := classify(err)
 	if explained.err == nil {
 		return explained.code
 	}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,140 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/wasabigate/wasabigate/internal/explain"
+	"github.com/wasabigate/wasabigate/internal/logging"
+)
+
+const (
+	flagSummary = "summary"
+	flagBefore  = "before"
+	// defaultBefore is how far back a story looks for what its process believed: a
+	// change is in force everywhere within seconds.
+	defaultBefore = 5 * time.Second
+)
+
+// storyResult is the story of one request.
+type storyResult struct {
+	Request string         `json:"request"`
+	Story   []explain.Line `json:"story"`
+	Beliefs []explain.Line `json:"beliefs"` // of the process that took the request
+}
+
+func (r *storyResult) writeText(w io.Writer) {
+	if len(r.Story) == 0 {
+		return
+	}
+	start := r.Story[0].Time
+	fmt.Fprintf(w, "request %s, taken at %s\n", r.Request, start.Format(time.RFC3339Nano))
+	for i := range r.Story {
+		writeLine(w, &r.Story[i], start)
+	}
+	if len(r.Beliefs) > 0 {
+		fmt.Fprintf(w, "what %s learned meanwhile and shortly before\n", r.Story[0].Process())
+	}
+	for i := range r.Beliefs {
+		writeLine(w, &r.Beliefs[i], start)
+	}
+}
+
+func writeLine(w io.Writer, line *explain.Line, start time.Time) {
+	fmt.Fprintf(w, "%+9.3fs  %-20s %s  %s\n", line.Time.Sub(start).Seconds(), line.Process(), line.Message, fieldsOf(line))
+}
+
+// fieldsOf returns a line's fields without those that stand elsewhere.
+func fieldsOf(line *explain.Line) string {
+	shown := make(map[string]any, len(line.Fields))
+	for name, value := range line.Fields {
+		if name != logging.FieldProcess && name != logging.FieldRequest {
+			shown[name] = value
+		}
+	}
+	text, err := json.Marshal(shown)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// summaryResult are the failures of all requests.
+type summaryResult struct {
+	Requests []explain.Group `json:"failures"`
+	Skipped  int             `json:"skipped_lines"`
+}
+
+func (r *summaryResult) writeText(w io.Writer) {
+	table := newTable(w)
+	fmt.Fprintln(table, "COUNT\tMESSAGE\tCODE\tVERDICT\tSERVER\tFIRST\tLAST\tEXAMPLE")
+	for i := range r.Requests {
+		g := &r.Requests[i]
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", g.Count, g.Message, g.Code, g.Verdict, g.Server,
+			g.First.Format(time.TimeOnly), g.Last.Format(time.TimeOnly), g.Example)
+	}
+	_ = table.Flush() // the writer's error shows at the next write
+	if r.Skipped > 0 {
+		fmt.Fprintf(w, "%d lines were no log lines\n", r.Skipped)
+	}
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell a request's story from log files, or from the standard input",
+		ArgsUsage: "ID [FILE...]",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagSummary, Usage: "group all failed requests by cause; takes files only"},
+			&cli.DurationFlag{Name: flagBefore, Value: defaultBefore, Usage: "how far back to look for what the process believed"},
+		},
+		Action: action(func(_ context.Context, s *session) error { return s.explain() }),
+	}
+}
+
+func (s *session) explain() error {
+	args := s.command.Args().Slice()
+	if s.command.Bool(flagSummary) {
+		log, err := s.readLogs(args)
+		if err != nil {
+			return err
+		}
+		return s.print(&summaryResult{Requests: log.Failures(), Skipped: log.Skipped})
+	}
+	if len(args) == 0 {
+		return usageError(s.command, "takes the id of a request")
+	}
+	log, err := s.readLogs(args[1:])
+	if err != nil {
+		return err
+	}
+	story := log.Story(args[0])
+	if len(story) == 0 {
+		return fail(ExitFailure, "pass the log files of all processes", "no line concerns the request %q", args[0])
+	}
+	return s.print(&storyResult{Request: args[0], Story: story, Beliefs: log.Beliefs(story, s.command.Duration(flagBefore))})
+}
+
+// readLogs reads files, or the standard input if none is named.
+func (s *session) readLogs(paths []string) (*explain.Log, error) {
+	if len(paths) == 0 {
+		return explain.Read(s.command.Root().Reader)
+	}
+	var sources []io.Reader
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "log file")
+		}
+		sources = append(sources, strings.NewReader(string(text)))
+	}
+	return explain.Read(sources...)
+}
