Let five gateways watch the store, and tell the others

Ruled out: passing the whole state on, 70 KB a change. Change: gateways beyond the first five by hash learn what was written or deleted after their position from two of these, and read the store themselves when they fall silent; one that knows no configuration tries every 50 ms.

--- a/internal/follower/belief.go
+++ b/internal/follower/belief.go
@@ -14,7 +14,7 @@
 type belief struct {
 	position  uint64
 	revisions map[string]platform.Version // by key, of what was applied
-	values    map[string][]byte           // by key
+	latest    map[string]platform.Event   // by key, deletions included
 	config    *deployment.Config
 	servers   map[string]*deployment.Server
 	vanished  map[string]time.Time // servers to drop, unless listed again until then
@@ -26,7 +26,7 @@
 func newBelief() belief {
 	return belief{
 		revisions: make(map[string]platform.Version),
-		values:    make(map[string][]byte),
+		latest:    make(map[string]platform.Event),
 		servers:   make(map[string]*deployment.Server),
 		vanished:  make(map[string]time.Time),
 		weights:   make(map[string]deployment.WeightsTarget),
@@ -38,7 +38,7 @@
 // operators' configuration is never forgotten.
 func (b *belief) begin(keys, servers map[string]struct{}, silence time.Duration, now time.Time) {
 	maps.DeleteFunc(b.revisions, func(key string, _ platform.Version) bool { return !has(keys, key) })
-	maps.DeleteFunc(b.values, func(key string, _ []byte) bool { return !has(keys, key) })
+	maps.DeleteFunc(b.latest, func(key string, event platform.Event) bool { return !event.Deleted && !has(keys, key) })
 	maps.DeleteFunc(b.gateways, func(key string, _ uint64) bool { return !has(keys, key) })
 	for id := range b.servers {
 		if !has(servers, id) {
@@ -64,22 +64,37 @@
 	return true
 }
 
-// keep remembers an entry for other gateways.
+// keep remembers an entry, or that it was deleted, for other gateways.
 func (b *belief) keep(event *platform.Event) {
+	b.latest[event.Key] = *event
 	if event.Deleted {
-		delete(b.values, event.Key)
-		return
+		b.prune()
 	}
-	b.values[event.Key] = event.Value
 }
 
-// entries returns what is remembered.
-func (b *belief) entries() []platform.Entry {
-	entries := make([]platform.Entry, 0, len(b.values))
-	for key, value := range b.values {
-		entries = append(entries, platform.Entry{Key: key, Value: value, Version: b.revisions[key]})
+// maxDeleted bounds the deletions that are remembered: gateways ask several times a
+// second.
+const maxDeleted = 1000
+
+// prune forgets the older half of the deletions when there are too many.
+func (b *belief) prune() {
+	var deleted []platform.Version
+	for _, event := range b.latest {
+		if event.Deleted {
+			deleted = append(deleted, event.Version)
+		}
 	}
-	return entries
+	if len(deleted) <= maxDeleted {
+		return
+	}
+	slices.Sort(deleted)
+	oldest := deleted[len(deleted)/2]
+	maps.DeleteFunc(b.latest, func(_ string, event platform.Event) bool { return event.Deleted && event.Version < oldest })
+}
+
+// known returns what is remembered.
+func (b *belief) known() []platform.Event {
+	return slices.Collect(maps.Values(b.latest))
 }
 
 // applyItem takes in an entry of the operators or of a backend server.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -35,6 +35,10 @@
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// idleSilence is the age of what others told after which an idle gateway reads the
+	// store itself: the longest regular pause of a watch, and two exchanges of a large
+	// fleet.
+	idleSilence = watchWait + gatherTime + 500*time.Millisecond
 	// contactLostAfter is the silence after which the store counts as lost.
 	contactLostAfter = 2500 * time.Millisecond
 	// returnGrace is how long servers that vanished while the store was lost may
@@ -84,8 +88,9 @@
 	batches  chan batch
 	current  atomic.Pointer[deployment.Snapshot]
 	started  time.Time
-	contact  atomic.Int64 // time of the last answer of the store since started, nanoseconds from 1; 0: none
-	entries  atomic.Pointer[[]platform.Entry]
+	contact  atomic.Int64 // when the store answered last, or was last confirmed by a peer; see stamp
+	idle     atomic.Bool  // others watch the store for this process
+	known    atomic.Pointer[[]platform.Event]
 
 	belief    belief    // of the owning goroutine
 	published time.Time // by it
@@ -111,24 +116,53 @@
 // Snapshot returns what is believed now. It is never nil.
 func (f *Follower) Snapshot() *deployment.Snapshot { return f.current.Load() }
 
-// Entries returns the entries that concern gateways, as they are stored, and the
+// Known returns the entries that were written or deleted after a position, and the
 // position up to which they are known.
-func (f *Follower) Entries() ([]platform.Entry, platform.Version) {
-	entries := f.entries.Load()
-	if entries == nil {
+func (f *Follower) Known(after platform.Version) ([]platform.Event, platform.Version) {
+	known := f.known.Load()
+	if known == nil {
 		return nil, 0
 	}
-	return *entries, platform.Version(f.Snapshot().Position)
+	var events []platform.Event
+	for _, event := range *known {
+		if event.Version > after {
+			events = append(events, event)
+		}
+	}
+	return events, platform.Version(f.Snapshot().Position)
 }
 
-// Learn takes in entries that another gateway read from the store.
-func (f *Follower) Learn(ctx context.Context, entries []platform.Entry) {
+// Learn takes in what another gateway knows after this one's position. age is the
+// time since the store confirmed it.
+func (f *Follower) Learn(ctx context.Context, events []platform.Event, position platform.Version, age time.Duration) {
+	silence := f.Silence(time.Now())
 	select {
-	case f.batches <- batch{events: eventsOf(entries)}:
+	case f.batches <- batch{events: events, position: position, silence: silence}:
+		f.Confirm(age)
 	case <-ctx.Done():
 	}
 }
 
+// Confirm notes that another gateway knows no more than this one, and that the store
+// confirmed it that long ago.
+func (f *Follower) Confirm(age time.Duration) { f.stamp(time.Now().Add(-age)) }
+
+// stamp moves the time of the last contact forward. It is kept as nanoseconds since
+// the start, from 1; 0 means none.
+func (f *Follower) stamp(at time.Time) {
+	next := int64(at.Sub(f.started)) + 1
+	for {
+		last := f.contact.Load()
+		if next <= last || f.contact.CompareAndSwap(last, next) {
+			return
+		}
+	}
+}
+
+// SetIdle says whether other gateways watch the store for this one. It reads the
+// store again by itself when they fall silent.
+func (f *Follower) SetIdle(idle bool) { f.idle.Store(idle) }
+
 // Named is a version of a model's weights, and when a gateway learned of it.
 type Named struct {
 	Model string
@@ -255,8 +289,8 @@
 
 func (f *Follower) publish() {
 	f.published = time.Now()
-	entries := f.belief.entries()
-	f.entries.Store(&entries)
+	known := f.belief.known()
+	f.known.Store(&known)
 	snapshot := f.belief.snapshot()
 	f.onChange(snapshot)
 	f.current.Store(snapshot)
@@ -274,6 +308,9 @@
 				lost = false
 			}
 			pause = retryMin
+			if f.rest(ctx) {
+				position = max(position, platform.Version(f.Snapshot().Position))
+			}
 			position, err = f.watch(ctx, position)
 		}
 		if ctx.Err() != nil {
@@ -284,8 +321,28 @@
 			lost = true
 		}
 		sleep(ctx, pause)
-		pause = min(2*pause, retryMax)
+		pause = min(2*pause, f.maxPause())
+	}
+}
+
+// maxPause returns the longest pause between two tries to read the store. A gateway
+// that knows no configuration serves nobody.
+func (f *Follower) maxPause() time.Duration {
+	if !f.Snapshot().Ready() {
+		return retryMin
+	}
+	return retryMax
+}
+
+// rest waits while other gateways watch the store for this one, and says whether it
+// did.
+func (f *Follower) rest(ctx context.Context) bool {
+	rested := false
+	for ctx.Err() == nil && f.idle.Load() && f.Silence(time.Now()) < idleSilence {
+		sleep(ctx, gatherTime)
+		rested = true
 	}
+	return rested
 }
 
 // readAll reads the whole state.
@@ -323,7 +380,7 @@
 func (f *Follower) pass(ctx context.Context, b batch) error {
 	now := time.Now()
 	b.silence = f.Silence(now)
-	f.contact.Store(int64(now.Sub(f.started)) + 1)
+	f.stamp(now)
 	select {
 	case f.batches <- b:
 		return nil
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -25,6 +25,7 @@
 	oldest   platform.Version
 	down     bool
 	reads    int
+	watches  int
 }
 
 func newFakeFeed() *fakeFeed { return &fakeFeed{items: make(map[string]platform.Entry)} }
@@ -67,6 +68,7 @@
 }
 
 func (f *fakeFeed) Changes(ctx context.Context, _ string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+	f.set(func() { f.watches++ })
 	for deadline := time.Now().Add(wait); ; {
 		f.mu.Lock()
 		down, oldest, position := f.down, f.oldest, f.revision
@@ -236,10 +238,10 @@
 		f.put("op/version/m", "weights m 3")
 		time.Sleep(inForceWithin)
 		f.set(func() { f.down = true })
-		follower.Learn(context.Background(), []platform.Entry{
-			{Key: "op/config", Value: []byte("config 5"), Version: 50},
-			{Key: "servers/a", Value: []byte("server old 10.9.9.9:80"), Version: 1},
-		})
+		follower.Learn(context.Background(), []platform.Event{
+			{Entry: platform.Entry{Key: "op/config", Value: []byte("config 5"), Version: 50}},
+			{Entry: platform.Entry{Key: "servers/a", Value: []byte("server old 10.9.9.9:80"), Version: 1}},
+		}, 50, 0)
 		now := time.Now()
 		follower.LearnNamed(context.Background(), []Named{
 			{Model: "m", NamedWeights: deployment.NamedWeights{Version: 2, Since: now.Add(-20 * time.Second)}},
@@ -255,9 +257,11 @@
 		if target.Version != 3 || target.ReplacedFor(1, now) != 20*time.Second || target.ReplacedFor(2, now) != 8*time.Second || target.ReplacedFor(3, now) != 0 {
 			t.Errorf("weights %+v", target)
 		}
-		entries, position := follower.Entries()
-		if len(entries) != 3 || position == 0 {
-			t.Errorf("%d entries at %d for other gateways", len(entries), position)
+		if events, position := follower.Known(0); len(events) != 3 || position != 50 {
+			t.Errorf("%d entries at %d for other gateways", len(events), position)
+		}
+		if events, _ := follower.Known(49); len(events) != 1 || events[0].Key != "op/config" {
+			t.Errorf("after 49: %+v", events)
 		}
 	})
 }
@@ -281,3 +285,33 @@
 		}
 	})
 }
+
+// An idle gateway makes no calls while others tell it what they know, and reads the
+// store itself when they fall silent.
+func TestIdleFollower(t *testing.T) {
+	world(t, func(f *fakeFeed, follower *Follower) {
+		follower.SetIdle(true)
+		time.Sleep(2 * time.Second)
+		f.set(func() { f.watches = 0 })
+		for position := platform.Version(10); position < 50; position++ {
+			events := []platform.Event{{Entry: platform.Entry{Key: "servers/a", Version: position}, Deleted: true}}
+			if position%2 == 0 {
+				events[0] = platform.Event{Entry: platform.Entry{Key: "servers/a", Value: []byte("server lm 10.0.0.1:80"), Version: position}}
+			}
+			follower.Learn(context.Background(), events, position, 100*time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
+			if listed := follower.Snapshot().Servers["a"] != nil; listed != (position%2 == 0) {
+				t.Fatalf("at %d the server is listed: %v", position, listed)
+			}
+		}
+		if f.watches != 0 {
+			t.Errorf("%d calls while others watched", f.watches)
+		}
+		f.set(func() { f.revision = 60 })
+		f.put("op/config", "config 7")
+		time.Sleep(idleSilence + inForceWithin)
+		if got := follower.Snapshot().Config.Version; got != 7 || f.watches == 0 {
+			t.Errorf("configuration %d after the others fell silent, %d calls", got, f.watches)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,7 @@
 	g.fleet.Forget(snapshot)
 	g.budget.SetGateways(len(snapshot.Gateways))
 	g.limits.update(snapshot, time.Now())
+	g.follower.SetIdle(!roster.Watches(snapshot.Gateways, g.settings.Daemon.RPCAddress))
 }
 
 // serve runs all listeners and background work until ctx ends, then drains.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -4,17 +4,21 @@
 package peering
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/follower"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
@@ -34,12 +38,9 @@
 	callTimeout = 300 * time.Millisecond
 	// failurePause is how long a peer that did not answer is left alone.
 	failurePause = time.Second
-	// quietStore is the silence of the store after which peers are asked for the
-	// operators' entries, if they know a newer configuration.
+	// quietStore is the silence of the store after which peers are asked what they
+	// know of it.
 	quietStore = 400 * time.Millisecond
-	// catchUpInterval is the time between two reads of the entries from peers while
-	// the store is silent.
-	catchUpInterval = time.Second
 )
 
 // Options are the parts that an Exchange works with.
@@ -56,9 +57,8 @@
 type Exchange struct {
 	opts Options
 
-	mu       sync.Mutex
-	peers    map[string]*peer // by rpc address
-	caughtUp time.Time
+	mu    sync.Mutex
+	peers map[string]*peer // by rpc address
 }
 
 // peer is another gateway.
@@ -95,21 +95,38 @@
 }
 
 // addresses returns the peers to call. Of each pair one calls, since the answer
-// carries a report too; a gateway whose store is silent calls all.
+// carries a report too. A gateway for which others watch the store calls two of
+// these, and one whose store is silent calls all.
 func (x *Exchange) addresses() []string {
-	silent := x.opts.Follower.Silence(time.Now()) > quietStore+follower.MaxPause
+	listed := x.opts.Follower.Snapshot().Gateways
+	silent := x.silence() > quietStore+follower.MaxPause
 	var addresses []string
-	for _, gateway := range x.opts.Follower.Snapshot().Gateways {
-		if gateway.Address > x.opts.Self || silent && gateway.Address != x.opts.Self {
+	for _, gateway := range listed {
+		if gateway.Address > x.opts.Self || silent {
 			addresses = append(addresses, gateway.Address)
 		}
 	}
-	for _, seed := range x.opts.Seeds {
-		if silent && seed != x.opts.Self && !slices.Contains(addresses, seed) {
-			addresses = append(addresses, seed)
-		}
+	if !roster.Watches(listed, x.opts.Self) {
+		addresses = append(addresses, x.watchers(listed)...)
+	}
+	if silent {
+		addresses = append(addresses, x.opts.Seeds...)
 	}
-	return addresses
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == x.opts.Self })
+}
+
+// watchersAsked is how many of the gateways that watch the store an idle one asks.
+const watchersAsked = 2
+
+// watchers returns some of the gateways that watch the store, others for each asker.
+func (x *Exchange) watchers(listed []deployment.Gateway) []string {
+	watchers := roster.Watchers(listed)
+	slices.SortFunc(watchers, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(a+x.opts.Self), xxhash.Sum64String(b+x.opts.Self))
+	})
+	return watchers[:min(len(watchers), watchersAsked)]
 }
 
 // begin says whether the peer is to be called now.
@@ -145,9 +162,7 @@
 		return
 	}
 	x.learn(ctx, report)
-	if x.behind(report) {
-		x.catchUp(ctx, client, address)
-	}
+	x.follow(ctx, client, address, report)
 }
 
 func (x *Exchange) end(address string, err error) {
@@ -174,22 +189,27 @@
 }
 
 // OperatorEntries implements wire.DRPCGatewaysServer: it gives what this gateway
-// knows from the store.
-func (x *Exchange) OperatorEntries(context.Context, *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
-	entries, position := x.opts.Follower.Entries()
-	reply := &wire.OperatorEntriesReply{Position: uint64(position)}
-	for _, entry := range entries {
-		reply.Entries = append(reply.Entries, &wire.StoredEntry{Key: entry.Key, Value: entry.Value, Revision: uint64(entry.Version)})
+// knows of the store after a position.
+func (x *Exchange) OperatorEntries(_ context.Context, req *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
+	events, position := x.opts.Follower.Known(platform.Version(req.After))
+	reply := &wire.OperatorEntriesReply{Position: uint64(position), StoreSilenceMs: x.silence().Milliseconds()}
+	for i := range events {
+		e := &events[i]
+		reply.Entries = append(reply.Entries, &wire.StoredEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Version), Deleted: e.Deleted})
 	}
 	return reply, nil
 }
 
+// silence returns the age of what this gateway knows of the store.
+func (x *Exchange) silence() time.Duration { return x.opts.Follower.Silence(time.Now()) }
+
 // report returns what this gateway tells a peer.
 func (x *Exchange) report(address string) *wire.GatewayReport {
 	report := &wire.GatewayReport{
 		Sender:         x.opts.Self,
 		ConfigVersion:  versionOf(x.opts.Follower.Snapshot()),
-		StoreSilenceMs: x.opts.Follower.Silence(time.Now()).Milliseconds(),
+		StoreSilenceMs: x.silence().Milliseconds(),
+		Position:       x.opts.Follower.Snapshot().Position,
 	}
 	for id, load := range x.opts.Fleet.Own() {
 		report.Loads = append(report.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), PendingTokens: load.PendingTokens})
@@ -263,42 +283,34 @@
 	x.opts.Follower.LearnNamed(ctx, named)
 }
 
-// behind says whether the peer knows more of the operators' entries: it has a newer
-// configuration, or the store answers it alone.
-func (x *Exchange) behind(report *wire.GatewayReport) bool {
-	silence := x.opts.Follower.Silence(time.Now())
-	if silence <= quietStore {
-		return false
-	}
-	if report.ConfigVersion > versionOf(x.opts.Follower.Snapshot()) {
-		return true
-	}
-	heard := time.Duration(report.StoreSilenceMs) * time.Millisecond
-	return silence > follower.MaxPause+quietStore && heard <= follower.MaxPause && x.mayCatchUp()
-}
-
-func (x *Exchange) mayCatchUp() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	now := time.Now()
-	if now.Sub(x.caughtUp) < catchUpInterval {
-		return false
+// follow takes the peer's word on the store, if the store has been silent for a
+// while: it is lost, or other gateways watch it for this one.
+func (x *Exchange) follow(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) {
+	mine, heard := x.silence(), time.Duration(report.StoreSilenceMs)*time.Millisecond
+	position := x.opts.Follower.Snapshot().Position
+	switch {
+	case mine <= quietStore || heard >= mine:
+	case report.Position > position || position == 0:
+		x.catchUp(ctx, client, address, position)
+	case report.Position == position:
+		x.opts.Follower.Confirm(heard)
 	}
-	x.caughtUp = now
-	return true
 }
 
-// catchUp reads the operators' entries from a peer.
-func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string) {
-	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{})
+// catchUp reads what a peer knows after this gateway's position.
+func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after uint64) {
+	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after})
 	if err != nil {
 		logger.Warn(fields{"peer": address, "error": err.Error()}, "entries not read from a gateway")
 		return
 	}
-	entries := make([]platform.Entry, 0, len(reply.Entries))
-	for _, entry := range reply.Entries {
-		entries = append(entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: platform.Version(entry.Revision)})
+	events := make([]platform.Event, 0, len(reply.Entries))
+	for _, e := range reply.Entries {
+		events = append(events, platform.Event{
+			Entry:   platform.Entry{Key: e.Key, Value: e.Value, Version: platform.Version(e.Revision)},
+			Deleted: e.Deleted,
+		})
 	}
-	logger.Info(fields{"peer": address, "entries": len(entries), "position": reply.Position}, "entries read from a gateway")
-	x.opts.Follower.Learn(ctx, entries)
+	logger.Debug(fields{"peer": address, "entries": len(events), "after": after, "position": reply.Position}, "entries read from a gateway")
+	x.opts.Follower.Learn(ctx, events, platform.Version(reply.Position), time.Duration(reply.StoreSilenceMs)*time.Millisecond)
 }
--- a/internal/roster/members.go
+++ b/internal/roster/members.go
@@ -16,6 +16,35 @@
 // share would admit it twice.
 const absenceGrace = 8 * time.Second
 
+// maxWatchers is the number of gateways that watch the store, so that its calls do
+// not grow with the fleet. The others learn from them.
+const maxWatchers = 5
+
+// Watchers returns the gateways that watch the store: the first by a hash of their
+// addresses, so that zones share the work.
+func Watchers(listed []deployment.Gateway) []string {
+	addresses := make([]string, 0, len(listed))
+	for i := range listed {
+		addresses = append(addresses, listed[i].Address)
+	}
+	sortByHash(addresses)
+	return addresses[:min(len(addresses), maxWatchers)]
+}
+
+// Watches says whether the gateway at address watches the store. One that is not
+// listed yet does.
+func Watches(listed []deployment.Gateway, address string) bool {
+	isListed := slices.ContainsFunc(listed, func(g deployment.Gateway) bool { return g.Address == address })
+	return !isListed || slices.Contains(Watchers(listed), address)
+}
+
+// sortByHash orders addresses in a way that is the same everywhere and mixes zones.
+func sortByHash(addresses []string) {
+	slices.SortFunc(addresses, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+}
+
 // Members are the gateways that own shards. One goroutine uses them.
 type Members struct {
 	self  string
@@ -67,9 +96,7 @@
 	for address := range members {
 		addresses = append(addresses, address)
 	}
-	slices.SortFunc(addresses, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
+	sortByHash(addresses)
 	var owners [shard.Count]shard.Owner
 	for i := range owners {
 		turn := i/shard.Classes + i%shard.Classes
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -82,6 +82,27 @@
 	}
 }
 
+func TestFewGatewaysWatch(t *testing.T) {
+	for _, n := range []int{1, 4, 5, 27, 1500} {
+		var addresses []string
+		for i := range n {
+			addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:1", i/250, i%250))
+		}
+		listed, watching := gateways(addresses...), 0
+		for _, address := range addresses {
+			if Watches(listed, address) {
+				watching++
+			}
+		}
+		if watching != min(n, maxWatchers) {
+			t.Errorf("%d of %d gateways watch", watching, n)
+		}
+		if !Watches(listed, "10.9.9.9:1") {
+			t.Error("a gateway that is not listed yet reads nothing")
+		}
+	}
+}
+
 // fakeKV holds keys under leases.
 type fakeKV struct {
 	mu     sync.Mutex
