--- a/internal/forward/match.go
+++ b/internal/forward/match.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
@@ -54,3 +55,24 @@
 	b.Events.Close()
 	b.cancel()
 }
+
+// Confirmed refuses requests when the configuration could not be confirmed for too
+// long, on deployments that want that: a key may have been withdrawn meanwhile.
+type Confirmed struct {
+	Silence func() time.Duration // of the store and of all that know it
+	Bound   time.Duration
+}
+
+// confirmRetryAfter is told to clients: the store is asked again several times in it.
+const confirmRetryAfter = time.Second
+
+// Name implements pipeline.Filter.
+func (*Confirmed) Name() string { return "confirmed" }
+
+// Handle implements pipeline.Filter. Public routes need no key, and go on.
+func (c *Confirmed) Handle(ctx context.Context, req *Request, next Handler) (*Answer, error) {
+	if silence := c.Silence(); silence > c.Bound && !req.Route.Public {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeStoreUnavailable, "the configuration was confirmed %v ago", silence.Round(time.Millisecond)).WithRetryAfter(confirmRetryAfter)
+	}
+	return next.Handle(ctx, req)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,12 +180,13 @@
 		Backend:     backend.NewClient(g.platform.Headers),
 		Budget:      g.budget,
 	})
-	return pipeline.Chain[*forward.Request, *forward.Answer](
-		relay,
-		forward.Match{},
-		forward.Authenticate{},
-		&forward.Limit{Limiter: g.limits.local},
-	)
+	filters := []forward.Filter{forward.Match{}}
+	if g.settings.Gateway.FailClosed {
+		silence := func() time.Duration { return g.follower.Silence(time.Now()) }
+		filters = append(filters, &forward.Confirmed{Silence: silence, Bound: g.settings.Gateway.BeliefBound})
+	}
+	filters = append(filters, forward.Authenticate{}, &forward.Limit{Limiter: g.limits.local})
+	return pipeline.Chain[*forward.Request, *forward.Answer](relay, filters...)
 }
 
 // changed is called with each new belief.
