Hold the lease before weights are named, and count gateways that were heard of

Cause: the first order came 0.4 s after the first weights were named, since the lease was sought only then. After all registrations lapsed, a restarted gateway saw itself alone in the store and took the whole of each rate. Change: the lease is held as soon as there are engines; gateways heard of in the last 2 s share the rates, and seeds are called in a process's first 5 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,9 @@
 	// memoryShare is the part of the memory limit at which the garbage collector
 	// works harder; the rest is for the kernel's buffers and stacks.
 	memoryShare = 0.7
+	// heardTime is how long a gateway that was heard of counts as one that shares the
+	// workspaces' rates, if the store does not list it.
+	heardTime = 2 * time.Second
 	// readHeaderTimeout bounds how long a client may take to send a request's head.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout closes connections that no client uses: above the longest idle time
@@ -193,7 +196,7 @@
 func (g *Gateway) changed(snapshot *deployment.Snapshot) {
 	g.fleet.Forget(snapshot)
 	g.budget.SetGateways(len(snapshot.Gateways))
-	g.limits.update(snapshot, time.Now())
+	g.limits.update(snapshot, g.exchange.Heard(time.Now().Add(-heardTime)), time.Now())
 	g.follower.SetIdle(!roster.Watches(snapshot.Gateways, g.settings.Daemon.RPCAddress))
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -57,9 +57,14 @@
 	return errors.Wrap(wire.DRPCRegisterLimits(mux, l.local), "limits service")
 }
 
-// update takes in a belief. One goroutine calls it.
-func (l *limits) update(snapshot *deployment.Snapshot, now time.Time) {
-	table, changed := l.members.Update(snapshot.Gateways, snapshot.Position, now)
+// update takes in a belief, and the gateways that were heard of although they may not
+// be listed. One goroutine calls it.
+func (l *limits) update(snapshot *deployment.Snapshot, heard []string, now time.Time) {
+	gateways := slices.Clone(snapshot.Gateways)
+	for _, address := range heard {
+		gateways = append(gateways, deployment.Gateway{Address: address})
+	}
+	table, changed := l.members.Update(gateways, snapshot.Position, now)
 	if snapshot.Config == nil || !changed && snapshot.Config == l.source {
 		return
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -55,7 +55,8 @@
 
 // Exchange talks to the other gateways. It implements wire.DRPCGatewaysServer.
 type Exchange struct {
-	opts Options
+	opts    Options
+	started time.Time
 
 	mu    sync.Mutex
 	peers map[string]*peer // by rpc address
@@ -63,6 +64,7 @@
 
 // peer is another gateway.
 type peer struct {
+	heard   time.Time
 	told    uint64 // uses of cached parts that it was told of
 	busy    bool
 	failing bool
@@ -73,7 +75,7 @@
 
 // New returns an Exchange that Run starts.
 func New(opts Options) *Exchange {
-	return &Exchange{opts: opts, peers: make(map[string]*peer)}
+	return &Exchange{opts: opts, started: time.Now(), peers: make(map[string]*peer)}
 }
 
 // Run exchanges reports until ctx ends.
@@ -109,7 +111,7 @@
 	if !roster.Watches(listed, x.opts.Self) {
 		addresses = append(addresses, x.watchers(listed)...)
 	}
-	if silent {
+	if silent || time.Since(x.started) < introduction {
 		addresses = append(addresses, x.opts.Seeds...)
 	}
 	slices.Sort(addresses)
@@ -117,6 +119,23 @@
 	return slices.DeleteFunc(addresses, func(address string) bool { return address == x.opts.Self })
 }
 
+// introduction is how long a process calls its seeds after its start, whatever the
+// store lists: the leases of all gateways may just have lapsed.
+const introduction = 5 * time.Second
+
+// Heard returns the gateways that were heard of since then.
+func (x *Exchange) Heard(since time.Time) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var addresses []string
+	for address, p := range x.peers {
+		if p.heard.After(since) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // watchersAsked is how many of the gateways that watch the store an idle one asks.
 const watchersAsked = 2
 
@@ -259,6 +278,7 @@
 		loads[load.Server] = fleet.Load{Running: int(load.Running), PendingTokens: load.PendingTokens}
 	}
 	x.opts.Fleet.SetRemote(report.Sender, loads, now)
+	x.hear(report.Sender, now)
 	for _, note := range report.Notes {
 		x.opts.Fleet.Heard(fleet.Note{
 			Server: note.Server, Incarnation: note.Incarnation, Model: note.Model, Weights: note.Weights,
@@ -274,6 +294,12 @@
 	x.learnNamed(ctx, report.Named, now)
 }
 
+func (x *Exchange) hear(address string, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.peer(address).heard = now
+}
+
 func (x *Exchange) learnNamed(ctx context.Context, list []*wire.NamedWeights, now time.Time) {
 	named := make([]follower.Named, 0, len(list))
 	for _, n := range list {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -86,7 +86,7 @@
 
 func (r *Rollout) step(ctx context.Context, now time.Time) {
 	snapshot := r.opts.Source.Snapshot()
-	if len(snapshot.Weights) == 0 || !r.holds(ctx, snapshot, now) {
+	if !hasEngines(snapshot) || !r.holds(ctx, snapshot, now) {
 		return
 	}
 	for model, wanted := range snapshot.Weights {
@@ -99,6 +99,12 @@
 	}
 }
 
+// hasEngines says whether there may be orders to give. The lease is held before new
+// weights are named, so that the first order is not late.
+func hasEngines(snapshot *deployment.Snapshot) bool {
+	return snapshot.Config != nil && slices.ContainsFunc(snapshot.Config.Services, func(s deployment.Service) bool { return s.Engine != nil })
+}
+
 // holds says whether this gateway may give orders. It gets and renews the lease.
 func (r *Rollout) holds(ctx context.Context, snapshot *deployment.Snapshot, now time.Time) bool {
 	if r.term == nil {
