--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BENCH_SECONDS := 300
 SHORT_BENCH_SECONDS := 50
 
-.PHONY: build demo smoke promises test lint generate clean
+.PHONY: build demo smoke promises bench soak test lint generate clean
 
 build: ## Builds the programs into bin.
 	$(GO) build -o bin/ ./cmd/... ./internal/tools/smoke
@@ -42,3 +42,6 @@
 
 clean:
 	rm -rf bin report
+
+soak: ## Runs real gateways under random faults; SEED=1,2,3 and MINUTES=1 a seed.
+	SOAK_SEEDS=$(or $(SEED),1) SOAK_SECONDS=$$(( $(or $(MINUTES),1) * 60 )) $(GO) test -race -v -count 1 -run TestSoak -timeout 12h ./platform
