Leave a silent server while there is time for another

Ruled out: keep-alive probes, which the server's kernel answers. Change: an attempt that may be made again gets three times its target or 0.45 of the time left, and a stream that can go on elsewhere may pause for twice its target gap; then the connection is closed and another server asked, within the budget.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -156,12 +156,18 @@
 	call := r.call(&choice, now)
 	r.note(&choice, call)
 	flight := r.relay.Fleet.Begin(choice.Server.ID, choice.Missing, now)
-	answer, err := r.relay.Backend.Do(ctx, call)
+	watched, dog := r.watch(ctx, now)
+	answer, err := r.relay.Backend.Do(watched, call)
 	if err != nil {
+		dog.end()
 		return nil, r.noAnswer(ctx, flight, err)
 	}
 	r.sends++
-	return r.judge(ctx, flight, call, answer)
+	result, failure := r.judge(ctx, flight, call, answer, dog)
+	if failure != nil || result.Events == nil {
+		dog.end()
+	}
+	return result, failure
 }
 
 // refresh takes the current belief for an attempt that comes after the first, unless
@@ -322,7 +328,7 @@
 }
 
 // judge decides what an answer's head means.
-func (r *run) judge(ctx context.Context, flight *fleet.Attempt, call *backend.Call, answer *backend.Answer) (*Answer, *verdict.Error) {
+func (r *run) judge(ctx context.Context, flight *fleet.Attempt, call *backend.Call, answer *backend.Answer, dog *watchdog) (*Answer, *verdict.Error) {
 	now := time.Now()
 	r.relay.Fleet.SawWeights(call.ServerID, r.req.Model, answer.Weights, now)
 	if answer.NotRun {
@@ -334,7 +340,7 @@
 		return nil, r.spoiled(flight, answer, errors.New("not a backend server's answer"))
 	}
 	if success && r.req.Route.Kind == deployment.Stream {
-		return r.stream(ctx, flight, call, answer)
+		return r.stream(ctx, flight, call, answer, dog)
 	}
 	return r.whole(ctx, flight, answer, success)
 }
@@ -393,8 +399,8 @@
 }
 
 // stream waits for the first events.
-func (r *run) stream(ctx context.Context, flight *fleet.Attempt, call *backend.Call, answer *backend.Answer) (*Answer, *verdict.Error) {
-	s := &stream{run: r, flight: flight, body: answer.Body, reader: eventstream.NewReader(answer.Body)}
+func (r *run) stream(ctx context.Context, flight *fleet.Attempt, call *backend.Call, answer *backend.Answer, dog *watchdog) (*Answer, *verdict.Error) {
+	s := &stream{run: r, flight: flight, dog: dog, body: answer.Body, reader: eventstream.NewReader(answer.Body)}
 	first, err := s.reader.Next()
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF // a stream without events did not end, it broke off
@@ -402,6 +408,7 @@
 	if err != nil {
 		return nil, r.timedOut(ctx, r.spoiled(flight, answer, err))
 	}
+	dog.fed()
 	flight.Started()
 	if len(r.req.Shared()) > 0 {
 		r.relay.Cache.Used(&kvcache.Use{
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,7 @@
 	cut     error // the body ends so
 	verdict verdict.Verdict
 	failed  bool // no answer, with verdict
+	silent  bool // no answer until the attempt is given up
 	cause   error
 }
 
@@ -38,9 +40,13 @@
 	calls []*backend.Call
 }
 
-func (f *fakeBackend) Do(_ context.Context, call *backend.Call) (*backend.Answer, error) {
+func (f *fakeBackend) Do(ctx context.Context, call *backend.Call) (*backend.Answer, error) {
 	f.calls = append(f.calls, call)
 	s := f.steps[min(len(f.calls), len(f.steps))-1]
+	if s.silent && s.body == "" {
+		<-ctx.Done()
+		return nil, verdict.Wrap(context.Cause(ctx), verdict.MayHaveRun, verdict.CodeCancelled, "given up")
+	}
 	if s.failed {
 		return nil, verdict.Wrap(s.cause, s.verdict, verdict.CodeBackendFailed, "no answer")
 	}
@@ -53,10 +59,20 @@
 	if s.cut != nil {
 		body = io.MultiReader(body, iotest.ErrReader(s.cut))
 	}
+	if s.silent {
+		body = io.MultiReader(body, readerFunc(func([]byte) (int, error) {
+			<-ctx.Done()
+			return 0, context.Cause(ctx)
+		}))
+	}
 	answer.Body = io.NopCloser(body)
 	return answer, nil
 }
 
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // fakeBudget allows a number of repeats.
 type fakeBudget struct{ left int }
 
@@ -331,3 +347,48 @@
 		}
 	}
 }
+
+// A server that falls silent does not use up all of a request's time, if another one
+// may be asked.
+func TestSilentServers(t *testing.T) {
+	cases := []struct {
+		name   string
+		route  deployment.Route
+		steps  []step
+		calls  int
+		status int
+		within time.Duration
+	}{
+		{"idempotent", testRoute(deployment.Idempotent, false), []step{{silent: true}, {status: 200, body: "whole"}}, 2, 200, 300 * time.Millisecond},
+		{"at most once", testRoute(deployment.AtMostOnce, false), []step{{silent: true}, {status: 200, body: "whole"}}, 1, 0, 5 * time.Second},
+		{"stream before its first event", testRoute(deployment.Stream, true), []step{{silent: true}, {status: 200, body: first + second}}, 2, 200, 300 * time.Millisecond},
+		{"stream between events", testRoute(deployment.Stream, true), []step{{status: 200, body: first, silent: true}, {status: 200, body: second}}, 2, 200, minStall + 300*time.Millisecond},
+		{"last attempt", testRoute(deployment.Idempotent, false), []step{{silent: true}}, 2, 0, 5 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.route.TargetLatency, c.route.TargetGap = 100*time.Millisecond, 100*time.Millisecond
+				handler, f := testRelay(c.steps, plenty)
+				start := time.Now()
+				answer, err := handler.Handle(context.Background(), testRequest(c.route))
+				events := ""
+				for err == nil && answer.Events != nil {
+					var raw []byte
+					raw, err = answer.Events.Next(context.Background())
+					events += string(raw)
+				}
+				if answer != nil && answer.Events != nil {
+					answer.Events.Close()
+					if events != first+second || err != io.EOF {
+						t.Errorf("%q, %v", events, err)
+					}
+					err = nil
+				}
+				if took := time.Since(start); len(f.calls) != c.calls || took > c.within || (err == nil) != (c.status == 200) {
+					t.Errorf("%d attempts in %v, %v", len(f.calls), took, err)
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,6 +18,7 @@
 type stream struct {
 	run    *run
 	flight *fleet.Attempt
+	dog    *watchdog
 	body   io.Closer
 	reader *eventstream.Reader
 	first  *eventstream.Batch // read ahead
@@ -29,6 +30,7 @@
 	for {
 		batch, err := s.next()
 		if err == nil {
+			s.dog.fed()
 			if batch.LastID != "" {
 				s.run.lastID = batch.LastID
 			}
@@ -85,6 +87,7 @@
 		return
 	}
 	s.ended = true
+	s.dog.end()
 	_ = s.body.Close() // what is left of a stream that ends here is not used
 	s.run.end(s.flight, outcome)
 }
