--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -56,11 +56,11 @@
 
 // resume goes on at another server after the last event that the client has.
 func (s *stream) resume(ctx context.Context, cause error) error {
-	outcome := fleet.Failed
 	if ctx.Err() != nil {
-		outcome = fleet.Refused
+		s.end(fleet.Refused)
+		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeCancelled, "the client left, or its time is up: %v", context.Cause(ctx))
 	}
-	s.end(outcome)
+	s.end(fleet.Failed)
 	broken := verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeStreamLost, "%s broke off the stream", s.run.req.Log.Server)
 	if !s.run.req.MayRepeat() || !s.run.mayTryAgain(ctx, broken) {
 		return broken
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -239,6 +239,7 @@
 	f := in.fieldsOf(req, status)
 	f["code"], f["verdict"] = string(failure.Code), failure.Verdict.String()
 	f["error"] = failure.Error()
+	f["store_silence_ms"] = in.follower.Silence(time.Now()).Milliseconds()
 	if err != nil {
 		f["write_error"] = err.Error()
 	}
--- a/internal/limit/acquire.go
+++ b/internal/limit/acquire.go
@@ -191,7 +191,8 @@
 		return verdict.New(verdict.NotRun, verdict.CodeStoreUnavailable, "no owner of the bucket's shards answers")
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeRateLimited,
-		"workspace %q is over its rate", a.bucket.workspace).WithRetryAfter(delay)
+		"workspace %q is over its rate: %d tokens are needed, %d can be had", a.bucket.workspace, a.cost,
+		a.bucket.survey(a.local.now(a.snapshot)).total).WithRetryAfter(delay)
 }
 
 // silent says whether the bucket has other owners and all failed lately.
