Keep serving when all engines refuse some requests

A refusal excluded an engine for 300 ms; when all refused some, none was left. Ruled out: the limiter, and weights taken for too old (0 of 12 in the refusal's new counts); that servers' shown weights were forgotten after 5 s was a fault of its own. Change: refusals make others preferred, shown weights last as long as the process unless it refuses them, word of a load counts for a second.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,9 +23,6 @@
 	suspectTime = time.Second
 	// remoteLife is how long the numbers of another gateway are used.
 	remoteLife = time.Second
-	// sightLife is how long weights that an answer showed go before the listed ones,
-	// which lag behind by a heartbeat and its way.
-	sightLife = 5 * time.Second
 )
 
 // Load is a gateway's share of a backend server's load.
@@ -199,6 +196,14 @@
 	f.state(id).weights[model] = sight{version: version, at: now}
 }
 
+// DoubtWeights forgets the version that a server showed, after it refused a request
+// that expected this version.
+func (f *Fleet) DoubtWeights(id, model string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.state(id).weights, model)
+}
+
 // SetLoading notes that a server loads weights, or is emptied for that, until
 // then. A time that has passed ends that. Other gateways are told.
 func (f *Fleet) SetLoading(id string, until time.Time) {
@@ -208,12 +213,13 @@
 	s.loadingUntil, s.ordered = until, true
 }
 
-// PassOver keeps requests away from a server that refuses them for the moment.
+// PassOver prefers others to a server that refused a request, for a moment. If many
+// refuse, the refusals count for nothing: they are then no matter of one server.
 func (f *Fleet) PassOver(id string, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.state(id); s.loadingUntil.Before(until) {
-		s.loadingUntil, s.ordered = until, false
+	if s := f.state(id); s.suspectUntil.Before(until) {
+		s.suspectUntil = until
 	}
 }
 
@@ -282,7 +288,7 @@
 		return
 	}
 	if note.Model == "" {
-		s.loadingUntil = now.Add(note.Loading)
+		s.loadingUntil = now.Add(min(note.Loading, remoteLife)) // told again while it lasts
 		return
 	}
 	if note.Weights >= s.weights[note.Model].version {
@@ -318,7 +324,7 @@
 		Cold:          now.Before(server.ColdUntil),
 		Loading:       now.Before(s.loadingUntil),
 		Suspect:       now.Before(s.suspectUntil),
-		Weights:       s.weightsOf(server, model, now),
+		Weights:       s.weightsOf(server, model),
 		Running:       load.Running,
 		PendingTokens: load.PendingTokens,
 		FailureRate:   s.failureRate(now),
@@ -337,11 +343,9 @@
 	return load
 }
 
-func (s *serverState) weightsOf(server *deployment.Server, model string, now time.Time) uint64 {
-	listed := server.WeightsOf(model)
-	seen, ok := s.weights[model]
-	if ok && now.Sub(seen.at) < sightLife {
-		return max(seen.version, listed)
-	}
-	return listed
+// weightsOf returns the version that the server showed, if that is newer than the
+// listed one. Weights only become newer while a process lives, and the list may be
+// as old as an outage of the store.
+func (s *serverState) weightsOf(server *deployment.Server, model string) uint64 {
+	return max(s.weights[model].version, server.WeightsOf(model))
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -151,7 +151,7 @@
 	r.refresh()
 	choice, ok := placement.Pick(r.query(now), r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now))
 	if !ok {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request", r.service).WithRetryAfter(retryAfter)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Passed).WithRetryAfter(retryAfter)
 	}
 	call := r.call(&choice, now)
 	r.note(&choice, call)
@@ -354,6 +354,9 @@
 	case answer.Status == http.StatusMisdirectedRequest && answer.ServerID != "" && answer.ServerID != call.ServerID:
 		outcome = fleet.Unreachable
 	case call.HasPriority:
+		if answer.Status == http.StatusMisdirectedRequest {
+			r.relay.Fleet.DoubtWeights(call.ServerID, r.req.Model)
+		}
 		r.relay.Fleet.PassOver(call.ServerID, now.Add(loadingPause))
 	}
 	r.end(flight, outcome)
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -278,6 +278,28 @@
 	}
 }
 
+// When every server refuses some requests, the others are still served.
+func TestRefusalsOfAllServersDoNotStopTheService(t *testing.T) {
+	steps := make([]step, 0, 40)
+	for range 20 {
+		steps = append(steps, step{status: 503, notRun: true}, step{status: 200, body: "whole"})
+	}
+	route := testRoute(deployment.Idempotent, false)
+	f := &fakeBackend{steps: steps}
+	snapshot := testSnapshot(route)
+	relay := NewRelay(Relay{
+		Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: 1000},
+		Source: func() *deployment.Snapshot { return snapshot },
+	})
+	for i := range 20 {
+		req := testRequest(route)
+		req.Route, req.Model = &route, "m"
+		if answer, err := relay.Handle(context.Background(), req); err != nil || answer.Status != 200 {
+			t.Fatalf("request %d: %v", i, err)
+		}
+	}
+}
+
 // A refusal is given at once, not when the client's time is up.
 func TestRefusalComesAtOnce(t *testing.T) {
 	handler, _ := testRelay([]step{{status: 503, notRun: true}}, plenty)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -9,6 +9,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -100,6 +101,17 @@
 	WaitMs  float64 // expected time to the first token
 	Loss    float64 // expected part of the request's worth
 	Missing int64   // prompt tokens that the server has to read
+	Passed  Passed  // servers that could not be chosen
+}
+
+// Passed counts the servers that may not take a request, by reason.
+type Passed struct {
+	Draining, Loading, Tried, Old int
+}
+
+// String returns the counts for a log line.
+func (p Passed) String() string {
+	return fmt.Sprintf("%d leave, %d load weights, %d were tried, %d have old weights", p.Draining, p.Loading, p.Tried, p.Old)
 }
 
 // AtHome says whether the request goes to the home of its prompt.
@@ -107,9 +119,9 @@
 
 // Pick returns the best server for the query, or false if none may be used.
 func Pick(q *Query, servers []Server) (Choice, bool) {
-	usable := filter(q, servers)
+	usable, passed := filter(q, servers)
 	if len(usable) == 0 {
-		return Choice{}, false
+		return Choice{Passed: passed}, false
 	}
 	home := homeOf(q, usable)
 	best := Choice{Loss: math.Inf(1)}
@@ -118,28 +130,36 @@
 			best = choice
 		}
 	}
+	best.Passed = passed
 	return best, true
 }
 
 // filter returns the servers that may take the request. Servers under suspicion
 // are passed over as long as half of the others are not.
-func filter(q *Query, servers []Server) []*Server {
+func filter(q *Query, servers []Server) ([]*Server, Passed) {
 	var sound, suspect []*Server
+	var passed Passed
 	for i := range servers {
 		s := &servers[i]
-		if s.Draining || s.Loading || q.Tried != nil && q.Tried(s.ID) || q.tooOld(s) {
-			continue
-		}
-		if s.Suspect {
+		switch {
+		case s.Draining:
+			passed.Draining++
+		case s.Loading:
+			passed.Loading++
+		case q.Tried != nil && q.Tried(s.ID):
+			passed.Tried++
+		case q.tooOld(s):
+			passed.Old++
+		case s.Suspect:
 			suspect = append(suspect, s)
-			continue
+		default:
+			sound = append(sound, s)
 		}
-		sound = append(sound, s)
 	}
 	if len(sound) < len(suspect) {
-		return append(sound, suspect...)
+		return append(sound, suspect...), passed
 	}
-	return sound
+	return sound, passed
 }
 
 // tooOld says whether the server's weights may not be used any more.
