--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -60,6 +60,7 @@
 type record struct {
 	holders [2]sighting // the latest first
 	saved   time.Time
+	told    time.Time // to other gateways
 }
 
 type sighting struct {
@@ -84,6 +85,9 @@
 	Saved  bool // it was told to save the parts to the store
 }
 
+// last returns the id of the last shared part.
+func (u *Use) last() string { return u.Parts[len(u.Parts)-1] }
+
 // maxNews bounds the uses that wait to be told to other gateways: those of a second
 // at five hundred requests a second.
 const maxNews = 512
@@ -188,11 +192,28 @@
 func (d *Directory) Used(use *Use, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.isNews(use, now) {
+		d.note(use, now)
+		return
+	}
 	d.note(use, now)
+	if r, ok := d.records.Get(key{use.Salt, use.last()}); ok {
+		r.told = now
+	}
 	d.news[d.made%maxNews] = *use
 	d.made++
 }
 
+// tellInterval is the time between two words on the same part in the same engine.
+const tellInterval = holdTime / 2
+
+// isNews says whether other gateways should be told of a use: the part is in another
+// engine than before, is being saved, or was not told of for a while.
+func (d *Directory) isNews(use *Use, now time.Time) bool {
+	r, ok := d.records.Get(key{use.Salt, use.last()})
+	return !ok || use.Saved || r.holders[0].holder != use.Holder || now.Sub(r.told) >= tellInterval
+}
+
 // Heard notes a use that another gateway told of.
 func (d *Directory) Heard(use *Use, now time.Time) {
 	d.mu.Lock()
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -81,10 +81,20 @@
 	if uses, told = d.News(told); len(uses) != 0 || told != 3 {
 		t.Errorf("%+v again", uses)
 	}
-	for range 2 * maxNews {
-		d.Used(&Use{Salt: "s", Parts: []string{"y"}}, start)
+	for range 5 {
+		d.Used(&Use{Salt: "s", Parts: []string{"0"}, Holder: Holder{ID: "a"}}, start.Add(tellInterval/2))
 	}
-	if uses, _ = d.News(3); len(uses) != maxNews {
+	if uses, told = d.News(told); len(uses) != 0 {
+		t.Errorf("%d words on a part that is where it was", len(uses))
+	}
+	d.Used(&Use{Salt: "s", Parts: []string{"0"}, Holder: Holder{ID: "a"}}, start.Add(2*tellInterval))
+	if uses, told = d.News(told); len(uses) != 1 {
+		t.Errorf("%d words on a part that is still used", len(uses))
+	}
+	for i := range 2 * maxNews {
+		d.Used(&Use{Salt: "s", Parts: []string{fmt.Sprint("y", i)}}, start)
+	}
+	if uses, _ = d.News(told); len(uses) != maxNews {
 		t.Errorf("%d uses after a long silence, want the latest %d", len(uses), maxNews)
 	}
 }
