--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,8 +1,9 @@
-// Package clock reads the clock that also runs while a VM is suspended. The
-// monotonic clock of the time package stands still then.
+// Package clock reads the clock that also runs while a VM is suspended, which the
+// monotonic clock of the time package does not, and waits.
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -17,16 +18,12 @@
 	return time.Duration(now.Nano())
 }
 
-// Reading is one reading of both clocks.
-type Reading struct {
-	monotonic time.Time
-	boot      time.Duration
-}
-
-// Read reads both clocks.
-func Read() Reading { return Reading{monotonic: time.Now(), boot: Boot()} }
-
-// Suspended returns for how long the VM stood still between both readings.
-func (r Reading) Suspended(later Reading) time.Duration {
-	return (later.boot - r.boot) - later.monotonic.Sub(r.monotonic)
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
@@ -320,7 +321,7 @@
 			logger.Warn(fields{"error": err.Error()}, "store lost")
 			lost = true
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, f.maxPause())
 	}
 }
@@ -339,7 +340,7 @@
 func (f *Follower) rest(ctx context.Context) bool {
 	rested := false
 	for ctx.Err() == nil && f.idle.Load() && f.Silence(time.Now()) < idleSilence {
-		sleep(ctx, gatherTime)
+		clock.Sleep(ctx, gatherTime)
 		rested = true
 	}
 	return rested
@@ -363,7 +364,7 @@
 		var position platform.Version
 		events, position, err = f.feed.Changes(ctx, "", after, watchWait)
 		if err == nil {
-			sleep(ctx, gatherTime)
+			clock.Sleep(ctx, gatherTime)
 			return position, f.pass(ctx, batch{events: events, position: position})
 		}
 		if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrNotFound) || ctx.Err() != nil {
@@ -372,7 +373,7 @@
 		if f.Silence(time.Now()) > contactLostAfter {
 			return 0, err
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -388,12 +389,3 @@
 		return ctx.Err()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/internal/forward/instruct.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/kvcache"
+	"github.com/wasabigate/wasabigate/internal/placement"
+)
+
+// query describes the request to the placement.
+func (r *run) query(now time.Time) *placement.Query {
+	q := &placement.Query{Zone: r.relay.Zone, Target: r.req.Route.TargetLatency, MaxReplaced: r.relay.MaxReplaced, Tried: func(id string) bool { return r.tried[id] }}
+	service := r.req.Snapshot.Config.Service(r.service)
+	if service == nil || service.Engine == nil || r.req.Model == "" {
+		return q
+	}
+	q.Engine = true
+	wanted := r.req.Snapshot.Weights[r.req.Model]
+	if wanted.Version > 0 {
+		q.Replaced = func(weights uint64) time.Duration { return wanted.ReplacedFor(weights, now) }
+	}
+	for _, part := range r.req.Shared() {
+		q.SharedTokens += part.Tokens
+		q.HomeKey = part.ID
+	}
+	q.OwnTokens = max(0, r.req.PromptTokens-q.SharedTokens)
+	q.SharedKnown = q.HomeKey == "" || r.relay.Cache.Knows(kvcache.Salt(r.req.Model, wanted.Version, r.req.Workspace), q.HomeKey, now)
+	return q
+}
+
+// call prepares the attempt at the chosen server.
+func (r *run) call(choice *placement.Choice, now time.Time) *backend.Call {
+	call := &backend.Call{
+		RequestID: r.req.ID,
+		Address:   choice.Server.Address,
+		Method:    r.req.Method,
+		URL:       r.req.URL,
+		Host:      r.req.Host,
+		Header:    r.req.Header,
+		Body:      r.req.Body,
+		Instructions: backend.Instructions{
+			ServerID:    choice.Server.ID,
+			Workspace:   r.req.WorkspaceName(),
+			LastEventID: r.lastID,
+		},
+	}
+	if !r.req.Deadline.IsZero() {
+		call.Patience = r.req.Deadline.Sub(now)
+	}
+	if r.req.Model != "" {
+		r.instructEngine(call, choice, now)
+	}
+	return call
+}
+
+// instructEngine adds what only engines know.
+func (r *run) instructEngine(call *backend.Call, choice *placement.Choice, now time.Time) {
+	call.Priority, call.HasPriority = rank(r.req), true
+	call.Weights = choice.Server.Weights
+	call.CacheSalt = kvcache.Salt(r.req.Model, choice.Server.Weights, r.req.Workspace)
+	if len(r.req.Shared()) == 0 || choice.Server.Weights == 0 {
+		return
+	}
+	prompt := promptOf(r.req, call.CacheSalt)
+	store := prompt.StoreOf(r.req.Snapshot.Config.KVStores())
+	sources := r.relay.Cache.Plan(prompt, holderOf(choice.Server), store, r.usable, now)
+	call.FetchFrom, call.SaveTo = sources.FetchFrom, sources.SaveTo
+}
+
+// promptOf describes the shared parts of a request's prompt.
+func promptOf(req *Request, salt string) *kvcache.Prompt {
+	prompt := &kvcache.Prompt{Salt: salt, OwnTokens: req.PromptTokens}
+	for _, part := range req.Shared() {
+		prompt.Parts = append(prompt.Parts, part.ID)
+		prompt.SharedTokens += part.Tokens
+		prompt.OwnTokens -= part.Tokens
+	}
+	return prompt
+}
+
+func holderOf(s *placement.Server) kvcache.Holder {
+	return kvcache.Holder{ID: s.ID, Address: s.Address}
+}
+
+// usable says whether parts may be fetched from a holder: it must be listed still.
+func (r *run) usable(holder kvcache.Holder) bool {
+	server := r.req.Snapshot.Servers[holder.ID]
+	return server != nil && server.Address == holder.Address
+}
+
+// priorityRanks is the number of route priorities that fit below one of a
+// workspace.
+const priorityRanks = 3
+
+// rank joins the priorities of workspace and route: the workspace's goes first.
+func rank(req *Request) int {
+	if req.Workspace == nil || !req.Workspace.HasPriority {
+		return req.Route.Priority
+	}
+	return req.Workspace.Priority*priorityRanks + min(req.Route.Priority, priorityRanks-1)
+}
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/lease"
 )
@@ -94,7 +95,7 @@
 		if time.Since(started) >= emptyTime || j.rollout.opts.Fleet.Running(j.server.ID) == 0 {
 			return
 		}
-		pause(ctx, stepInterval/2)
+		clock.Sleep(ctx, stepInterval/2)
 	}
 }
 
@@ -117,7 +118,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		pause(ctx, stepInterval/2)
+		clock.Sleep(ctx, stepInterval/2)
 	}
 	j.version = max(j.version, j.rollout.wanted(j.model))
 	return j.order(ctx, report.Accepted) && j.await(ctx, report.Accepted)
@@ -145,7 +146,7 @@
 
 // await polls the engine until it holds the version. The report lags behind.
 func (j *job) await(ctx context.Context, accepted uint64) bool {
-	pause(ctx, loadTime)
+	clock.Sleep(ctx, loadTime)
 	deadline := time.Now().Add(maxLoadTime)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		report, err := j.report(ctx)
@@ -162,7 +163,7 @@
 		if err != nil && j.gone() {
 			return false
 		}
-		pause(ctx, reportInterval)
+		clock.Sleep(ctx, reportInterval)
 	}
 	return false
 }
@@ -194,15 +195,6 @@
 	return fields{"server": j.server.ID, "model": j.model, "version": j.version, key: value}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // String returns the name used in log lines.
 func (r OrderResult) String() string {
 	return [...]string{"unknown", "accepted", "holds", "conflict", "stale", "misplaced", "invalid"}[r]
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
@@ -48,7 +49,7 @@
 		lease, err := r.register(ctx)
 		if err != nil {
 			logger.Warn(fields{"error": err.Error()}, "gateway not registered")
-			sleep(ctx, retryPause/2+rand.N(retryPause))
+			clock.Sleep(ctx, retryPause/2+rand.N(retryPause))
 			continue
 		}
 		logger.Info(fields{"key": r.key}, "gateway registered")
@@ -77,7 +78,7 @@
 func (r *Registration) keep(ctx context.Context, lease platform.LeaseID) {
 	pause := renewInterval
 	for {
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 		if ctx.Err() != nil {
 			r.end(ctx, lease)
 			return
@@ -101,12 +102,3 @@
 		logger.Warn(fields{"error": err.Error()}, "registration not ended, its lease lapses")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
