Read a large configuration from the store, not from other gateways

Change: more than 40 KB is not passed on, unless the asker's store is lost; a gateway that could not learn from others reads the store at once.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -91,6 +91,7 @@
 	started  time.Time
 	contact  atomic.Int64 // when the store answered last, or was last confirmed by a peer; see stamp
 	idle     atomic.Bool  // others watch the store for this process
+	wake     atomic.Bool  // read the store once all the same
 	known    atomic.Pointer[[]platform.Event]
 
 	belief    belief    // of the owning goroutine
@@ -164,6 +165,10 @@
 // store again by itself when they fall silent.
 func (f *Follower) SetIdle(idle bool) { f.idle.Store(idle) }
 
+// Wake makes an idle gateway read the store once: what others know could not be had
+// from them in time, such as a large configuration over a thin link.
+func (f *Follower) Wake() { f.wake.Store(true) }
+
 // Named is a version of a model's weights, and when a gateway learned of it.
 type Named struct {
 	Model string
@@ -339,7 +344,7 @@
 // did.
 func (f *Follower) rest(ctx context.Context) bool {
 	rested := false
-	for ctx.Err() == nil && f.idle.Load() && f.Silence(time.Now()) < idleSilence {
+	for ctx.Err() == nil && f.idle.Load() && !f.wake.Swap(false) && f.Silence(time.Now()) < idleSilence {
 		clock.Sleep(ctx, gatherTime)
 		rested = true
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -308,6 +308,13 @@
 			t.Errorf("%d calls while others watched", f.watches)
 		}
 		f.set(func() { f.revision = 60 })
+		f.put("op/config", "config 6")
+		follower.Confirm(0)
+		follower.Wake()
+		time.Sleep(inForceWithin)
+		if got := follower.Snapshot().Config.Version; got != 6 {
+			t.Errorf("configuration %d after a wake, while others say nothing new", got)
+		}
 		f.put("op/config", "config 7")
 		time.Sleep(idleSilence + inForceWithin)
 		if got := follower.Snapshot().Config.Version; got != 7 || f.watches == 0 {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
@@ -41,6 +42,9 @@
 	// quietStore is the silence of the store after which peers are asked what they
 	// know of it.
 	quietStore = 400 * time.Millisecond
+	// lostSilence is the silence after which the store counts as lost: the longest
+	// regular pause of a gateway for which others watch, and the time of a call.
+	lostSilence = 2*follower.MaxPause + 500*time.Millisecond
 )
 
 // Options are the parts that an Exchange works with.
@@ -212,13 +216,25 @@
 func (x *Exchange) OperatorEntries(_ context.Context, req *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
 	events, position := x.opts.Follower.Known(platform.Version(req.After))
 	reply := &wire.OperatorEntriesReply{Position: uint64(position), StoreSilenceMs: x.silence().Milliseconds()}
+	size := 0
 	for i := range events {
 		e := &events[i]
+		if size += len(e.Key) + len(e.Value); size > maxRelayBytes && req.After > 0 {
+			return nil, errTooLarge
+		}
 		reply.Entries = append(reply.Entries, &wire.StoredEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Version), Deleted: e.Deleted})
 	}
 	return reply, nil
 }
 
+// maxRelayBytes bounds what a gateway passes on at once: 30 ms of a link of 10 Mbit/s.
+// What is larger is read from the store, whose link is wide, unless the asker says by
+// a position of 0 that the store does not serve it.
+const maxRelayBytes = 40 << 10
+
+// errTooLarge sends a gateway to the store.
+var errTooLarge = errors.New("too large to pass on")
+
 // silence returns the age of what this gateway knows of the store.
 func (x *Exchange) silence() time.Duration { return x.opts.Follower.Silence(time.Now()) }
 
@@ -314,10 +330,14 @@
 func (x *Exchange) follow(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) {
 	mine, heard := x.silence(), time.Duration(report.StoreSilenceMs)*time.Millisecond
 	position := x.opts.Follower.Snapshot().Position
+	after := position
+	if mine > lostSilence {
+		after = 0
+	}
 	switch {
 	case mine <= quietStore || heard >= mine:
 	case report.Position > position || position == 0:
-		x.catchUp(ctx, client, address, position)
+		x.catchUp(ctx, client, address, after)
 	case report.Position == position:
 		x.opts.Follower.Confirm(heard)
 	}
@@ -328,6 +348,7 @@
 	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after})
 	if err != nil {
 		logger.Warn(fields{"peer": address, "error": err.Error()}, "entries not read from a gateway")
+		x.opts.Follower.Wake()
 		return
 	}
 	events := make([]platform.Event, 0, len(reply.Entries))
