Say which figures of the gateway were assumed

Change: the lines say that they are assumed, stated by the users, or come from trials. No behaviour changes; the tests of placement, forward, kvcache and rollout pass.

--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -11,13 +11,14 @@
 
 const (
 	// patienceTargets is how many times its target an attempt may take that can be made
-	// again: the slowest of sound servers took twice the target under load.
+	// again. Assumed: late answers of sound servers are worth waiting for until then.
 	patienceTargets = 3
 	// patienceShare is the part of the time left that such an attempt may take, so that
 	// another one has as much.
 	patienceShare = 0.45
 	// stallGaps and minStall bound the pause between two events of a stream that can go
-	// on elsewhere. An engine under load makes an event every 300 ms.
+	// on elsewhere: twice the operators' longest pause, and at least the latter, which is
+	// assumed.
 	stallGaps = 2
 	minStall  = 800 * time.Millisecond
 )
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// holdTime is how long an engine is expected to keep a part that it used: a
-	// third of the time in which an engine's memory turns over under load.
+	// holdTime is how long an engine is expected to keep a part that it used. Trials
+	// with 4 and 8 seconds had more parts read again.
 	holdTime = 2 * time.Second
 	// saveInterval is how long a part in the store is taken to be there. The store
 	// drops what was not used for longest.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -32,8 +32,8 @@
 	// minInterval is the time between two exchanges with few peers: a request runs
 	// for some hundred milliseconds, so older numbers would be of little use.
 	minInterval = 100 * time.Millisecond
-	// intervalPerPeer bounds the cost: a call takes about 100 microseconds of the
-	// processor, so that it stays near one hundredth of a core.
+	// intervalPerPeer bounds the cost: a gateway makes at most 125 calls a second. The
+	// cost of one call was not measured.
 	intervalPerPeer = 8 * time.Millisecond
 	// callTimeout bounds an exchange.
 	callTimeout = 300 * time.Millisecond
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,12 +18,14 @@
 
 // Expected times to the first token, in milliseconds.
 const (
-	// prefillTokensPerMs is the rate at which an engine reads a prompt, measured on
-	// engines that were alone with one request.
+	// prefillTokensPerMs is the rate at which an engine reads a prompt, as the users
+	// state it for theirs. Another rate only shifts when requests leave their home.
 	prefillTokensPerMs = 36.0
-	// runningMs is what each running request adds: its share of a step of the batch.
+	// runningMs is what each running request is taken to add: its share of a step of
+	// the batch. An assumption, not measured.
 	runningMs = 2.5
-	// fetchMs and fetchTokensPerMs are the time that a transfer of cached parts takes.
+	// fetchMs and fetchTokensPerMs are the time that a transfer of cached parts is taken
+	// to need: the users' links allow more. Assumptions, not measured.
 	fetchMs          = 6.0
 	fetchTokensPerMs = 600.0
 	// zoneMs is what another availability zone adds.
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -11,7 +11,7 @@
 
 const (
 	// emptyTime is how long running requests may end before an engine is ordered to
-	// load: a few more than half of them do.
+	// load. Assumed: a third of the time that a load takes.
 	emptyTime = 400 * time.Millisecond
 	// loadTime is the shortest load that was seen.
 	loadTime = time.Second
