Send requests to the engines that have their parts, and replay load

It knew that parts were somewhere, not where, so each engine but the home counted a transfer, also the one that had just used the parts; and a transfer was taken to succeed although the engine had evicted the parts long since.

Change: the directory tells which engines used a prompt last, which one reads it and whether the store keeps it. A request loses nothing at an engine that has or reads its parts.

--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -35,6 +35,7 @@
 		drainCommand(),
 		logLevelCommand(),
 		explainCommand(),
+		recordCommand(),
 		versionCommand(),
 	}
 	root := &cli.Command{
--- a/internal/forward/instruct.go
+++ b/internal/forward/instruct.go
@@ -39,9 +39,10 @@
 		shared, ok := found[weights]
 		if !ok {
 			salt := kvcache.Salt(r.req.Model, weights, r.req.Workspace)
-			shared.Known = r.relay.Cache.Knows(salt, last, now)
-			if !shared.Known {
-				shared.Reader = r.relay.Cache.Reader(salt, last, now).ID
+			places := r.relay.Cache.Places(salt, last, now)
+			shared.Kept, shared.Reader = places.Kept, places.Reader.ID
+			for i, holder := range places.Holders {
+				shared.Holders[i] = holder.ID
 			}
 			found[weights] = shared
 		}
--- a/internal/forward/instruct_test.go
+++ b/internal/forward/instruct_test.go
@@ -43,7 +43,7 @@
 	}
 	home := send()
 	salt := kvcache.Salt("m", 1, nil)
-	if reader := cache.Reader(salt, "shared", time.Now()).ID; reader != home {
+	if reader := cache.Places(salt, "shared", time.Now()).Reader.ID; reader != home {
 		t.Errorf("%q counts as the reader, want %q", reader, home)
 	}
 	other := "a"
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
@@ -55,11 +56,18 @@
 	Cache       *kvcache.Directory
 	Backend     Backend
 	Budget      Budget
+	Pick        Picker // nil: placement.Pick
 }
 
+// Picker chooses the backend server of an attempt. It must decide at once.
+type Picker func(q *placement.Query, servers []placement.Server) (placement.Choice, bool)
+
 // NewRelay returns a Relay of its parts.
 func NewRelay(parts Relay) *Relay {
 	parts.meters = newMeters()
+	if parts.Pick == nil {
+		parts.Pick = placement.Pick
+	}
 	return &parts
 }
 
@@ -144,7 +152,7 @@
 func (r *run) attempt(ctx context.Context) (*Answer, *verdict.Error) {
 	now := time.Now()
 	r.refresh()
-	choice, ok := placement.Pick(r.query(now), r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now))
+	choice, ok := r.relay.Pick(r.query(now), r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now))
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Passed).WithRetryAfter(retryAfter)
 	}
@@ -184,12 +192,29 @@
 	r.tried[choice.Server.ID] = true
 	r.req.Log.Attempts++
 	r.req.Log.Server = choice.Server.ID
-	logger.Info(fields{
+	line := fields{
 		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": choice.Server.ID, "address": choice.Server.Address,
 		"wait_ms": round(choice.WaitMs), "loss": choice.Loss, "missing": choice.Missing, "home": choice.AtHome(),
 		"running": choice.Server.Running, "failures": choice.Server.FailureRate, "weights": call.Weights,
 		"fetch_from": call.FetchFrom, "after": call.LastEventID, "position": r.req.Snapshot.Position,
-	}, "placed")
+	}
+	if r.req.Log.Attempts == 1 && r.req.Model != "" {
+		r.describePrompt(line)
+	}
+	logger.Info(line, "placed")
+}
+
+// describePrompt adds what a replay of the request needs. Parts are told by a hash.
+func (r *run) describePrompt(line fields) {
+	shared := int64(0)
+	for _, part := range r.req.Shared() {
+		shared += part.Tokens
+		line[logging.FieldPart] = strconv.FormatUint(hash(part.ID), 16)
+	}
+	line[logging.FieldSharedTokens] = shared
+	line[logging.FieldOwnTokens] = max(0, r.req.PromptTokens-shared)
+	line[logging.FieldOutputTokens] = r.req.OutputTokens
+	line[logging.FieldTargetMs] = r.req.Route.TargetLatency.Milliseconds()
 }
 
 func round(ms float64) int64 { return int64(ms + 0.5) }
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -183,25 +183,32 @@
 	return false
 }
 
-// Knows says whether some engine or the store is expected to have the prompt up
-// to the part.
-func (d *Directory) Knows(salt, part string, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r, ok := d.records.Get(key{salt, part})
-	return ok && (now.Sub(r.saved) < keptTime || now.Sub(r.holders[0].at) < holdTime)
+// Places are where the prompt up to a part is expected to be.
+type Places struct {
+	Holders [2]Holder // engines that used it lately; those without an id are none
+	Kept    bool      // in the store
+	Reader  Holder    // reads it now for a request of this gateway; without an id: none
 }
 
-// Reader returns the engine that reads the prompt up to the part now, for a request
-// of this gateway; its id is empty if none is known.
-func (d *Directory) Reader(salt, part string, now time.Time) Holder {
+// Places returns where the prompt up to the part is expected to be.
+func (d *Directory) Places(salt, part string, now time.Time) Places {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var places Places
 	r, ok := d.records.Get(key{salt, part})
-	if !ok || now.Sub(r.reading.at) >= readingTime {
-		return Holder{}
+	if !ok {
+		return places
+	}
+	for i, s := range r.holders {
+		if now.Sub(s.at) < holdTime {
+			places.Holders[i] = s.holder
+		}
+	}
+	places.Kept = now.Sub(r.saved) < keptTime
+	if now.Sub(r.reading.at) < readingTime {
+		places.Reader = r.reading.holder
 	}
-	return r.reading.holder
+	return places
 }
 
 // Reading notes that an engine was sent a prompt whose last shared part no other is
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -134,14 +134,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			d := NewDirectory()
 			d.Reading("s", "deep", a, start)
-			if d.Knows("s", "deep", start) {
+			if places := d.Places("s", "deep", start); places.Kept || places.Holders != [2]Holder{} {
 				t.Error("a part counts as known while it is still being read")
 			}
 			c.then(d)
-			if got := d.Reader("s", "deep", start.Add(c.age)); got != c.want {
+			if got := d.Places("s", "deep", start.Add(c.age)).Reader; got != c.want {
 				t.Errorf("read by %v, want %v", got, c.want)
 			}
-			if got := d.Reader("other weights", "deep", start.Add(c.age)); got != (Holder{}) {
+			if got := d.Places("other weights", "deep", start.Add(c.age)).Reader; got != (Holder{}) {
 				t.Errorf("under another salt read by %v", got)
 			}
 		})
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -29,6 +29,15 @@
 // FieldRequest is the name of the field with a request's id.
 const FieldRequest = "request_id"
 
+// Names of the fields that tell enough of a request to play it again.
+const (
+	FieldPart         = "part"          // hash of the last shared part of the prompt
+	FieldSharedTokens = "shared_tokens" // of the shared parts
+	FieldOwnTokens    = "own_tokens"    // of the rest of the prompt
+	FieldOutputTokens = "output_tokens" // at most
+	FieldTargetMs     = "target_ms"     // within which the first token is due
+)
+
 // async hands lines to a goroutine, so that logging never blocks. Warnings and
 // errors, which failed requests need, have a queue of their own that goes first.
 type async struct {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -144,7 +144,7 @@
 	eventually(t, "the load of the other gateway", func() bool { return b.fleet.Running("e1") == 1 })
 	holder := kvcache.Holder{ID: "e1", Address: "e1:1"}
 	b.cache.Used(&kvcache.Use{Salt: "s", Parts: []string{"p"}, Holder: holder, Saved: true}, time.Now())
-	eventually(t, "the other gateway's use of a part", func() bool { return a.cache.Knows("s", "p", time.Now()) })
+	eventually(t, "the other gateway's use of a part", func() bool { return a.cache.Places("s", "p", time.Now()).Holders[0] == holder })
 }
 
 // A gateway that the store does not serve learns the operators' entries, and when
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,9 +2,10 @@
 // decision: what it knows comes in as a Query, and it keeps nothing.
 //
 // The load pattern it answers: prompts whose long shared parts are read over and
-// over by engines that evict them within seconds. A request goes to the home of
-// its last shared part, by rendezvous hashing, until the queue there costs more
-// than moving the parts to another engine; servers with the weights that
+// over by engines that evict them within seconds. A request goes to an engine that
+// has its last shared part or reads it now, or to the part's home by rendezvous
+// hashing, until the queue there costs more than moving the parts to another engine,
+// or reading them there if no store keeps them; servers with the weights that
 // operators want go first, and servers that fail or lag behind their peers last.
 package placement
 
@@ -103,10 +104,20 @@
 // Shared says where the shared parts of a prompt are, as read by one version of the
 // weights.
 type Shared struct {
-	Known  bool   // some engine or the store has them
-	Reader string // id of the server that reads them now; empty: none is known
+	Holders [2]string // ids of the servers that used them last; empty: none is known
+	Kept    bool      // the store has them, which evicts far later than engines
+	Reader  string    // id of the server that reads them now; empty: none is known
 }
 
+// at says whether the server has the parts, or will have as soon as it has read them
+// for another request.
+func (s *Shared) at(id string) bool {
+	return id == s.Holders[0] || id == s.Holders[1] || id == s.Reader
+}
+
+// known says whether some engine or the store has the parts.
+func (s *Shared) known() bool { return s.Kept || s.Holders != [2]string{} }
+
 // Choice is the outcome of a decision.
 type Choice struct {
 	Server  *Server
@@ -230,7 +241,7 @@
 func (q *Query) weigh(s, home *Server) Choice {
 	choice := Choice{Server: s, Home: home}
 	if q.Engine {
-		choice.WaitMs, choice.Missing, choice.Reads = q.engineWait(s, home)
+		choice.WaitMs, choice.Missing, choice.Reads = q.engineWait(s)
 	} else {
 		choice.WaitMs = serviceWait(s)
 	}
@@ -243,17 +254,20 @@
 
 // engineWait returns the expected time to the first token, the prompt tokens that
 // the engine has to read, and whether the shared parts are among these.
-func (q *Query) engineWait(s, home *Server) (wait float64, missing int64, reads bool) {
+func (q *Query) engineWait(s *Server) (wait float64, missing int64, reads bool) {
 	missing = q.OwnTokens
 	wait = float64(s.Running) * runningMs
 	shared := q.shared(s)
 	switch {
-	case shared.Reader == s.ID:
-	case !shared.Known:
+	case q.SharedTokens == 0 || shared.at(s.ID):
+	case !shared.known():
 		missing += q.SharedTokens
-		reads = q.SharedTokens > 0
-	case home != nil && s != home:
+		reads = true
+	default:
 		wait += fetchMs + float64(q.SharedTokens)/fetchTokensPerMs
+		if !shared.Kept {
+			wait += float64(q.SharedTokens) / prefillTokensPerMs
+		}
 	}
 	read := float64(s.PendingTokens+missing) / prefillTokensPerMs
 	if s.Cold {
@@ -262,6 +276,20 @@
 	return wait + read, missing, reads
 }
 
+// awayLoss returns what it costs that a second engine gets the shared parts. Those
+// that no store keeps may be gone from the other engine when they are fetched, and
+// are then read again: replays that took half of them for gone left more callers late.
+func (q *Query) awayLoss(choice *Choice) float64 {
+	shared := q.shared(choice.Server)
+	switch {
+	case shared.at(choice.Server.ID):
+		return 0
+	case shared.Kept:
+		return awayLoss
+	}
+	return awayLoss + readAgainLoss*float64(q.SharedTokens)/1000
+}
+
 // serviceWait expects a request to wait for those ahead of it, as far as they
 // exceed the slots, and then to take as long as recent ones.
 func serviceWait(s *Server) float64 {
@@ -285,10 +313,7 @@
 		loss += oldWeightsLoss
 	}
 	if choice.Home != nil && !choice.AtHome() {
-		loss += awayLoss
-		if choice.Reads {
-			loss += readAgainLoss * float64(q.SharedTokens) / 1000
-		}
+		loss += q.awayLoss(choice)
 	}
 	return loss
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -14,8 +15,8 @@
 	return servers
 }
 
-// known says that the shared parts are somewhere, whatever the weights.
-func known(uint64) Shared { return Shared{Known: true} }
+// known says that the store has the shared parts, whatever the weights.
+func known(uint64) Shared { return Shared{Kept: true} }
 
 func prompt(key string) *Query {
 	return &Query{Zone: "a", Engine: true, Target: 800 * time.Millisecond, HomeKey: key, SharedTokens: 6300, Shared: known, OwnTokens: 2890}
@@ -223,7 +224,7 @@
 	servers := engines(2)
 	servers[1].Weights = 3
 	q := prompt("part")
-	q.Shared = func(weights uint64) Shared { return Shared{Known: weights == 2} }
+	q.Shared = func(weights uint64) Shared { return Shared{Kept: weights == 2} }
 	for i := range servers {
 		choice := q.weigh(&servers[i], &servers[i])
 		if want := servers[i].Weights == 3; choice.Reads != want {
@@ -231,3 +232,42 @@
 		}
 	}
 }
+
+// A request goes where its shared parts are, also if that is not their home, and
+// leaves for a small gain only if a store keeps them.
+func TestRequestsGoToHolders(t *testing.T) {
+	home, _ := Pick(prompt("part"), engines(4))
+	other := "e0"
+	if home.Server.ID == other {
+		other = "e1"
+	}
+	for _, c := range []struct {
+		name    string
+		shared  Shared
+		pending int64 // prompt tokens that wait at the holder
+		leaves  bool
+	}{
+		{"held elsewhere", Shared{Holders: [2]string{other}}, 0, false},
+		{"held and kept, no queue", Shared{Holders: [2]string{home.Server.ID}, Kept: true}, 0, false},
+		{"held only, a queue shorter than reading", Shared{Holders: [2]string{other}}, 6000, false},
+		{"held only, a long queue", Shared{Holders: [2]string{other}}, 30_000, true},
+		{"kept, a long queue", Shared{Holders: [2]string{other}, Kept: true}, 30_000, true},
+		{"being read", Shared{Reader: other}, 6600, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			servers := engines(4)
+			holder := cmp.Or(c.shared.Reader, c.shared.Holders[0])
+			for i := range servers {
+				if servers[i].ID == holder {
+					servers[i].PendingTokens = c.pending
+				}
+			}
+			q := prompt("part")
+			q.Shared = func(uint64) Shared { return c.shared }
+			choice, _ := Pick(q, servers)
+			if leaves := choice.Server.ID != holder; leaves != c.leaves {
+				t.Errorf("goes to %s, the holder is %s", choice.Server.ID, holder)
+			}
+		})
+	}
+}
