--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,9 +48,9 @@
 	// awayLoss is the price of moving a prompt's shared parts to a second engine, and
 	// of the memory that they take there.
 	awayLoss = 0.015
-	// readAgainLoss is the price of having a second engine read 1,000 tokens that the
-	// home of the prompt has to read as well: of trials with 0, 0.1, 0.3 and 1 for a
-	// whole prompt of some 6,000 tokens, 0.1 was the best.
+	// readAgainLoss is the price of having a second engine read 1,000 tokens that
+	// another one reads or has read: of trials with 0, 0.1, 0.3 and 1 for a whole
+	// prompt of some 6,000 tokens, 0.1 was the best.
 	readAgainLoss = 0.016
 	// waitLoss is lost by an answer that takes its whole target: a little, so that
 	// the faster of two servers is chosen.
