--- a/internal/limit/history_test.go
+++ b/internal/limit/history_test.go
@@ -142,7 +142,7 @@
 				refused := 0
 				for range 2000 {
 					time.Sleep(10 * time.Millisecond)
-					w.tickEvery(even)
+					w.tick(even)
 					if !w.acquire(w.nodes[0], 100+w.random.Int64N(180)) {
 						refused++
 					}
@@ -155,10 +155,8 @@
 	}
 }
 
-// tick does the background work whose time has come.
-func (w *world) tick() { w.tickEvery(worldStep) }
-
-func (w *world) tickEvery(step time.Duration) {
+// tick does the background work, once in each step.
+func (w *world) tick(step time.Duration) {
 	if time.Now().UnixMilli()%step.Milliseconds() != 0 {
 		return
 	}
