Show what an unfinished test printed when its program dies

Its stacks, asked for by SIGQUIT, were dropped, since the runner kept output by test and no test had failed by name.

Ruled out: a fault of load alone is not shown; three runs of the package at a time with the race detector passed within 120 s.

Change: a failed package without a failed test shows the output of its unfinished tests. The hang itself is not traced. Test: TestOutputOfAnUnfinishedTest, failing before.

--- a/internal/tools/gotest/gotest.go
+++ b/internal/tools/gotest/gotest.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -122,6 +123,17 @@
 	}
 	if action == "fail" && !r.byPkg[pkg] {
 		r.Failed = append(r.Failed, Name(pkg))
+		r.keepUnfinished(pkg)
+	}
+}
+
+// keepUnfinished adds to a package's output what its unfinished tests printed: a
+// program that died or hung names none of them as failed.
+func (r *Results) keepUnfinished(pkg string) {
+	for name, output := range r.output {
+		if strings.HasPrefix(string(name), pkg+".") {
+			r.keep(Name(pkg), fmt.Sprintf("unfinished: %s\n%s", name, output.String()))
+		}
 	}
 }
 
