Close the matrix's servers also while readers open connections again

Ruled out: a fault of the product: the connection is the stand-in engine's event stream, and the test was over; load as the cause: it only widens the gap between the two calls.

Change: the clean-up closes connections until the server has closed.

--- a/internal/matrixtest/server_test.go
+++ b/internal/matrixtest/server_test.go
@@ -117,13 +117,28 @@
 func serveHTTP(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	t.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
-	})
+	t.Cleanup(func() { closeServer(server) })
 	return server.URL
 }
 
+// closeServer closes a server with all its connections, also those that a reader of
+// events opens again while the server closes: Close waits for these.
+func closeServer(server *httptest.Server) {
+	closed := make(chan struct{})
+	go func() {
+		server.Close()
+		close(closed)
+	}()
+	for {
+		server.CloseClientConnections()
+		select {
+		case <-closed:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
 // counted counts the generations that the engine accepted, by request id.
 func (s *server) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
