Wait for a time in one place

Cause: seven copies of a wait that ends with its context stood beside clock.Sleep, in control, cli, shard, limit, once, cacheindex and the stand-in engine. Change: clock.Sleep returns the context's error, and all call it. Behaviour is the same.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
@@ -213,7 +214,7 @@
 	pause := firstPushPause
 	for range pushRounds {
 		left = s.pushOnce(ctx, dialer, left, request, out)
-		if len(left) == 0 || sleep(ctx, pause) != nil {
+		if len(left) == 0 || clock.Sleep(ctx, pause) != nil {
 			break
 		}
 		pause *= 2
@@ -231,16 +232,6 @@
 	firstPushPause = 100 * time.Millisecond
 )
 
-// sleep waits, or returns the error of ctx.
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // pushOnce tells the daemons once and returns those that have not confirmed.
 func (s *session) pushOnce(ctx context.Context, dialer *rpc.Dialer, vms []platform.VM, request *wire.ExchangeRequest, out *pushed) []platform.VM {
 	answers := askAll(ctx, s, dialer, vms, func(ctx context.Context, node wire.DRPCNodeClient) (*wire.ExchangeReply, error) {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -18,12 +18,15 @@
 	return time.Duration(now.Nano())
 }
 
-// Sleep waits for d, or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for d. It returns the error of ctx if that ends first; loops that look
+// at ctx themselves need not look at it.
+func Sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return ctx.Err()
 	case <-timer.C:
+		return nil
 	}
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/shard"
@@ -26,7 +27,7 @@
 // the highest revision among all that answer.
 func (l *Loop) gossip(ctx context.Context) {
 	l.exchangeAll(ctx, l.somePeers(startPeers))
-	for sleep(ctx, jittered(gossipInterval)) {
+	for clock.Sleep(ctx, jittered(gossipInterval)) == nil {
 		for _, address := range l.somePeers(1) {
 			l.exchange(ctx, address, nil)
 		}
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
@@ -48,18 +49,6 @@
 	return d*3/4 + rand.N(d/2)
 }
 
-// sleep waits for d or the end of ctx, and says whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // readViews reads the VM list at intervals. While the list can't be read, the
 // last view stays.
 func (l *Loop) readViews(ctx context.Context) {
@@ -69,7 +58,7 @@
 	}
 	for {
 		l.readView(ctx)
-		if !sleep(ctx, jittered(interval)) {
+		if clock.Sleep(ctx, jittered(interval)) != nil {
 			return
 		}
 	}
@@ -98,7 +87,7 @@
 		case readAt = <-l.viewed:
 		}
 		l.stepShardsOnce(ctx, readAt)
-		if !sleep(ctx, jittered(shardInterval)) {
+		if clock.Sleep(ctx, jittered(shardInterval)) != nil {
 			return
 		}
 	}
@@ -153,7 +142,7 @@
 		} else {
 			retry = retryMin
 		}
-		if !sleep(ctx, jittered(retry)) {
+		if clock.Sleep(ctx, jittered(retry)) != nil {
 			return
 		}
 	}
--- a/internal/limit/acquire.go
+++ b/internal/limit/acquire.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -92,7 +93,7 @@
 		if round == maxRounds || time.Now().Add(delay).After(deadline) {
 			return nil, a.refusal(delay)
 		}
-		if err := sleep(ctx, delay); err != nil {
+		if err := clock.Sleep(ctx, delay); err != nil {
 			return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeCancelled, "the caller left")
 		}
 	}
@@ -237,14 +238,3 @@
 func jitter(round int) time.Duration {
 	return minJitter + rand.N(time.Duration(round)*maxJitter-minJitter)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/membership"
 	"github.com/wasabigate/wasabigate/internal/platform"
@@ -119,7 +120,7 @@
 		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnsure) {
 			break
 		}
-		if waitErr := pause(ctx, rand.N(retryDelay)); waitErr != nil {
+		if waitErr := clock.Sleep(ctx, rand.N(retryDelay)); waitErr != nil {
 			return m.known, waitErr
 		}
 	}
@@ -262,7 +263,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		if waitErr := pause(ctx, rand.N(retryDelay)); waitErr != nil {
+		if waitErr := clock.Sleep(ctx, rand.N(retryDelay)); waitErr != nil {
 			return err
 		}
 	}
@@ -286,18 +287,6 @@
 	return nil
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // noLedger is the Ledger of a table without tokens.
 type noLedger struct{}
 
--- a/internal/sidecar/cacheindex/follow.go
+++ b/internal/sidecar/cacheindex/follow.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/logging"
 )
@@ -35,7 +36,7 @@
 			retry = firstRetry
 		}
 		x.Reset()
-		pause(ctx, retry/2+rand.N(retry))
+		clock.Sleep(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, lastRetry)
 	}
 }
@@ -55,12 +56,3 @@
 	}
 	return received
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/sidecar/once/store.go
+++ b/internal/sidecar/once/store.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
@@ -204,12 +205,5 @@
 
 // sleep waits about pause, or returns the error of ctx.
 func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause/2 + rand.N(pause))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return clock.Sleep(ctx, pause/2+rand.N(pause))
 }
--- a/internal/standin/model/events.go
+++ b/internal/standin/model/events.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/engine"
 )
 
@@ -122,12 +123,5 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, d) == nil
 }
