--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +16,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/wasabigate/wasabigate/internal/conntrace"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -154,10 +154,7 @@
 // Do sends the request and waits for the head of the answer. An error is a
 // *verdict.Error. The HTTP client never repeats the request by itself.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	var sent atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
+	traced, sent := conntrace.Attach(ctx)
 	response, err := c.transport.Load().RoundTrip(c.request(traced, call))
 	if err != nil {
 		return nil, callError(ctx, err, call.Address, sent.Load())
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -9,13 +9,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/conntrace"
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/engine/httpapi"
 )
@@ -53,10 +52,8 @@
 // send sends the request. Its errors wrap engine.ErrUnreachable when no
 // connection was made, else engine.ErrBroken.
 func send(client *http.Client, req *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err := client.Do(req)
+	traced, connected := conntrace.Attach(req.Context())
+	resp, err := client.Do(req.WithContext(traced))
 	if err == nil {
 		return resp, nil
 	}
--- a/internal/platform/client/caller.go
+++ b/internal/platform/client/caller.go
@@ -9,14 +9,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/conntrace"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
 )
@@ -107,15 +106,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	sent := &connTrace{}
-	request, err := http.NewRequestWithContext(sent.attach(ctx), http.MethodPost, c.base+path, bytes.NewReader(body))
+	ctx, sent := conntrace.Attach(ctx)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, path)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return failed(sent.outcome(), path, err)
+		return failed(outcome(sent.Load()), path, err)
 	}
 	defer drain(response.Body)
 	if response.StatusCode != http.StatusOK {
@@ -127,21 +126,9 @@
 	return nil
 }
 
-// connTrace records whether a request had a connection on which it may have
-// been sent.
-type connTrace struct {
-	connected atomic.Bool
-}
-
-func (t *connTrace) attach(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
-	})
-}
-
 // outcome is the error of a write that got no answer.
-func (t *connTrace) outcome() error {
-	if t.connected.Load() {
+func outcome(connected bool) error {
+	if connected {
 		return platform.ErrUnsure
 	}
 	return platform.ErrUnavailable
