rpc: keep a late soft cancel from closing a connection in use

DRPC's soft cancel puts the connection back into the pool when the cancel is sent, but its grace timer of 5 ms may fire after that and then closes the connection under the next call, which ends with the cancelled context's error as may-have-run.

Ruled out: a router's own deadline (the contexts of the failed calls were live); new requests at the leaving engine (the dump shows none).

Change: no grace; a cancel that can't be sent at once closes the connection before anyone can take it. The test counts all requests but the sidecar's own queries, in place of bytes. All dialers but the engine client's detect a silent peer (package tcpdial, from backend), so that a cancelled call does not put a dead connection back for good.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -6,17 +6,15 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/wasabigate/wasabigate/internal/conntrace"
+	"github.com/wasabigate/wasabigate/internal/tcpdial"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -25,13 +23,6 @@
 	// availability zone accepts within a few milliseconds; the first retransmission of
 	// a lost SYN comes only after a second.
 	dialTimeout = 400 * time.Millisecond
-	// TCP keep-alive probes detect a dead peer after
-	// keepAliveIdle + keepAliveCount * keepAliveInterval without any data.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 300 * time.Millisecond
-	keepAliveCount    = 3
-	// userTimeout is how long sent data may remain unacknowledged.
-	userTimeout = 1500 * time.Millisecond
 	// initialIdleTimeout applies until a backend server announces its idle time-out.
 	// Those are announced in whole seconds, so none is shorter than a second.
 	initialIdleTimeout = 900 * time.Millisecond
@@ -112,15 +103,8 @@
 }
 
 func newTransport(idle time.Duration) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: setUserTimeout,
-	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            tcpdial.NewDialer(dialTimeout).DialContext,
 		DisableCompression:     true,
 		IdleConnTimeout:        idle,
 		MaxIdleConnsPerHost:    idleConnsPerServer,
@@ -142,17 +126,6 @@
 	}
 }
 
-func setUserTimeout(_, _ string, conn syscall.RawConn) error {
-	var err error
-	controlErr := conn.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if controlErr != nil {
-		return controlErr
-	}
-	return errors.Wrap(err, "TCP_USER_TIMEOUT")
-}
-
 // Do sends the request and waits for the response header. An error is a
 // *verdict.Error. The HTTP client never retries the request by itself.
 func (c *Client) Do(ctx context.Context, call *Call) (*Response, error) {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -15,6 +15,8 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/wasabigate/wasabigate/internal/tcpdial"
 )
 
 const (
@@ -22,17 +24,17 @@
 	idleConnExpiration  = 30 * time.Second
 	maxIdleConnsPerPeer = 128
 	maxIdleConns        = 4096
-	softCancelGrace     = 5 * time.Millisecond
 	// maxMessageBytes bounds a message, which may carry a document of one megabyte
 	// with its history, or the body of a caller's request.
 	maxMessageBytes = 32 << 20
 )
 
+// managerOptions returns the options of a connection. There is no SoftCancelGrace: its
+// timer may close a connection that the next call already uses.
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
-		SoftCancel:      true,
-		SoftCancelGrace: softCancelGrace,
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		SoftCancel: true,
 	}
 }
 
@@ -51,9 +53,9 @@
 // NewDialer returns a Dialer. A nil tlsConfig means plain text.
 func NewDialer(tlsConfig *tls.Config) *Dialer {
 	if tlsConfig == nil {
-		return NewDialerFunc((&net.Dialer{}).DialContext)
+		return NewDialerFunc(tcpdial.NewDialer(dialTimeout).DialContext)
 	}
-	return NewDialerFunc((&tls.Dialer{Config: tlsConfig}).DialContext)
+	return NewDialerFunc((&tls.Dialer{NetDialer: tcpdial.NewDialer(dialTimeout), Config: tlsConfig}).DialContext)
 }
 
 // NewDialerFunc returns a Dialer that opens its connections with dialFunc.
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -17,6 +17,7 @@
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/configstore"
 	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/engine/httpapi"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/standin/kv"
 	"github.com/wasabigate/wasabigate/internal/standin/link"
@@ -94,6 +95,7 @@
 type capture struct {
 	mu   sync.Mutex
 	text strings.Builder
+	work int // requests other than its own sidecar's queries for state and events
 }
 
 // wrap returns a handler that records each request before next handles it.
@@ -102,12 +104,23 @@
 		if dump, err := httputil.DumpRequest(r, true); err == nil {
 			c.mu.Lock()
 			c.text.Write(dump)
+			if r.URL.Path != httpapi.PathState && r.URL.Path != httpapi.PathEvents {
+				c.work++
+			}
 			c.mu.Unlock()
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// workCount returns the number of requests so far that are not queries for state and
+// events, which a sidecar makes until it has stopped.
+func (c *capture) workCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.work
+}
+
 func (c *capture) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/tlsconf/configs.go
+++ b/internal/tlsconf/configs.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/tcpdial"
 )
 
 // Server returns the configuration of the RPC listener, which requires a certificate
@@ -50,14 +53,17 @@
 	}
 }
 
+// dialTimeout limits the time to open a TCP connection, before the handshake.
+const dialTimeout = 2 * time.Second
+
 // DialContext connects to another daemon, whose certificate must be valid for the
 // host of address, and completes the TLS handshake.
 func (f *Files) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	client := f.Client()
 	if client == nil {
-		return (&net.Dialer{}).DialContext(ctx, network, address)
+		return tcpdial.NewDialer(dialTimeout).DialContext(ctx, network, address)
 	}
-	return (&tls.Dialer{Config: client}).DialContext(ctx, network, address)
+	return (&tls.Dialer{NetDialer: tcpdial.NewDialer(dialTimeout), Config: client}).DialContext(ctx, network, address)
 }
 
 // Callers returns the configuration of the listener for callers, or nil for plain
