forward: let refused clients come back one by one

Cause: every refusal carried Retry-After of 400 ms, so that all clients refused at one moment came back at one moment, found the room taken again, and were lost if they retry once. A server that could not be reached gave no time at all.

A request that has not run because no server could be reached gets a time too.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -31,9 +31,6 @@
 	// loadingBackOff is how long a server is avoided after it refused a request because of
 	// its weights: a quarter of the time to load weights.
 	loadingBackOff = 300 * time.Millisecond
-	// retryAfter is sent to clients when no server can take a request: the time until a
-	// failed server is removed from the list, or a queue of prompts is prefilled.
-	retryAfter = 400 * time.Millisecond
 )
 
 // Budget bounds the retries of all gateways together.
@@ -50,7 +47,8 @@
 // Relay is the last handler of the chain. It sends a request to backend servers until
 // one has responded or no further attempt is allowed.
 type Relay struct {
-	meters meters
+	meters  meters
+	returns *returns
 
 	Zone        string
 	Source      func() *deployment.Snapshot
@@ -68,6 +66,7 @@
 // NewRelay returns a Relay with the exported fields of config.
 func NewRelay(config Relay) *Relay {
 	config.meters = newMeters()
+	config.returns = newReturns()
 	if config.Pick == nil {
 		config.Pick = placement.Pick
 	}
@@ -104,6 +103,7 @@
 	for {
 		resp, err := r.attempt(ctx)
 		if err == nil {
+			r.relay.returns.of(r.service).Served(time.Now())
 			return resp, nil
 		}
 		retry := r.allowRetry(ctx, err)
@@ -130,9 +130,21 @@
 	if r.mayHaveRun && err.Verdict == verdict.NotRun {
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "no backend server answered")
 	}
+	if mayReturn(err) {
+		err.RetryAfter = r.relay.returns.of(r.service).Delay(enginePriority(r.req), time.Now())
+	}
 	return nil, err
 }
 
+// mayReturn reports whether a request that failed has not run and may succeed later.
+func mayReturn(err *verdict.Error) bool {
+	switch err.Code {
+	case verdict.CodeOverloaded, verdict.CodeNoBackendServer, verdict.CodeBackendFailed:
+		return err.Verdict == verdict.NotRun
+	}
+	return false
+}
+
 // allowRetry reports whether the request may be sent to another server, and takes the
 // retry from the budget.
 func (r *activeRequest) allowRetry(ctx context.Context, err *verdict.Error) bool {
@@ -159,7 +171,7 @@
 	r.refreshSnapshot()
 	choice, ok := r.relay.Pick(r.placementQuery(now), r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now))
 	if !ok {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Excluded).WithRetryAfter(retryAfter)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Excluded)
 	}
 	call := r.newCall(&choice, now)
 	r.recordAttempt(&choice, call)
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -314,6 +314,39 @@
 	}
 }
 
+// Clients whose requests were refused at the same time come back one after the other, and
+// urgent ones before the others. That holds also if no server could be reached.
+func TestRefusedClientsComeBackOneByOne(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step step
+	}{
+		{"refused", step{status: 503, notRun: true}},
+		{"unreachable", step{failed: true, verdict: verdict.NotRun}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			handler, _ := testRelay([]step{c.step}, ampleRetries)
+			delayOf := func(priority int) time.Duration {
+				route := testRoute(deployment.Idempotent, false)
+				route.Priority = priority
+				_, err := handler.Handle(context.Background(), testRequest(route))
+				return verdict.From(err).RetryAfter
+			}
+			previous := time.Duration(0)
+			for n := range 5 {
+				delay := delayOf(1)
+				if delay <= previous {
+					t.Fatalf("client %d comes back after %v, the one before after %v", n, delay, previous)
+				}
+				previous = delay
+			}
+			if urgent := delayOf(0); urgent <= 0 || urgent >= previous {
+				t.Errorf("an urgent client comes back after %v, another after %v", urgent, previous)
+			}
+		})
+	}
+}
+
 func TestTargetsAreChosenByWeight(t *testing.T) {
 	route := testRoute(deployment.Idempotent, false)
 	route.Targets = []deployment.Target{{Service: "s", Weight: 9}, {Service: "t", Weight: 1}, {Service: "u", Weight: 0}}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -85,7 +85,7 @@
 		r.relay.Fleet.MarkSuspect(call.ServerID, now.Add(loadingBackOff))
 	}
 	r.endAttempt(attempt, outcome)
-	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused the request with status %d", call.ServerID, resp.Status).WithRetryAfter(retryAfter)
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused the request with status %d", call.ServerID, resp.Status)
 }
 
 // handleBadResponse ends an attempt whose response can't be passed on.
