fleet: keep the sum of other gateways' loads for each server

Cause: one placement summed every gateway's report for every server, and hashed a new string and asked for the shared parts again for each: 7.17 ms at 350 engines and 200 gateways, under one lock.

Change: a report changes the sums when it comes, is replaced or expires. A decision looks parts and weights up once for each version. Homes are chosen by a combination of two hashes, so they move once with this version.

Conclusion: the cost no longer grows with gateways.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,7 +33,9 @@
 // serverState is the observed state of one incarnation of a server.
 type serverState struct {
 	incarnation  int64
+	idHash       uint64
 	own          Load
+	remote       Load    // sum of the other gateways' shares that have not expired
 	failures     float64 // moving average at failuresAt, 0 to 1
 	failuresAt   time.Time
 	latencyMs    float64
@@ -52,20 +54,41 @@
 
 // remoteLoad is another gateway's share of the load, as it reported it.
 type remoteLoad struct {
-	receivedAt time.Time
-	loads      map[string]Load
+	expires time.Time
+	loads   map[string]Load
 }
 
 // Fleet tracks the backend servers. It is safe for concurrent use.
+//
+// What a placement costs must not grow with the number of gateways. The sum of their
+// shares is therefore kept for each server, and changed when a report comes or expires.
 type Fleet struct {
 	mu      sync.Mutex
 	servers map[string]*serverState // by id
 	remotes map[string]remoteLoad   // by address of the gateway
+	expiry  time.Time               // no report expires before; zero: there is none
+	views   map[string]*serviceView // by name of the service
+}
+
+// serviceView lists a service's servers in a snapshot together with their states.
+type serviceView struct {
+	snapshot *deployment.Snapshot
+	servers  []viewedServer
+}
+
+// viewedServer is a listed server with its state.
+type viewedServer struct {
+	listed *deployment.Server
+	state  *serverState
 }
 
 // New returns a Fleet without servers.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]*serverState), remotes: make(map[string]remoteLoad)}
+	return &Fleet{
+		servers: make(map[string]*serverState),
+		remotes: make(map[string]remoteLoad),
+		views:   make(map[string]*serviceView),
+	}
 }
 
 // state returns the state of a server, which it creates if needed. The caller holds
@@ -73,12 +96,16 @@
 func (f *Fleet) state(id string) *serverState {
 	s := f.servers[id]
 	if s == nil {
-		s = &serverState{weights: make(map[string]observedVersion)}
+		s = newServerState(id)
 		f.servers[id] = s
 	}
 	return s
 }
 
+func newServerState(id string) *serverState {
+	return &serverState{idHash: placement.HashID(id), weights: make(map[string]observedVersion)}
+}
+
 // Prune removes the servers that are no longer listed and have no requests in flight,
 // and resets those with a new incarnation.
 func (f *Fleet) Prune(snapshot *deployment.Snapshot) {
@@ -87,13 +114,15 @@
 	for id, s := range f.servers {
 		listed := snapshot.Servers[id]
 		switch {
-		case listed == nil && s.own.Running == 0:
+		case listed == nil && s.own.Running == 0 && s.remote == (Load{}):
 			delete(f.servers, id)
 		case listed != nil && listed.Incarnation != s.incarnation:
-			own := s.own
-			f.servers[id] = &serverState{incarnation: listed.Incarnation, own: own, weights: make(map[string]observedVersion)}
+			reset := newServerState(id)
+			reset.incarnation, reset.own, reset.remote = listed.Incarnation, s.own, s.remote
+			f.servers[id] = reset
 		}
 	}
+	clear(f.views)
 }
 
 // Attempt is a request in flight at a server.
@@ -233,7 +262,8 @@
 func (f *Fleet) Running(id string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.loadOf(id, f.state(id), time.Now()).Running
+	f.expireRemotes(time.Now())
+	return f.state(id).load().Running
 }
 
 // OwnLoad returns this gateway's share of the load, by server id.
@@ -253,7 +283,48 @@
 func (f *Fleet) SetRemoteLoad(gateway string, loads map[string]Load, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.remotes[gateway] = remoteLoad{receivedAt: now, loads: loads}
+	f.addRemote(f.remotes[gateway].loads, -1)
+	f.addRemote(loads, 1)
+	f.remotes[gateway] = remoteLoad{expires: now.Add(remoteTTL), loads: loads}
+	if f.expiry.IsZero() {
+		f.expiry = now.Add(remoteTTL)
+	}
+}
+
+// addRemote adds a gateway's loads, multiplied by sign, to the sums of the servers. The
+// caller holds the lock.
+func (f *Fleet) addRemote(loads map[string]Load, sign int) {
+	for id, load := range loads {
+		s := f.state(id)
+		s.remote.Running += sign * load.Running
+		s.remote.PendingTokens += int64(sign) * load.PendingTokens
+	}
+}
+
+// expireRemotes removes the reports that are no longer valid. The caller holds the lock.
+func (f *Fleet) expireRemotes(now time.Time) {
+	if f.expiry.IsZero() || now.Before(f.expiry) {
+		return
+	}
+	f.expiry = time.Time{}
+	for gateway, r := range f.remotes {
+		if !now.Before(r.expires) {
+			f.addRemote(r.loads, -1)
+			delete(f.remotes, gateway)
+			continue
+		}
+		if f.expiry.IsZero() || r.expires.Before(f.expiry) {
+			f.expiry = r.expires
+		}
+	}
+}
+
+// load returns the load of a server from all gateways.
+func (s *serverState) load() Load {
+	return Load{
+		Running:       s.own.Running + s.remote.Running,
+		PendingTokens: s.own.PendingTokens + s.remote.PendingTokens,
+	}
 }
 
 // Observation is a change of a server that a gateway has seen before the list of servers
@@ -307,32 +378,57 @@
 
 // View returns the state of a service's servers for the placement of a request.
 func (f *Fleet) View(snapshot *deployment.Snapshot, service, model string, now time.Time) []placement.Server {
-	listed := snapshot.ServersOf(service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	view := make([]placement.Server, 0, len(listed))
-	for _, server := range listed {
-		view = append(view, f.serverView(server, model, now))
+	f.expireRemotes(now)
+	viewed := f.viewOf(snapshot, service)
+	view := make([]placement.Server, len(viewed))
+	for i := range viewed {
+		viewed[i].fill(&view[i], model, now)
 	}
 	return view
 }
 
-// ViewOf returns the state of a server for the placement of a request for the model.
-func (f *Fleet) ViewOf(server *deployment.Server, model string, now time.Time) placement.Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.serverView(server, model, now)
+// viewOf returns the servers of a service with their states. The caller holds the lock.
+func (f *Fleet) viewOf(snapshot *deployment.Snapshot, service string) []viewedServer {
+	v := f.views[service]
+	if v == nil || v.snapshot != snapshot {
+		v = &serviceView{snapshot: snapshot}
+		for _, server := range snapshot.ServersOf(service) {
+			v.servers = append(v.servers, viewedServer{listed: server, state: f.listedState(server)})
+		}
+		f.views[service] = v
+	}
+	return v.servers
 }
 
-// serverView combines listed and observed state. The caller holds the lock.
-func (f *Fleet) serverView(server *deployment.Server, model string, now time.Time) placement.Server {
+// listedState returns the state of a listed server. The caller holds the lock.
+func (f *Fleet) listedState(server *deployment.Server) *serverState {
 	s := f.state(server.ID)
 	if s.incarnation == 0 {
 		s.incarnation = server.Incarnation
 	}
-	load := f.loadOf(server.ID, s, now)
-	return placement.Server{
+	return s
+}
+
+// ViewOf returns the state of a server for the placement of a request for the model.
+func (f *Fleet) ViewOf(server *deployment.Server, model string, now time.Time) placement.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expireRemotes(now)
+	viewed := viewedServer{listed: server, state: f.listedState(server)}
+	var view placement.Server
+	viewed.fill(&view, model, now)
+	return view
+}
+
+// fill sets view to the listed and observed state. The caller holds the lock of the fleet.
+func (v *viewedServer) fill(view *placement.Server, model string, now time.Time) {
+	server, s := v.listed, v.state
+	load := s.load()
+	*view = placement.Server{
 		ID:            server.ID,
+		IDHash:        s.idHash,
 		Address:       server.Address,
 		Zone:          server.AvailabilityZone,
 		Slots:         server.Slots,
@@ -348,18 +444,6 @@
 	}
 }
 
-// loadOf returns the load of a server from all gateways. The caller holds the lock.
-func (f *Fleet) loadOf(id string, s *serverState, now time.Time) Load {
-	load := s.own
-	for _, r := range f.remotes {
-		if now.Sub(r.receivedAt) < remoteTTL {
-			load.Running += r.loads[id].Running
-			load.PendingTokens += r.loads[id].PendingTokens
-		}
-	}
-	return load
-}
-
 // weightsOf returns the newer of the observed and the listed version. Versions only
 // increase within an incarnation, and the list is stale during an outage of the store.
 func (s *serverState) weightsOf(server *deployment.Server, model string) uint64 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"math"
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,6 +76,7 @@
 // Server is the state of a backend server as known at the time of a decision.
 type Server struct {
 	ID            string
+	IDHash        uint64 // HashID of ID
 	Address       string
 	Zone          string
 	Slots         int
@@ -89,6 +91,17 @@
 	LatencyMs     float64 // mean of recent responses, for a plain service; 0: unknown
 }
 
+// HashID returns the hash of a server's id by which the homes of shared parts are chosen.
+func HashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+// rendezvous combines the hashes of a key and of a server. Its multiplications make each
+// bit of the result depend on all bits of both.
+func rendezvous(key, server uint64) uint64 {
+	high, low := bits.Mul64(key^server, 0x9e3779b97f4a7c15)
+	high, low = bits.Mul64(high^low^server, 0xd6e8feb86659fd93)
+	return high ^ low
+}
+
 // Query is a request to place.
 type Query struct {
 	Zone         string
@@ -146,14 +159,15 @@
 
 // Pick returns the server with the lowest expected loss, or false if none may be used.
 func Pick(q *Query, servers []Server) (Choice, bool) {
-	usable, excluded := filter(q, servers)
+	d := decision{Query: q}
+	usable, excluded := d.filter(servers)
 	if len(usable) == 0 {
 		return Choice{Excluded: excluded}, false
 	}
-	home := homeOf(q, usable)
+	home := d.homeOf(usable)
 	best := Choice{Loss: math.Inf(1)}
 	for _, s := range usable {
-		if choice := q.evaluate(s, home); choice.Loss < best.Loss {
+		if choice := d.evaluate(s, home); choice.Loss < best.Loss {
 			best = choice
 		}
 	}
@@ -161,10 +175,35 @@
 	return best, true
 }
 
+// decision is a Query while it is decided. It remembers what the query's functions
+// returned for the last version of the weights, since most servers have the same one.
+type decision struct {
+	*Query
+	known       bool // the fields below are set
+	weights     uint64
+	parts       Shared
+	replacedAge time.Duration
+}
+
+// lookUp sets the fields that depend on a version of the weights.
+func (d *decision) lookUp(weights uint64) {
+	if d.known && d.weights == weights {
+		return
+	}
+	d.known, d.weights, d.parts, d.replacedAge = true, weights, Shared{}, 0
+	if d.Shared != nil {
+		d.parts = d.Shared(weights)
+	}
+	if d.ReplacedFor != nil {
+		d.replacedAge = d.ReplacedFor(weights)
+	}
+}
+
 // filter returns the servers that may take the request. Suspect servers are left out
 // unless they outnumber the healthy ones.
-func filter(q *Query, servers []Server) ([]*Server, Exclusions) {
-	var healthy, suspect []*Server
+func (d *decision) filter(servers []Server) ([]*Server, Exclusions) {
+	healthy := make([]*Server, 0, len(servers))
+	var suspect []*Server
 	var excluded Exclusions
 	for i := range servers {
 		s := &servers[i]
@@ -173,9 +212,9 @@
 			excluded.Draining++
 		case s.Loading:
 			excluded.Loading++
-		case q.Tried != nil && q.Tried(s.ID):
+		case d.Tried != nil && d.Tried(s.ID):
 			excluded.Tried++
-		case q.weightsExpired(s):
+		case d.weightsExpired(s):
 			excluded.OldWeights++
 		case s.Suspect:
 			suspect = append(suspect, s)
@@ -190,47 +229,44 @@
 }
 
 // weightsExpired reports whether the server's weights may no longer be used.
-func (q *Query) weightsExpired(s *Server) bool {
-	return q.MaxReplaced > 0 && q.replacedFor(s) > q.MaxReplaced-deadlineMargin
+func (d *decision) weightsExpired(s *Server) bool {
+	return d.MaxReplaced > 0 && d.replacedFor(s) > d.MaxReplaced-deadlineMargin
 }
 
 // replacedFor returns the time since the server's weights were replaced, or 0.
-func (q *Query) replacedFor(s *Server) time.Duration {
-	if q.ReplacedFor == nil {
-		return 0
-	}
-	return q.ReplacedFor(s.Weights)
+func (d *decision) replacedFor(s *Server) time.Duration {
+	d.lookUp(s.Weights)
+	return d.replacedAge
 }
 
 // shared returns where the shared parts are cached for a server's weights.
-func (q *Query) shared(s *Server) Shared {
-	if q.Shared == nil {
-		return Shared{}
-	}
-	return q.Shared(s.Weights)
+func (d *decision) shared(s *Server) *Shared {
+	d.lookUp(s.Weights)
+	return &d.parts
 }
 
 // prefilling reports whether the server is prefilling the shared parts for another
 // request.
-func (q *Query) prefilling(s *Server) bool { return q.shared(s).Prefilling == s.ID }
+func (d *decision) prefilling(s *Server) bool { return d.shared(s).Prefilling == s.ID }
 
 // homeOf returns the server that is prefilling the shared parts, or else the one with
 // the highest rendezvous hash of the query's key. Servers with the newest weights are
 // preferred in both cases.
-func homeOf(q *Query, servers []*Server) *Server {
-	if q.HomeKey == "" {
+func (d *decision) homeOf(servers []*Server) *Server {
+	if d.HomeKey == "" {
 		return nil
 	}
 	for _, s := range servers {
-		if q.prefilling(s) && q.replacedFor(s) == 0 {
+		if d.prefilling(s) && d.replacedFor(s) == 0 {
 			return s
 		}
 	}
+	key := xxhash.Sum64String(d.HomeKey)
 	var home *Server
 	var highest uint64
 	for _, s := range servers {
-		hash := xxhash.Sum64String(q.HomeKey + " " + s.ID)
-		if home == nil || q.moreCurrent(s, home) || !q.moreCurrent(home, s) && hash > highest {
+		hash := rendezvous(key, s.IDHash)
+		if home == nil || d.moreCurrent(s, home) || !d.moreCurrent(home, s) && hash > highest {
 			home, highest = s, hash
 		}
 	}
@@ -238,38 +274,40 @@
 }
 
 // moreCurrent reports whether a has the newest weights and b does not.
-func (q *Query) moreCurrent(a, b *Server) bool { return q.replacedFor(a) == 0 && q.replacedFor(b) > 0 }
+func (d *decision) moreCurrent(a, b *Server) bool {
+	return d.replacedFor(a) == 0 && d.replacedFor(b) > 0
+}
 
 // evaluate returns the choice of a server with its expected wait and loss.
-func (q *Query) evaluate(s, home *Server) Choice {
+func (d *decision) evaluate(s, home *Server) Choice {
 	choice := Choice{Server: s, Home: home}
-	if q.Engine {
-		choice.WaitMs, choice.PrefillTokens, choice.PrefillsShared = q.engineWait(s)
+	if d.Engine {
+		choice.WaitMs, choice.PrefillTokens, choice.PrefillsShared = d.engineWait(s)
 	} else {
 		choice.WaitMs = serviceWait(s)
 	}
-	if s.Zone != q.Zone {
+	if s.Zone != d.Zone {
 		choice.WaitMs += crossZoneMs
 	}
-	choice.Loss = q.expectedLoss(&choice)
+	choice.Loss = d.expectedLoss(&choice)
 	return choice
 }
 
 // engineWait returns the expected time to the first token in milliseconds, the prompt
 // tokens to prefill, and whether the shared parts are among these.
-func (q *Query) engineWait(s *Server) (wait float64, prefill int64, prefillsShared bool) {
-	prefill = q.OwnTokens
+func (d *decision) engineWait(s *Server) (wait float64, prefill int64, prefillsShared bool) {
+	prefill = d.OwnTokens
 	wait = float64(s.Running) * runningRequestMs
-	shared := q.shared(s)
+	shared := d.shared(s)
 	switch {
-	case q.SharedTokens == 0 || shared.expectedAt(s.ID):
+	case d.SharedTokens == 0 || shared.expectedAt(s.ID):
 	case !shared.available():
-		prefill += q.SharedTokens
+		prefill += d.SharedTokens
 		prefillsShared = true
 	default:
-		wait += fetchLatencyMs + float64(q.SharedTokens)/fetchTokensPerMs
+		wait += fetchLatencyMs + float64(d.SharedTokens)/fetchTokensPerMs
 		if !shared.Stored {
-			wait += float64(q.SharedTokens) / prefillTokensPerMs
+			wait += float64(d.SharedTokens) / prefillTokensPerMs
 		}
 	}
 	prefillMs := float64(s.PendingTokens+prefill) / prefillTokensPerMs
@@ -283,15 +321,15 @@
 // copy in the store, the other engine may have evicted them by the time they are
 // fetched, and they are prefilled again. All of them are counted as evicted: counting
 // half of them makes more responses late.
-func (q *Query) moveLoss(choice *Choice) float64 {
-	shared := q.shared(choice.Server)
+func (d *decision) moveLoss(choice *Choice) float64 {
+	shared := d.shared(choice.Server)
 	switch {
 	case shared.expectedAt(choice.Server.ID):
 		return 0
 	case shared.Stored:
 		return moveLoss
 	}
-	return moveLoss + recomputeLossPer1000Tokens*float64(q.SharedTokens)/1000
+	return moveLoss + recomputeLossPer1000Tokens*float64(d.SharedTokens)/1000
 }
 
 // serviceWait returns the expected latency of a plain service in milliseconds: that of
@@ -305,19 +343,19 @@
 }
 
 // expectedLoss returns the sum of the losses expected from a choice.
-func (q *Query) expectedLoss(choice *Choice) float64 {
+func (d *decision) expectedLoss(choice *Choice) float64 {
 	target := defaultTargetMs
-	if q.Target > 0 {
-		target = float64(q.Target) / float64(time.Millisecond)
+	if d.Target > 0 {
+		target = float64(d.Target) / float64(time.Millisecond)
 	}
 	ratio := choice.WaitMs / target
 	loss := waitLoss*ratio + lateLoss*min(1, max(0, (ratio-lateThreshold)/(1-lateThreshold)))
 	loss += failureLoss * choice.Server.FailureRate
-	if q.replacedFor(choice.Server) > oldWeightsGrace {
+	if d.replacedFor(choice.Server) > oldWeightsGrace {
 		loss += oldWeightsLoss
 	}
 	if choice.Home != nil && !choice.AtHome() {
-		loss += q.moveLoss(choice)
+		loss += d.moveLoss(choice)
 	}
 	return loss
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -10,7 +10,8 @@
 func engines(n int) []Server {
 	servers := make([]Server, n)
 	for i := range servers {
-		servers[i] = Server{ID: fmt.Sprint("e", i), Zone: "a", Slots: 64, Weights: 2}
+		id := fmt.Sprint("e", i)
+		servers[i] = Server{ID: id, IDHash: HashID(id), Zone: "a", Slots: 64, Weights: 2}
 	}
 	return servers
 }
@@ -226,7 +227,7 @@
 	q := queryFor("part")
 	q.Shared = func(weights uint64) Shared { return Shared{Stored: weights == 2} }
 	for i := range servers {
-		choice := q.evaluate(&servers[i], &servers[i])
+		choice := (&decision{Query: q}).evaluate(&servers[i], &servers[i])
 		if want := servers[i].Weights == 3; choice.PrefillsShared != want {
 			t.Errorf("with weights %d the shared parts are prefilled: %v, want %v", servers[i].Weights, choice.PrefillsShared, want)
 		}
