forward: give an attempt up only for another one

The watchdog cancelled a silent attempt first and asked the retry budget afterwards. Under overload the budget is empty, so that a slow but sound request ended with nothing in its place. The other way round, comments counted as events, so that a stream of pings was kept to its deadline.

Change: the watchdog takes the retry before it cancels; without one the attempt goes on and it asks again every 200 ms. An attempt that was given up is a failed server (5xx, may have run), not a client that left. Only events with data are progress.

Result: the three new tests fail on the code before (one ends after 10 s with its deadline).

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -19,10 +19,10 @@
 // ErrTooLarge means that an event exceeds maxEventBytes.
 var ErrTooLarge = errors.New("event larger than 1 MiB")
 
-// Batch holds one or more complete events.
+// Batch holds one or more complete events or comments.
 type Batch struct {
 	Raw    []byte // valid until the next call
-	Count  int
+	Count  int    // events with data; comments and empty events are not progress
 	LastID string // id of the last event that has one; empty if none has
 }
 
@@ -97,22 +97,25 @@
 	return i + len(separator)
 }
 
-var idField = []byte("id:")
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data")
+)
 
 // newBatch returns the batch of the complete events in raw.
 func newBatch(raw []byte) Batch {
 	batch := Batch{Raw: raw}
-	inEvent := false
+	hasData := false
 	for line := range bytes.Lines(raw) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			if inEvent {
+			if hasData {
 				batch.Count++
 			}
-			inEvent = false
+			hasData = false
 			continue
 		}
-		inEvent = true
+		hasData = hasData || bytes.HasPrefix(line, dataField)
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			batch.LastID = string(bytes.TrimSpace(value))
 		}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -94,8 +95,9 @@
 	reached     int // attempts that reached a server
 	executions  int // of these, those that may have run
 	mayHaveRun  bool
-	serverError *Response // a server's 5xx response, passed on if no attempt succeeds
-	lastID      string    // id of the last event that the client has received
+	serverError *Response   // a server's 5xx response, passed on if no attempt succeeds
+	lastID      string      // id of the last event that the client has received
+	reserved    atomic.Bool // the watchdog has taken a retry from the budget
 }
 
 // serve makes attempts until one succeeds or no further one is allowed.
@@ -157,7 +159,7 @@
 	if r.mayHaveRun && !r.req.MayRetry() {
 		return false
 	}
-	return r.reached == 0 || r.relay.Budget.AllowRetry(r.service, time.Now())
+	return r.reached == 0 || r.reserved.Swap(false) || r.relay.Budget.AllowRetry(r.service, time.Now())
 }
 
 // hasTime reports whether enough time is left before the deadline for a retry.
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -32,6 +32,8 @@
 	failed      bool // no response, but an error with verdict
 	silent      bool // no response, or no more events, until the attempt is cancelled
 	cause       error
+	delay       time.Duration // before the response
+	pings       bool          // comments after the body, until the attempt is cancelled
 }
 
 // fakeBackend performs steps in order, the last one repeatedly, and records the calls.
@@ -47,6 +49,13 @@
 		<-ctx.Done()
 		return nil, verdict.Wrap(context.Cause(ctx), verdict.MayHaveRun, verdict.CodeCancelled, "attempt cancelled")
 	}
+	if s.delay > 0 {
+		select {
+		case <-time.After(s.delay):
+		case <-ctx.Done():
+			return nil, verdict.Wrap(context.Cause(ctx), verdict.MayHaveRun, verdict.CodeCancelled, "attempt cancelled")
+		}
+	}
 	if s.failed {
 		return nil, verdict.Wrap(s.cause, s.verdict, verdict.CodeBackendFailed, "no response")
 	}
@@ -65,6 +74,16 @@
 			return 0, context.Cause(ctx)
 		}))
 	}
+	if s.pings {
+		body = io.MultiReader(body, readerFunc(func(p []byte) (int, error) {
+			select {
+			case <-time.After(20 * time.Millisecond):
+				return copy(p, ": ping\n\n"), nil
+			case <-ctx.Done():
+				return 0, context.Cause(ctx)
+			}
+		}))
+	}
 	resp.Body = io.NopCloser(body)
 	return resp, nil
 }
@@ -314,6 +333,62 @@
 	}
 }
 
+// Comments are no progress: a server that sends nothing else is replaced, before its
+// first event or after it.
+func TestPingsDoNotKeepAStream(t *testing.T) {
+	for _, begin := range []string{"", first} {
+		rest := strings.TrimPrefix(first+second, begin)
+		handler, f := testRelay([]step{{status: 200, body: begin, pings: true}, {status: 200, body: rest}}, ampleRetries)
+		route := testRoute(deployment.Stream, true)
+		route.TargetLatency, route.TargetGap = 50*time.Millisecond, 50*time.Millisecond
+		resp, err := handler.Handle(context.Background(), testRequest(route))
+		if err != nil {
+			t.Fatal(err)
+		}
+		events := ""
+		for err == nil {
+			var raw []byte
+			raw, err = resp.Events.Next(context.Background())
+			events += string(raw)
+		}
+		events = strings.ReplaceAll(events, ": ping\n\n", "")
+		if err != io.EOF || events != first+second || len(f.calls) != 2 {
+			t.Errorf("after %q got events %q, %v after %d attempts", begin, events, err, len(f.calls))
+		}
+	}
+}
+
+// A slow attempt is given up only for another one: without a retry in the budget the
+// client gets the late response.
+func TestSlowAttemptGoesOnWithoutBudget(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		retries int
+		calls   int
+	}{{"no retry left", 0, 1}, {"one retry left", 1, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			handler, f := testRelay([]step{{status: 200, body: "whole", delay: 500 * time.Millisecond}}, c.retries)
+			route := testRoute(deployment.Idempotent, false)
+			route.TargetLatency = 30 * time.Millisecond
+			resp, err := handler.Handle(context.Background(), testRequest(route))
+			if err != nil || resp.Status != 200 || len(f.calls) != c.calls {
+				t.Errorf("got %+v, %v after %d attempts, want 200 after %d", resp, err, len(f.calls), c.calls)
+			}
+		})
+	}
+}
+
+// An attempt that the gateway itself gives up must not look as if the client had left.
+func TestGivenUpAttemptIsAFailedServer(t *testing.T) {
+	handler, _ := testRelay([]step{{silent: true}}, ampleRetries)
+	req := testRequest(testRoute(deployment.Idempotent, false))
+	req.Timeout = 30 * time.Millisecond // too little is left for a second attempt
+	_, err := handler.Handle(context.Background(), req)
+	if failure := verdict.From(err); failure.Code.Status() < 500 || failure.Verdict != verdict.MayHaveRun {
+		t.Errorf("got %v with status %d, want a server error that may have run", failure, failure.Code.Status())
+	}
+}
+
 // Clients whose requests were refused at the same time come back one after the other, and
 // urgent ones before the others. That holds also if no server could be reached.
 func TestRefusedClientsComeBackOneByOne(t *testing.T) {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -12,7 +12,6 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
-	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -20,8 +19,11 @@
 func (r *activeRequest) noResponse(ctx context.Context, attempt *fleet.Attempt, err error) *verdict.Error {
 	failure := verdict.From(err)
 	outcome := fleet.Unreachable
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		outcome = fleet.Refused
+	case failure.Code == verdict.CodeCancelled: // by the watchdog, not by the client
+		failure = verdict.Wrap(failure, failure.Verdict, verdict.CodeBackendFailed, "%s does not respond", r.req.Log.Server)
 	}
 	r.endAttempt(attempt, outcome)
 	if failure.Verdict != verdict.NotRun {
@@ -129,7 +131,7 @@
 // startStream waits for the first events of a stream, so that a failure before them can
 // still be retried.
 func (r *activeRequest) startStream(ctx context.Context, attempt *fleet.Attempt, call *backend.Call, resp *backend.Response, wd *watchdog) (*Response, *verdict.Error) {
-	s := &stream{active: r, attempt: attempt, watchdog: wd, body: resp.Body, reader: eventstream.NewReader(resp.Body)}
+	s := &stream{active: r, attempt: attempt, call: call, watchdog: wd, body: resp.Body, reader: eventstream.NewReader(resp.Body)}
 	first, err := s.reader.Next()
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF // a stream without events is incomplete
@@ -137,14 +139,7 @@
 	if err != nil {
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
 	}
-	wd.reset()
-	attempt.PrefillDone()
-	if len(r.req.Shared()) > 0 {
-		r.relay.Cache.RecordUse(&kvcache.Use{
-			Salt: call.CacheSalt, Parts: newPrompt(r.req, "").Parts, Saved: call.SaveTo != "",
-			Holder: kvcache.Holder{ID: call.ServerID, Address: call.Address},
-		}, time.Now())
-	}
 	s.first = &first
+	s.recordProgress(&first)
 	return &Response{Status: resp.Status, Header: resp.Header, Events: s}, nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"time"
 
+	"github.com/wasabigate/wasabigate/internal/backend"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
+	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
@@ -15,10 +18,12 @@
 type stream struct {
 	active   *activeRequest
 	attempt  *fleet.Attempt
+	call     *backend.Call
 	watchdog *watchdog
 	body     io.Closer
 	reader   *eventstream.Reader
 	first    *eventstream.Batch // read ahead
+	started  bool               // the server has sent an event
 	ended    bool
 }
 
@@ -27,7 +32,7 @@
 	for {
 		batch, err := s.next()
 		if err == nil {
-			s.watchdog.reset()
+			s.recordProgress(&batch)
 			if batch.LastID != "" {
 				s.active.lastID = batch.LastID
 			}
@@ -43,6 +48,27 @@
 	}
 }
 
+// recordProgress restarts the watchdog if the batch has events. The first of them shows
+// that the server has prefilled the prompt.
+func (s *stream) recordProgress(batch *eventstream.Batch) {
+	if batch.Count == 0 {
+		return
+	}
+	s.watchdog.reset()
+	if s.started {
+		return
+	}
+	s.started = true
+	s.attempt.PrefillDone()
+	if len(s.active.req.Shared()) == 0 {
+		return
+	}
+	s.active.relay.Cache.RecordUse(&kvcache.Use{
+		Salt: s.call.CacheSalt, Parts: newPrompt(s.active.req, "").Parts, Saved: s.call.SaveTo != "",
+		Holder: kvcache.Holder{ID: s.call.ServerID, Address: s.call.Address},
+	}, time.Now())
+}
+
 func (s *stream) next() (eventstream.Batch, error) {
 	if first := s.first; first != nil {
 		s.first = nil
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,18 +24,26 @@
 	// route. minStallTime is the least such bound.
 	stallGapFactor = 2
 	minStallTime   = 800 * time.Millisecond
+	// reserveInterval is the time after which a retry of a stalled attempt is asked for
+	// again when the budget had none.
+	reserveInterval = 200 * time.Millisecond
 )
 
 // errStalled cancels an attempt whose server has sent nothing for too long. Its text
 // becomes part of the message that the client receives.
 var errStalled = errors.New("the backend server is silent")
 
-// watchdog cancels an attempt when its server sends nothing for too long. Without a
-// timer it never does.
+// watchdog cancels an attempt when its server sends nothing for too long and another may
+// be tried instead. Without a timer it never does.
 type watchdog struct {
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-	maxGap time.Duration // between events; 0: not bounded
+	ctx     context.Context // of the attempt
+	cancel  context.CancelCauseFunc
+	timer   *time.Timer
+	maxGap  time.Duration // between events; 0: not bounded
+	reserve func() bool   // takes a retry from the budget
+
+	mu    sync.Mutex
+	until time.Time // the server may be silent until then; zero: to the end
 }
 
 // startWatchdog returns the context and the watchdog of an attempt. The watchdog has a
@@ -41,17 +51,70 @@
 func (r *activeRequest) startWatchdog(ctx context.Context, now time.Time) (context.Context, *watchdog) {
 	timeout := r.attemptTimeout(now)
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{cancel: cancel}
+	w := &watchdog{ctx: ctx, cancel: cancel, reserve: r.reserveRetry}
 	if timeout <= 0 {
 		return ctx, w
 	}
-	w.timer = time.AfterFunc(timeout, func() { cancel(errStalled) })
 	if r.req.Route.Kind == deployment.Stream && r.req.Route.TargetGap > 0 {
 		w.maxGap = max(minStallTime, stallGapFactor*r.req.Route.TargetGap)
 	}
+	w.timer = time.AfterFunc(math.MaxInt64, w.stalled)
+	w.expectBy(now.Add(timeout))
 	return ctx, w
 }
 
+// expectBy sets the time by which the server must send something; zero: none.
+func (w *watchdog) expectBy(until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.until = until
+	if until.IsZero() {
+		w.timer.Stop()
+		return
+	}
+	w.timer.Reset(time.Until(until))
+}
+
+// overdue reports whether the server has been silent for too long.
+func (w *watchdog) overdue() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ctx.Err() == nil && !w.until.IsZero() && !time.Now().Before(w.until)
+}
+
+// stalled cancels the attempt if a retry can be taken from the budget. Otherwise the
+// server may still respond, and stalled asks again later.
+func (w *watchdog) stalled() {
+	switch {
+	case !w.overdue():
+	case w.reserve():
+		w.cancel(errStalled)
+	default:
+		w.postpone()
+	}
+}
+
+// postpone lets an overdue server be silent for another reserveInterval.
+func (w *watchdog) postpone() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.until.IsZero() || now.Before(w.until) {
+		return // it has sent something meanwhile
+	}
+	w.until = now.Add(reserveInterval)
+	w.timer.Reset(reserveInterval)
+}
+
+// reserveRetry takes a retry of the request from the budget, for the watchdog.
+func (r *activeRequest) reserveRetry() bool {
+	if !r.relay.Budget.AllowRetry(r.service, time.Now()) {
+		return false
+	}
+	r.reserved.Store(true)
+	return true
+}
+
 // attemptTimeout returns how long an attempt may take until its response or its first
 // events, or 0 if no retry may follow it.
 func (r *activeRequest) attemptTimeout(now time.Time) time.Duration {
@@ -67,19 +130,19 @@
 
 // reset restarts the timer when events of a stream have arrived.
 func (w *watchdog) reset() {
-	if w.timer == nil {
-		return
-	}
-	w.timer.Stop()
-	if w.maxGap > 0 {
-		w.timer.Reset(w.maxGap)
+	switch {
+	case w.timer == nil:
+	case w.maxGap > 0:
+		w.expectBy(time.Now().Add(w.maxGap))
+	default:
+		w.expectBy(time.Time{})
 	}
 }
 
 // stop stops the timer and releases the attempt's context.
 func (w *watchdog) stop() {
 	if w.timer != nil {
-		w.timer.Stop()
+		w.expectBy(time.Time{})
 	}
 	w.cancel(nil)
 }
