backend: never read a late copy as another request's response

Cause: the failure that operators of similar systems told of, looked for and found: a second copy of a response that carries no id of its request and arrives when the next request waits on the connection was handed to that request. The connection stayed in use if the copy had no body, as closing the body did not close it.

Ruled out: copies that arrive on an idle connection (net/http closes it).

Change: on a reused connection a response must repeat its request's id; any other closes the connection and counts as may-have-run. A server that does not repeat ids gets a connection for each request.

Result: TestLateCopyIsNoAnswer gave the body of r1 for r2 before; each call gets its own response or an error now.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/conntrace"
@@ -32,6 +33,8 @@
 	idleTimeoutFraction = 0.6
 	// idleConnsPerServer is the maximum number of idle connections per backend server.
 	idleConnsPerServer = 64
+	// maxUnidentified bounds the servers that are remembered for not repeating ids.
+	maxUnidentified = 1024
 	// maxHeaderBytes limits the size of a response header.
 	maxHeaderBytes = 64 << 10
 	// MaxBodyBytes limits a response body that is read completely before it is forwarded.
@@ -93,15 +96,32 @@
 type Client struct {
 	codec     Codec
 	transport atomic.Pointer[http.Transport]
+	// oneShot opens a connection for each request, for servers that do not repeat the
+	// request's id: on a reused connection their response could be another's.
+	oneShot      *http.Transport
+	unidentified *lru.Cache[string, struct{}] // addresses of these servers
 }
 
 // NewClient returns a client that uses codec for request and response headers.
 func NewClient(codec Codec) *Client {
-	c := &Client{codec: codec}
+	unidentified, err := lru.New[string, struct{}](maxUnidentified)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	c := &Client{codec: codec, oneShot: newTransport(initialIdleTimeout), unidentified: unidentified}
+	c.oneShot.DisableKeepAlives = true
 	c.transport.Store(newTransport(initialIdleTimeout))
 	return c
 }
 
+// transportFor returns the transport for a server.
+func (c *Client) transportFor(address string) *http.Transport {
+	if c.unidentified.Contains(address) {
+		return c.oneShot
+	}
+	return c.transport.Load()
+}
+
 func newTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:            tcpdial.NewDialer(dialTimeout).DialContext,
@@ -129,10 +149,10 @@
 // Do sends the request and waits for the response header. An error is a
 // *verdict.Error. The HTTP client never retries the request by itself.
 func (c *Client) Do(ctx context.Context, call *Call) (*Response, error) {
-	traced, connected := conntrace.Attach(ctx)
-	httpResponse, err := c.transport.Load().RoundTrip(c.newRequest(traced, call))
+	traced, trace := conntrace.Attach(ctx)
+	httpResponse, err := c.transportFor(call.Address).RoundTrip(c.newRequest(traced, call))
 	if err != nil {
-		return nil, callError(ctx, err, call.Address, connected.Load())
+		return nil, callError(ctx, err, call.Address, trace.Connected())
 	}
 	response := &Response{
 		Status:      httpResponse.StatusCode,
@@ -141,13 +161,30 @@
 		Body:        httpResponse.Body,
 	}
 	c.updateIdleTimeout(response.IdleTimeout)
-	if response.RequestID != "" && response.RequestID != call.RequestID {
+	if response.RequestID == "" {
+		c.unidentified.Add(call.Address, struct{}{})
+	} else {
+		c.unidentified.Remove(call.Address)
+	}
+	if !answers(response, call, trace.Reused()) {
+		// An extra response may be complete, so closing its body keeps the connection.
+		trace.CloseConn()
 		closeBody(httpResponse.Body)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s sent the answer of another request", call.Address)
 	}
 	return response, nil
 }
 
+// answers reports whether a response is the call's. A server may send a response twice,
+// the second time when the next request waits on the connection. Without the id of its
+// request, only the first response on a connection can be trusted.
+func answers(response *Response, call *Call, reused bool) bool {
+	if response.RequestID == "" {
+		return !reused
+	}
+	return response.RequestID == call.RequestID
+}
+
 func closeBody(body io.Closer) { _ = body.Close() } // the response is discarded, so an error does not matter
 
 // callError returns the error of a call that got no response.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,3 +190,89 @@
 		}
 	}
 }
+
+// A second copy of an earlier response, read when the next request waits, is not its
+// response, and the connection is not used again. Each client gets its own response or
+// an error, and the calls after it succeed.
+func TestLateCopyIsNoAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		hasID  func(n int64) bool
+		bodies bool
+	}{
+		{"with the id", func(int64) bool { return true }, true},
+		{"with the id, no body", func(int64) bool { return true }, false},
+		{"without an id", func(int64) bool { return false }, true},
+		{"id sometimes missing", func(n int64) bool { return n%2 == 1 }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bodyOf := func(n int64) string {
+				if !c.bodies {
+					return ""
+				}
+				return fmt.Sprint("body of r", n)
+			}
+			previous := make(map[net.Conn]int64) // last request on each connection
+			var mu sync.Mutex
+			address, _ := rawServer(t, func(n int64, conn net.Conn, _ *bufio.Reader) {
+				write := func(n int64) {
+					header, body := "", bodyOf(n)
+					if c.hasID(n) {
+						header = fmt.Sprintf("Request: r%d\r\n", n)
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if before := previous[conn]; before > 0 {
+					write(before) // the late copy
+				}
+				previous[conn] = n
+				write(n)
+			})
+			client := NewClient(testCodec{})
+			served := 0
+			for n := int64(1); n <= 8; n++ {
+				call := callTo(address, http.MethodPost, "x")
+				call.RequestID = fmt.Sprint("r", n)
+				response, err := client.Do(context.Background(), call)
+				if err != nil {
+					if verdict.From(err).Verdict != verdict.MayHaveRun {
+						t.Errorf("call %d: %v, want an error that may have run", n, err)
+					}
+					continue
+				}
+				served++
+				body, err := ReadBody(response)
+				if want := bodyOf(n); err != nil || string(body) != want {
+					t.Errorf("call %d: got %q, %v, want %q", n, body, err, want)
+				}
+			}
+			if served < 4 { // each connection serves its first request
+				t.Errorf("%d of 8 calls served", served)
+			}
+		})
+	}
+}
+
+// A server that never repeats ids gets a connection for each request, and every call
+// succeeds.
+func TestServerWithoutIDs(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") }))
+	defer server.Close()
+	client := NewClient(testCodec{})
+	failed := 0
+	for range 10 {
+		response, err := client.Do(context.Background(), callTo(server.Listener.Addr().String(), http.MethodPost, "x"))
+		if err != nil {
+			failed++
+			continue
+		}
+		if _, err := ReadBody(response); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of 10 calls failed", failed)
+	}
+}
--- a/internal/conntrace/conntrace.go
+++ b/internal/conntrace/conntrace.go
@@ -1,20 +1,53 @@
-// Package conntrace reports whether an HTTP request was assigned a connection. A call
-// that got no response cannot have had an effect if there was no connection; otherwise
-// it may have had one.
+// Package conntrace reports on which connection an HTTP request was sent. A call that got
+// no response cannot have had an effect if there was no connection; otherwise it may
+// have had one.
 package conntrace
 
 import (
 	"context"
+	"net"
 	"net/http/httptrace"
-	"sync/atomic"
+	"sync"
 )
 
-// Attach returns a context for one request. connected becomes true when the request
-// gets a connection on which it may be sent.
-func Attach(ctx context.Context) (traced context.Context, connected *atomic.Bool) {
-	connected = &atomic.Bool{}
-	traced = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	return traced, connected
+// Trace is the connection of one request. It is safe for concurrent use.
+type Trace struct {
+	mu     sync.Mutex
+	conn   net.Conn // nil: none
+	reused bool
+}
+
+// Attach returns a context for one request, and the trace that it fills.
+func Attach(ctx context.Context) (context.Context, *Trace) {
+	t := &Trace{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn}), t
+}
+
+func (t *Trace) gotConn(info httptrace.GotConnInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conn, t.reused = info.Conn, info.Reused
+}
+
+// Connected reports whether the request got a connection on which it may have been sent.
+func (t *Trace) Connected() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil
+}
+
+// Reused reports whether the connection had carried a request before.
+func (t *Trace) Reused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
+// CloseConn closes the connection, so that no other request is sent on it.
+func (t *Trace) CloseConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close() // its state does not matter any more
+	}
 }
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -52,12 +52,12 @@
 // send sends the request. Its errors wrap engine.ErrUnreachable if no connection
 // was made, and engine.ErrBroken otherwise.
 func send(client *http.Client, req *http.Request) (*http.Response, error) {
-	traced, connected := conntrace.Attach(req.Context())
+	traced, trace := conntrace.Attach(req.Context())
 	resp, err := client.Do(req.WithContext(traced))
 	if err == nil {
 		return resp, nil
 	}
-	if !connected.Load() || isDialError(err) {
+	if !trace.Connected() || isDialError(err) {
 		return nil, errors.Wrap(engine.ErrUnreachable, err.Error())
 	}
 	return nil, errors.Wrap(engine.ErrBroken, err.Error())
--- a/internal/platform/client/caller.go
+++ b/internal/platform/client/caller.go
@@ -106,7 +106,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	ctx, connected := conntrace.Attach(ctx)
+	ctx, trace := conntrace.Attach(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, path)
@@ -114,7 +114,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return wrapError(noResponseError(connected.Load()), path, err)
+		return wrapError(noResponseError(trace.Connected()), path, err)
 	}
 	defer drain(response.Body)
 	if response.StatusCode != http.StatusOK {
