backend: send a POST without a body once, whatever its headers

Change: such a call gets its own connection, on which net/http repeats nothing.

Conclusion: an at-most-once call with such a header can't run twice any more.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -114,14 +114,24 @@
 	return c
 }
 
-// transportFor returns the transport for a server.
-func (c *Client) transportFor(address string) *http.Transport {
-	if c.unidentified.Contains(address) {
+// transportFor returns the transport of a call.
+func (c *Client) transportFor(call *Call) *http.Transport {
+	if c.unidentified.Contains(call.Address) || isReplayable(call) {
 		return c.oneShot
 	}
 	return c.transport.Load()
 }
 
+// isReplayable reports whether net/http would send the call again by itself when a reused
+// connection breaks: it takes a POST without a body for idempotent if it has one of these
+// headers. On a new connection it sends nothing twice.
+func isReplayable(call *Call) bool {
+	if len(call.Body) > 0 || call.Method != http.MethodPost {
+		return false
+	}
+	return call.Header.Get("Idempotency-Key") != "" || call.Header.Get("X-Idempotency-Key") != ""
+}
+
 func newTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:            tcpdial.NewDialer(dialTimeout).DialContext,
@@ -150,7 +160,7 @@
 // *verdict.Error. The HTTP client never retries the request by itself.
 func (c *Client) Do(ctx context.Context, call *Call) (*Response, error) {
 	traced, trace := conntrace.Attach(ctx)
-	httpResponse, err := c.transportFor(call.Address).RoundTrip(c.newRequest(traced, call))
+	httpResponse, err := c.transportFor(call).RoundTrip(c.newRequest(traced, call))
 	if err != nil {
 		return nil, callError(ctx, err, call.Address, trace.Connected())
 	}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -98,28 +98,40 @@
 // method does not show whether a retry is safe.
 func TestNothingIsSentTwice(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodDelete} {
-		address, requests := rawServer(t, func(n int64, conn net.Conn, _ *bufio.Reader) {
-			if n == 1 {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				return
-			}
-			_ = conn.Close() // the reused connection breaks during the second request
-		})
-		client := NewClient(testCodec{})
-		response, err := client.Do(context.Background(), callTo(address, method, ""))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := ReadBody(response); err != nil {
-			t.Fatal(err)
-		}
-		_, err = client.Do(context.Background(), callTo(address, method, ""))
-		if failure := verdict.From(err); failure == nil || failure.Verdict != verdict.MayHaveRun {
-			t.Errorf("%s: got %v, want an unknown outcome", method, err)
-		}
-		if n := requests.Load(); n != 2 {
-			t.Errorf("%s: the server got %d requests, want 2", method, n)
+		testSentOnce(t, method, nil)
+	}
+	testSentOnce(t, http.MethodPost, http.Header{"Idempotency-Key": {"k"}})
+	testSentOnce(t, http.MethodPost, http.Header{"X-Idempotency-Key": {"k"}})
+}
+
+// testSentOnce makes a call on a connection that breaks after a first call.
+func testSentOnce(t *testing.T, method string, header http.Header) {
+	t.Helper()
+	address, requests := rawServer(t, func(n int64, conn net.Conn, _ *bufio.Reader) {
+		if n == 1 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest: r1\r\nContent-Length: 0\r\n\r\n")
+			return
 		}
+		_ = conn.Close() // the reused connection breaks during the second request
+	})
+	client := NewClient(testCodec{})
+	call := callTo(address, method, "")
+	if header != nil {
+		call.Header = header
+	}
+	response, err := client.Do(context.Background(), call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadBody(response); err != nil {
+		t.Fatal(err)
+	}
+	_, err = client.Do(context.Background(), call)
+	if failure := verdict.From(err); failure == nil || failure.Verdict != verdict.MayHaveRun {
+		t.Errorf("%s %v: got %v, want an unknown outcome", method, header, err)
+	}
+	if n := requests.Load(); n != 2 {
+		t.Errorf("%s %v: the server got %d requests, want 2", method, header, n)
 	}
 }
 
