gateway: refuse what arrives late in a stop instead of cutting it; guard input from outside

A stopping gateway closed idle connections 2.5 s after SIGTERM, and requests that crossed the close were cut without an answer. A panic in one RPC handler, over one report of a gateway or one entry of the store ended the process; the store still has the entry when it restarts.

Ruled out: keeping connections open and serving to the end, as long requests that are accepted late would be cut at the end of the grace time.

Change: after these 2.5 s new requests get 503 not run, with a Retry-After, for one second or while others run; then connections are closed. Package guard turns a panic over one message into a logged and counted error in RPC handlers, reports and the decoder of entries. Impossible loads in a report are ignored.

The two guard tests end their process without the change.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/guard"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
@@ -288,7 +289,11 @@
 	if event.Deleted {
 		return isServer && f.state.removeServer(id, staleness >= storeLostAfter, now)
 	}
-	item, err := f.layout.Decode(event.Key, event.Value, now)
+	var item Item
+	err := guard.Call("entry of the store", func() (err error) {
+		item, err = f.layout.Decode(event.Key, event.Value, now)
+		return err
+	})
 	if err != nil {
 		logger.Warn(fields{"key": event.Key, "revision": uint64(event.Version), "error": err.Error()}, "entry not decoded")
 		return isServer && f.state.removeServer(id, false, now)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -189,6 +189,20 @@
 }
 
 // If the store has compacted the history, the Follower reads all entries.
+// An entry over which the decoder panics names no server, and the entries after it are
+// followed.
+func TestPanicOverOneEntry(t *testing.T) {
+	runFollower(t, func(f *fakeFeed, follower *Follower) {
+		f.put("servers/bad", "server") // the decoder reads beyond its end
+		f.put("servers/good", "server lm 10.0.0.1:80")
+		time.Sleep(3 * time.Second)
+		servers := follower.Snapshot().Servers
+		if servers["bad"] != nil || servers["good"] == nil {
+			t.Errorf("servers %v, want only good", servers)
+		}
+	})
+}
+
 func TestCompaction(t *testing.T) {
 	runFollower(t, func(f *fakeFeed, follower *Follower) {
 		f.set(func() { f.oldest = 1000 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
@@ -43,6 +44,9 @@
 	// balancerDelay is how long a stopping gateway still accepts requests: the load
 	// balancer checks readiness once a second and needs two failed checks.
 	balancerDelay = 2500 * time.Millisecond
+	// refusePeriod is how long a stopping gateway refuses new requests before it closes
+	// idle connections. Clients that send at least this often have left by then.
+	refusePeriod = time.Second
 	// shutdownMargin is the part of the drain time-out reserved for the steps after the
 	// HTTP server has shut down.
 	shutdownMargin = 500 * time.Millisecond
@@ -224,7 +228,21 @@
 	stop()
 	_ = readiness.Close() // error ignored: the process ends
 	_ = admin.Close()     // error ignored: the process ends
-	return group.Wait()
+	return waitAtMost(group, shutdownMargin/2)
+}
+
+// waitAtMost waits until the background work has ended. Work that waits for an
+// unreachable store must not keep a stopped process until it is killed.
+func waitAtMost(group *errgroup.Group, limit time.Duration) error {
+	ended := make(chan error, 1)
+	go func() { ended <- group.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(limit):
+		logger.Warn(nil, "background work did not end")
+		return nil
+	}
 }
 
 // startBackground starts the background goroutines. The rollout ends with ctx, before
@@ -323,17 +341,25 @@
 	logger.Debug(fields{"error": err.Error()}, "rpc connection failed")
 }
 
-// drain fails readiness checks, then stops accepting requests and waits for running
-// ones up to the drain time-out.
+// drain fails readiness checks, then refuses new requests and waits for running ones up
+// to the drain time-out.
+//
+// A client's connection can't be closed safely while the client may send on it: a request
+// that crosses the close is cut without an answer. Idle connections therefore stay open to
+// the end, and what arrives on them is refused as not run.
 func (g *Gateway) drain(clients *http.Server) {
 	logger.Info(nil, "draining")
 	g.ingress.setDraining()
 	time.Sleep(min(balancerDelay, g.settings.Daemon.DrainTimeout/2))
+	g.ingress.setRefusing()
 	timeout := max(shutdownMargin, g.settings.Daemon.DrainTimeout-balancerDelay-shutdownMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	_ = clock.Sleep(ctx, min(refusePeriod, timeout)) // the error only says that ctx ended
+	g.ingress.awaitEnd(ctx)
 	if err := clients.Shutdown(ctx); err != nil {
 		logger.Warn(fields{"error": err.Error()}, "requests cut at the end of the drain timeout")
+		_ = clients.Close() // their time is up
 	}
 	logger.Info(nil, "stopped")
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -368,3 +368,50 @@
 		t.Errorf("response %+v, error %v: want Connection: close", reply, err)
 	}
 }
+
+// Requests that arrive late in a stop, on connections that were idle until then, get a
+// complete answer: the response, or that they have not run.
+func TestStopUnderLoadAnswersIdleConnections(t *testing.T) {
+	const clients = 100
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "1")
+		_, _ = io.WriteString(w, "whole")
+	}))
+	defer server.Close()
+	s := startSystem(t)
+	s.store.set(testConfig(1, deployment.AtMostOnce), serverAt("a", server.Listener.Addr().String()))
+	s.waitReady(t)
+	exchange := func(conn net.Conn) (int, error) {
+		if _, err := io.WriteString(conn, "POST /x/1 HTTP/1.1\r\nHost: api.example\r\nRequest: r1\r\nKey: good\r\nContent-Length: 1\r\n\r\nx"); err != nil {
+			return 0, err
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0, err
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return response.StatusCode, err
+	}
+	var group sync.WaitGroup
+	stopped := make(chan struct{})
+	for n := range clients {
+		conn, err := net.Dial("tcp", s.settings.Gateway.HTTPAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if status, err := exchange(conn); err != nil || status != http.StatusOK {
+			t.Fatal(status, err)
+		}
+		group.Go(func() {
+			<-stopped
+			time.Sleep(time.Duration(n) * (balancerDelay + refusePeriod*8/10) / clients)
+			if status, err := exchange(conn); err != nil || status != http.StatusOK && status != http.StatusServiceUnavailable {
+				t.Errorf("client %d: status %d, error %v", n, status, err)
+			}
+		})
+	}
+	s.stop()
+	close(stopped)
+	group.Wait()
+}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/follower"
 	"github.com/wasabigate/wasabigate/internal/forward"
@@ -37,6 +38,12 @@
 	defaultBodyBytes = 4 << 20
 	// slowWriteTimeout bounds each write of a stream to a client that does not read.
 	slowWriteTimeout = 10 * time.Second
+	// runningPollInterval is the interval at which a stopping gateway looks whether
+	// requests are running.
+	runningPollInterval = 20 * time.Millisecond
+	// stoppingRetryAfter is sent to clients that a stopping gateway refuses. Another gateway
+	// serves them at once.
+	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // ingress is the HTTP handler for clients' requests.
@@ -46,7 +53,9 @@
 	handler        forward.Handler
 	echo           *echo.Echo
 	requestMetrics requestMetrics
-	draining       atomic.Bool
+	draining       atomic.Bool  // each response closes its connection
+	refusing       atomic.Bool  // new requests are refused
+	running        atomic.Int64 // accepted requests without a complete response
 }
 
 func newIngress(f *follower.Follower, headers Headers, handler forward.Handler) *ingress {
@@ -75,6 +84,27 @@
 
 func (in *ingress) isDraining() bool { return in.draining.Load() }
 
+// setRefusing refuses the requests that arrive from now on. Those that were accepted
+// before go on.
+func (in *ingress) setRefusing() { in.refusing.Store(true) }
+
+// accept counts a request as running, unless requests are refused.
+func (in *ingress) accept() bool {
+	in.running.Add(1) // before the check, so that awaitEnd sees each accepted request
+	if in.refusing.Load() {
+		in.running.Add(-1)
+		return false
+	}
+	return true
+}
+
+// awaitEnd waits until no request is running, at most until ctx ends.
+func (in *ingress) awaitEnd(ctx context.Context) {
+	for in.running.Load() > 0 && ctx.Err() == nil {
+		_ = clock.Sleep(ctx, runningPollInterval) // the loop checks ctx
+	}
+}
+
 // hopByHop lists the headers that are not forwarded, since they apply to a single
 // connection.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
@@ -99,6 +129,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := in.newRequest(r, arrived)
+	if !in.accept() {
+		return in.writeError(w, req, verdict.New(verdict.NotRun, verdict.CodeDraining, "the gateway is stopping").WithRetryAfter(stoppingRetryAfter))
+	}
+	defer in.running.Add(-1)
 	var err error
 	req.Body, err = readBody(w, r, req.Snapshot.Config)
 	if err != nil {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -17,6 +17,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/guard"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
@@ -40,6 +41,10 @@
 	callTimeout = 300 * time.Millisecond
 	// failureBackoff is how long a peer is not called after a failed call.
 	failureBackoff = time.Second
+	// maxRunning and maxPendingTokens bound a gateway's share of a server's load. A report
+	// of more is malformed.
+	maxRunning       = 100_000
+	maxPendingTokens = 1 << 40
 	// staleAfter is the staleness of the state above which peers' newer state is taken.
 	staleAfter = 400 * time.Millisecond
 	// storeLostAfter is the staleness above which the store counts as lost: twice the
@@ -189,8 +194,11 @@
 	if err != nil {
 		return
 	}
-	x.mergeReport(ctx, report)
-	x.updateFromPeer(ctx, client, address, report)
+	_ = guard.Call("report of a gateway", func() error { // a panic is logged there
+		x.mergeReport(ctx, report)
+		x.updateFromPeer(ctx, client, address, report)
+		return nil
+	})
 }
 
 func (x *Exchange) endCall(address string, err error) {
@@ -298,6 +306,9 @@
 	now := time.Now()
 	loads := make(map[string]fleet.Load, len(report.Loads))
 	for _, load := range report.Loads {
+		if load.Running > maxRunning || load.PendingTokens < 0 || load.PendingTokens > maxPendingTokens {
+			continue // impossible
+		}
 		loads[load.Server] = fleet.Load{Running: int(load.Running), PendingTokens: load.PendingTokens}
 	}
 	x.opts.Fleet.SetRemoteLoad(report.Sender, loads, now)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/wasabigate/wasabigate/internal/guard"
 	"github.com/wasabigate/wasabigate/internal/tcpdial"
 )
 
@@ -90,12 +91,20 @@
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
-// Serve serves handler on listener until ctx is done. A nil tlsConfig means plain
-// text. onError, which may be nil, is called with errors that do not end Serve.
+// guarded is a handler whose panics end only the call.
+type guarded struct{ drpc.Handler }
+
+// HandleRPC implements drpc.Handler.
+func (h guarded) HandleRPC(stream drpc.Stream, rpc string) error {
+	return guard.Call(rpc, func() error { return h.Handler.HandleRPC(stream, rpc) })
+}
+
+// Serve serves handler on listener until ctx is done. A call whose handler panics fails;
+// the others go on. A nil tlsConfig means plain text. onError, which may be nil, is called with errors that do not end Serve.
 func Serve(ctx context.Context, listener net.Listener, handler drpc.Handler, tlsConfig *tls.Config, onError func(error)) error {
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions(), Log: onError})
+	server := drpcserver.NewWithOptions(guarded{handler}, drpcserver.Options{Manager: managerOptions(), Log: onError})
 	return server.Serve(ctx, listener)
 }
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,3 +100,35 @@
 func (protoEncoding) Unmarshal(data []byte, message drpc.Message) error {
 	return proto.Unmarshal(data, message.(proto.Message))
 }
+
+// panicking panics on the first call, like a handler of a malformed message.
+type panicking struct{ calls *atomic.Int64 }
+
+func (p panicking) HandleRPC(stream drpc.Stream, _ string) error {
+	if p.calls.Add(1) == 1 {
+		panic("malformed message")
+	}
+	return stream.MsgSend(&wire.CancelReply{}, protoEncoding{})
+}
+
+// TestPanicEndsOnlyTheCall checks that a call after one that panicked is served.
+func TestPanicEndsOnlyTheCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var server sync.WaitGroup
+	server.Go(func() { _ = Serve(ctx, listener, panicking{&atomic.Int64{}}, nil, nil) })
+	defer server.Wait()
+	defer stop()
+	dialer := NewDialer(nil)
+	defer dialer.Close()
+	client := wire.NewDRPCBackendClient(dialer.Conn(ctx, listener.Addr().String()))
+	if _, err := client.Cancel(ctx, &wire.CancelRequest{}); err == nil {
+		t.Error("the call whose handler panicked succeeded")
+	}
+	if _, err := client.Cancel(ctx, &wire.CancelRequest{}); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+}
