forward: give up a silent server at once when it responds to nobody

Cause: since the watchdog asks the budget first, an attempt at a dark server without a retry in the budget was held to its deadline, and the client could not go elsewhere itself; the server was not suspected either.

Change: without a retry in the budget the attempt goes on only if the server has begun a response to another request meanwhile.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,7 @@
 	failures     float64 // moving average at failuresAt, 0 to 1
 	failuresAt   time.Time
 	latencyMs    float64
+	respondedAt  time.Time
 	suspectUntil time.Time
 	loadingUntil time.Time
 	ordered      bool // this gateway ordered the load
@@ -220,6 +221,21 @@
 	s.latencyMs += (ms - s.latencyMs) * smoothing
 }
 
+// RecordResponse records that a server has begun a response to this gateway.
+func (f *Fleet) RecordResponse(id string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state(id).respondedAt = now
+}
+
+// RespondedSince reports whether a server has begun a response to this gateway after the
+// given time.
+func (f *Fleet) RespondedSince(id string, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state(id).respondedAt.After(since)
+}
+
 // RecordWeights records the weights version that a server reported. Version 0 is ignored.
 func (f *Fleet) RecordWeights(id, model string, version uint64, now time.Time) {
 	if version == 0 {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -178,7 +178,7 @@
 	call := r.newCall(&choice, now)
 	r.recordAttempt(&choice, call)
 	attempt := r.relay.Fleet.Begin(choice.Server.ID, choice.PrefillTokens, now)
-	attemptCtx, wd := r.startWatchdog(ctx, now)
+	attemptCtx, wd := r.startWatchdog(ctx, choice.Server.ID, now)
 	resp, err := r.relay.Backend.Do(attemptCtx, call)
 	if err != nil {
 		wd.stop()
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -57,6 +57,7 @@
 // handleResponse decides by the status and headers of a response whether it is passed on.
 func (r *activeRequest) handleResponse(ctx context.Context, attempt *fleet.Attempt, call *backend.Call, resp *backend.Response, wd *watchdog) (*Response, *verdict.Error) {
 	now := time.Now()
+	r.relay.Fleet.RecordResponse(call.ServerID, now)
 	r.relay.Fleet.RecordWeights(call.ServerID, r.req.Model, resp.WeightsVersion, now)
 	if resp.NotRun {
 		return nil, r.handleRefusal(attempt, call, resp)
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -33,25 +33,30 @@
 // becomes part of the message that the client receives.
 var errStalled = errors.New("the backend server is silent")
 
-// watchdog cancels an attempt when its server sends nothing for too long and another may
-// be tried instead. Without a timer it never does.
+// watchdog cancels an attempt when its server sends nothing for too long, if another may be
+// tried instead or the server responds to no request at all: then the client can go
+// elsewhere itself. Without a timer it never does.
 type watchdog struct {
 	ctx     context.Context // of the attempt
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
 	maxGap  time.Duration // between events; 0: not bounded
 	reserve func() bool   // takes a retry from the budget
+	// responds reports whether the server has responded to other requests since.
+	responds func(since time.Time) bool
 
 	mu    sync.Mutex
+	since time.Time // the server has sent nothing since
 	until time.Time // the server may be silent until then; zero: to the end
 }
 
 // startWatchdog returns the context and the watchdog of an attempt. The watchdog has a
 // timer only if a retry may follow.
-func (r *activeRequest) startWatchdog(ctx context.Context, now time.Time) (context.Context, *watchdog) {
+func (r *activeRequest) startWatchdog(ctx context.Context, server string, now time.Time) (context.Context, *watchdog) {
 	timeout := r.attemptTimeout(now)
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{ctx: ctx, cancel: cancel, reserve: r.reserveRetry}
+	responds := func(since time.Time) bool { return r.relay.Fleet.RespondedSince(server, since) }
+	w := &watchdog{ctx: ctx, cancel: cancel, reserve: r.reserveRetry, responds: responds}
 	if timeout <= 0 {
 		return ctx, w
 	}
@@ -67,7 +72,7 @@
 func (w *watchdog) expectBy(until time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.until = until
+	w.since, w.until = time.Now(), until
 	if until.IsZero() {
 		w.timer.Stop()
 		return
@@ -75,19 +80,20 @@
 	w.timer.Reset(time.Until(until))
 }
 
-// overdue reports whether the server has been silent for too long.
-func (w *watchdog) overdue() bool {
+// overdue reports whether the server has been silent for too long, and since when.
+func (w *watchdog) overdue() (since time.Time, overdue bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.ctx.Err() == nil && !w.until.IsZero() && !time.Now().Before(w.until)
+	return w.since, w.ctx.Err() == nil && !w.until.IsZero() && !time.Now().Before(w.until)
 }
 
-// stalled cancels the attempt if a retry can be taken from the budget. Otherwise the
-// server may still respond, and stalled asks again later.
+// stalled cancels the attempt if a retry can be taken from the budget, or if the server
+// seems to be lost. Otherwise the server may still respond, and stalled asks again later.
 func (w *watchdog) stalled() {
+	since, overdue := w.overdue()
 	switch {
-	case !w.overdue():
-	case w.reserve():
+	case !overdue:
+	case w.reserve(), !w.responds(since):
 		w.cancel(errStalled)
 	default:
 		w.postpone()
