kvcache: transfer no parts of short prompts

Ruled out: one silent engine (the failures spread evenly over all), refusals, the retry budget (notes are sent once).

Change: prompts with fewer than 128 shared tokens are neither fetched nor saved. An engine prefills them sooner than a transfer starts.

--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -33,6 +33,9 @@
 	// maxOwnRatio is the largest ratio of a request's own tokens to its shared ones at
 	// which the prompt is saved.
 	maxOwnRatio = 2.0
+	// minTransferTokens is the least number of shared tokens that are worth a transfer. An
+	// engine prefills fewer sooner than a transfer starts, and never waits for its link.
+	minTransferTokens = 128
 	// maxParts bounds the memory of a Directory: 20,000 parts of 150 bytes are 3 MB.
 	maxParts = 20_000
 )
@@ -134,7 +137,13 @@
 
 // Plan returns where target fetches the shared parts from, and where it saves them.
 // usable reports whether they may be fetched from another engine.
+//
+// It answers the load in which long prompts fill the links: transfers wait behind each
+// other there, and a short urgent prompt that waits with them misses its deadline.
 func (d *Directory) Plan(p *Prompt, target Holder, store string, usable func(Holder) bool, now time.Time) Transfers {
+	if p.SharedTokens < minTransferTokens {
+		return Transfers{}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return Transfers{
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -147,3 +147,22 @@
 		})
 	}
 }
+
+// Short prompts wait for no transfer: long ones may fill the links.
+func TestShortPromptsAreNotTransferred(t *testing.T) {
+	d := NewDirectory()
+	target := Holder{ID: "a", Address: "a:1"}
+	for _, c := range []struct {
+		shared int64
+		want   Transfers
+	}{
+		{minTransferTokens - 1, Transfers{}},
+		{minTransferTokens, Transfers{FetchFrom: "store:1", SaveTo: "store:1"}},
+	} {
+		p := &Prompt{Salt: "s", Parts: []string{"p"}, SharedTokens: c.shared}
+		got := d.Plan(p, target, "store:1", func(Holder) bool { return true }, time.Unix(1000, 0))
+		if got != c.want {
+			t.Errorf("%d shared tokens: %+v, want %+v", c.shared, got, c.want)
+		}
+	}
+}
