--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 SMOKE_SECONDS := 60
 BENCH_SECONDS := 300
 SHORT_BENCH_SECONDS := 50
+HOSTILE := LateCopy|WithoutIDs|SentTwice|Stop|Pings|SlowAttempt|SilentServers|Panic|TestCall|BrokenOff|BrokenStream|WithoutEvents|Pause|Endless|SlowHead|TooLarge|CancelledStream
 
-.PHONY: build demo smoke promises bench soak test lint generate clean
+.PHONY: build demo smoke promises hostile bench soak test lint generate clean
 
 build: ## Builds the programs into bin.
 	$(GO) build -o bin/ ./cmd/... ./internal/tools/smoke
@@ -20,6 +21,9 @@
 promises: ## Runs the tests of each promise of docs/PROMISES.md.
 	$(GO) run ./internal/tools/promises
 
+hostile: ## Runs the tests of the failures that docs/FAULTS.md lists for similar systems.
+	$(GO) test -race -count 1 -run '$(HOSTILE)' ./internal/backend ./internal/engine/client ./internal/follower ./internal/forward ./internal/gateway ./internal/guard ./internal/limit ./internal/rpc
+
 bench: build ## Compares the routing policies under load and faults; SHORT=1 for one short round.
 	timeout $(if $(SHORT),$(SHORT_BENCH_SECONDS),$(BENCH_SECONDS)) scripts/bench.sh
 
