--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(GO) run ./internal/tools/promises
 
 hostile: ## Runs the tests of the failures that docs/FAULTS.md lists for similar systems.
-	$(GO) test -race -count 1 -run '$(HOSTILE)' ./internal/backend ./internal/engine/client ./internal/follower ./internal/forward ./internal/gateway ./internal/guard ./internal/limit ./internal/rpc
+	$(GO) test -race -count 1 -run '$(HOSTILE)' ./internal/backend ./internal/follower ./internal/forward ./internal/gateway ./internal/guard ./internal/limit ./internal/rpc
 
 bench: build ## Compares the routing policies under load and faults; SHORT=1 for one short round.
 	timeout $(if $(SHORT),$(SHORT_BENCH_SECONDS),$(BENCH_SECONDS)) scripts/bench.sh
