forward: give a busy server twice the time of a lost one

A slow start was sent to a second server after three targets (900 ms).

Change: while a server responds to other requests, an attempt there may take twice as long before it is retried. A server that responds to nobody is left as before.

Retries of slow starts were what read parts again.

--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -370,7 +370,8 @@
 	}{
 		{"no retry left, sound server", 0, true, 1, true},
 		{"no retry left, silent server", 0, false, 1, false},
-		{"one retry left", 1, false, 2, true},
+		{"one retry left, silent server", 1, false, 2, true},
+		{"one retry left, busy server", 1, true, 2, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := &fakeBackend{steps: []step{{status: 200, body: "whole", delay: 500 * time.Millisecond}}}
@@ -395,6 +396,38 @@
 	}
 }
 
+// Under load a server that responds to others is slow for a while, and its requests are not
+// sent to a second server, which would prefill their prompts again. A server that
+// responds to nobody is left at once.
+func TestBusyServerIsNotRetriedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		responds bool
+		delay    time.Duration
+		calls    int
+	}{{"busy", true, 150 * time.Millisecond, 1}, {"silent", false, time.Second, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakeBackend{steps: []step{{status: 200, body: "whole", delay: c.delay}}}
+			route := testRoute(deployment.Idempotent, false)
+			route.TargetLatency = 40 * time.Millisecond // given up after 120 ms, or 240 if busy
+			req := testRequest(route)
+			req.Route, req.Deadline = &route, time.Now().Add(5*time.Second)
+			relay := NewRelay(Relay{
+				Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: ampleRetries},
+				Source: func() *deployment.Snapshot { return req.Snapshot },
+			})
+			if c.responds {
+				for id := range req.Snapshot.Servers {
+					relay.Fleet.RecordResponse(id, time.Now().Add(50*time.Millisecond))
+				}
+			}
+			if resp, err := relay.Handle(context.Background(), req); err != nil || resp.Status != 200 || len(f.calls) != c.calls {
+				t.Errorf("got %+v, %v after %d attempts, want 200 after %d", resp, err, len(f.calls), c.calls)
+			}
+		})
+	}
+}
+
 // An attempt that the gateway itself gives up must not look as if the client had left.
 func TestGivenUpAttemptIsAFailedServer(t *testing.T) {
 	handler, _ := testRelay([]step{{silent: true}}, ampleRetries)
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -24,6 +24,9 @@
 	// route. minStallTime is the least such bound.
 	stallGapFactor = 2
 	minStallTime   = 800 * time.Millisecond
+	// busyPatience is the factor by which a server that responds to others may be slower
+	// than one that responds to nobody.
+	busyPatience = 2
 	// reserveInterval is the time after which a retry of a stalled attempt is asked for
 	// again when the budget had none.
 	reserveInterval = 200 * time.Millisecond
@@ -37,11 +40,12 @@
 // tried instead or the server responds to no request at all: then the client can go
 // elsewhere itself. Without a timer it never does.
 type watchdog struct {
-	ctx     context.Context // of the attempt
-	cancel  context.CancelCauseFunc
-	timer   *time.Timer
-	maxGap  time.Duration // between events; 0: not bounded
-	reserve func() bool   // takes a retry from the budget
+	ctx      context.Context // of the attempt
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+	maxGap   time.Duration // between events; 0: not bounded
+	patience time.Duration // with a server that responds to others
+	reserve  func() bool   // takes a retry from the budget
 	// responds reports whether the server has responded to other requests since.
 	responds func(since time.Time) bool
 
@@ -63,6 +67,7 @@
 	if r.req.Route.Kind == deployment.Stream && r.req.Route.TargetGap > 0 {
 		w.maxGap = max(minStallTime, stallGapFactor*r.req.Route.TargetGap)
 	}
+	w.patience = busyPatience * timeout
 	w.timer = time.AfterFunc(math.MaxInt64, w.stalled)
 	w.expectBy(now.Add(timeout))
 	return ctx, w
@@ -89,10 +94,16 @@
 
 // stalled cancels the attempt if a retry can be taken from the budget, or if the server
 // seems to be lost. Otherwise the server may still respond, and stalled asks again later.
+//
+// A server that responds to others is busy rather than lost. Under load a retry of its
+// slow requests makes the next server prefill their prompts too, which slows that one
+// down and leads to more retries; so such a server gets more time.
 func (w *watchdog) stalled() {
 	since, overdue := w.overdue()
 	switch {
 	case !overdue:
+	case w.responds(since) && time.Since(since) < w.patience:
+		w.postpone()
 	case w.reserve(), !w.responds(since):
 		w.cancel(errStalled)
 	default:
