--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -24,8 +24,8 @@
 	// route. minStallTime is the least such bound.
 	stallGapFactor = 2
 	minStallTime   = 800 * time.Millisecond
-	// busyPatience is the factor by which a server that responds to others may be slower
-	// than one that responds to nobody.
+	// busyPatience is the factor by which a server that still responds may be slower than
+	// one that responds to nobody.
 	busyPatience = 2
 	// reserveInterval is the time after which a retry of a stalled attempt is asked for
 	// again when the budget had none.
@@ -44,9 +44,10 @@
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
 	maxGap   time.Duration // between events; 0: not bounded
-	patience time.Duration // with a server that responds to others
+	patience time.Duration // with a server that still responds
 	reserve  func() bool   // takes a retry from the budget
-	// responds reports whether the server has responded to other requests since.
+	// responds reports whether the server has begun a response since, to any request of
+	// this gateway.
 	responds func(since time.Time) bool
 
 	mu    sync.Mutex
@@ -95,7 +96,7 @@
 // stalled cancels the attempt if a retry can be taken from the budget, or if the server
 // seems to be lost. Otherwise the server may still respond, and stalled asks again later.
 //
-// A server that responds to others is busy rather than lost. Under load a retry of its
+// A server that still responds is busy rather than lost. Under load a retry of its
 // slow requests makes the next server prefill their prompts too, which slows that one
 // down and leads to more retries; so such a server gets more time.
 func (w *watchdog) stalled() {
