--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -98,6 +98,7 @@
 	serverError *Response   // a server's 5xx response, passed on if no attempt succeeds
 	lastID      string      // id of the last event that the client has received
 	reserved    atomic.Bool // the watchdog has taken a retry from the budget
+	begun       bool        // the server of the last attempt has begun a response
 }
 
 // serve makes attempts until one succeeds or no further one is allowed.
@@ -118,10 +119,14 @@
 
 // logFailure logs why an attempt failed and whether another follows.
 func (r *activeRequest) logFailure(err *verdict.Error, retry bool) {
-	logger.Info(fields{
+	entry := fields{
 		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": r.req.Log.Server, "code": string(err.Code),
-		"verdict": err.Verdict.String(), "error": err.Error(), "again": retry,
-	}, "attempt failed")
+		"verdict": err.Verdict.String(), "error": err.Error(), "again": retry, "response_begun": r.begun,
+	}
+	if hashes := r.req.sharedHashes(); len(hashes) > 0 {
+		entry[logging.FieldParts] = hashes
+	}
+	logger.Info(entry, "attempt failed")
 }
 
 // finalResult returns the response or error of a request of which every attempt failed.
@@ -179,12 +184,14 @@
 	r.recordAttempt(&choice, call)
 	attempt := r.relay.Fleet.Begin(choice.Server.ID, choice.PrefillTokens, now)
 	attemptCtx, wd := r.startWatchdog(ctx, choice.Server.ID, now)
+	r.begun = false
 	resp, err := r.relay.Backend.Do(attemptCtx, call)
 	if err != nil {
 		wd.stop()
 		return nil, r.noResponse(ctx, attempt, err)
 	}
 	r.reached++
+	r.begun = true
 	result, failure := r.handleResponse(ctx, attempt, call, resp, wd)
 	if failure != nil || result.Events == nil {
 		wd.stop()
@@ -228,7 +235,7 @@
 func (r *activeRequest) addPromptFields(entry fields) {
 	last, shared, own := r.req.Prompt()
 	if last != "" {
-		entry[logging.FieldPart] = strconv.FormatUint(hash(last), 16)
+		entry[logging.FieldPart] = formatHash(last)
 	}
 	entry[logging.FieldSharedTokens] = shared
 	entry[logging.FieldOwnTokens] = own
@@ -240,6 +247,9 @@
 
 func hash(text string) uint64 { return xxhash.Sum64String(text) }
 
+// formatHash returns the hash of a part's id as logs show it.
+func formatHash(id string) string { return strconv.FormatUint(hash(id), 16) }
+
 // chooseTarget returns the service of a request, chosen by the weights of the route's
 // targets and a hash of the request's id, so that all attempts use the same one.
 func chooseTarget(route *deployment.Route, id string) string {
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -29,6 +29,9 @@
 // FieldRequest is the name of the field with a request's ID.
 const FieldRequest = "request_id"
 
+// FieldParts is the field with the hashes of all shared parts of a prompt.
+const FieldParts = "parts"
+
 // Names of the fields from which a request can be replayed.
 const (
 	FieldPart         = "part"          // hash of the last shared part of the prompt
