--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,12 +23,14 @@
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
 
-// memoryStore is an in-memory store with one configuration and a list of servers.
+// memoryStore is an in-memory store with one configuration, a list of servers, and the
+// gateways that registered.
 type memoryStore struct {
-	mu      sync.Mutex
-	current *deployment.Config
-	servers []*deployment.Server
-	version platform.Version
+	mu       sync.Mutex
+	current  *deployment.Config
+	servers  []*deployment.Server
+	gateways []string // keys
+	version  platform.Version
 }
 
 func (s *memoryStore) set(c *deployment.Config, servers ...*deployment.Server) {
@@ -37,6 +40,13 @@
 	s.version++
 }
 
+func (s *memoryStore) setServers(servers []*deployment.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = slices.Clone(servers)
+	s.version++
+}
+
 func (s *memoryStore) Read(context.Context, string) ([]platform.Entry, platform.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,6 +57,9 @@
 	for _, server := range s.servers {
 		entries = append(entries, platform.Entry{Key: "servers/" + server.ID, Version: s.version})
 	}
+	for _, key := range s.gateways {
+		entries = append(entries, platform.Entry{Key: key, Version: s.version})
+	}
 	return entries, s.version, nil
 }
 
@@ -69,8 +82,14 @@
 	return platform.Entry{}, platform.ErrNotFound
 }
 
-func (*memoryStore) CompareAndSwap(context.Context, string, []byte, platform.Version, platform.LeaseID) (platform.Version, error) {
-	return 1, nil
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, _ []byte, _ platform.Version, _ platform.LeaseID) (platform.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if strings.HasPrefix(key, follower.GatewayPrefix) && !slices.Contains(s.gateways, key) {
+		s.gateways = append(s.gateways, key)
+		s.version++
+	}
+	return max(1, s.version), nil
 }
 
 func (*memoryStore) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
@@ -102,6 +121,9 @@
 func (testHeaders) ReadRequest(header http.Header) forward.Metadata {
 	metadata := forward.Metadata{ID: header.Get("Request"), Credential: header.Get("Key"), LastEventID: header.Get("Last")}
 	header.Del("Key")
+	for part := range strings.FieldsSeq(header.Get("Parts")) {
+		metadata.Parts = append(metadata.Parts, forward.Part{ID: part, Tokens: 100})
+	}
 	return metadata
 }
 
@@ -138,10 +160,13 @@
 	done     chan error
 }
 
-func startSystem(t *testing.T) *system {
+func startSystem(t *testing.T) *system { return startGateway(t, &memoryStore{}, "g1") }
+
+// startGateway starts a gateway on a store that others may share.
+func startGateway(t *testing.T, store *memoryStore, name string) *system {
 	open := &listeners{clients: listenLoopback(t), readiness: listenLoopback(t), rpc: listenLoopback(t)}
-	s := &system{store: &memoryStore{}, done: make(chan error, 1), settings: &config.Settings{
-		Daemon: config.DaemonSettings{Name: "g1", AvailabilityZone: "a", RPCAddress: open.rpc.Addr().String(), DrainTimeout: 8 * time.Second},
+	s := &system{store: store, done: make(chan error, 1), settings: &config.Settings{
+		Daemon: config.DaemonSettings{Name: name, AvailabilityZone: "a", RPCAddress: open.rpc.Addr().String(), DrainTimeout: 8 * time.Second},
 		Log:    config.LogSettings{Level: "warn", Format: "json"},
 		Gateway: config.GatewaySettings{
 			HTTPAddress: open.clients.Addr().String(), ReadyAddress: open.readiness.Addr().String(), OrderLease: 3 * time.Second,
