--- /dev/null
+++ b/internal/forward/crash.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// crashCheckTimeout bounds the check whether a server's process has ended.
+const crashCheckTimeout = time.Second
+
+// quarantineParts returns the shared parts of a request's prompt.
+func quarantineParts(service string, req *Request) []quarantine.Part {
+	shared := req.Shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	parts := make([]quarantine.Part, len(shared))
+	for i, part := range shared {
+		parts[i] = quarantine.PartOf(service, part.ID)
+	}
+	return parts
+}
+
+// partNames returns the parts as logs show them.
+func (r *activeRequest) partNames() []string {
+	names := make([]string, len(r.parts))
+	for i, part := range r.parts {
+		names[i] = part.String()
+	}
+	return names
+}
+
+// checkQuarantine returns the error of a request that is held back, or nil.
+func (r *activeRequest) checkQuarantine(now time.Time) *verdict.Error {
+	decision := r.relay.Quarantine.Check(r.parts, now)
+	if decision.Probe {
+		r.probe = decision.Part
+	}
+	if !decision.Held {
+		return nil
+	}
+	logger.Info(fields{
+		logging.FieldRequest: r.req.ID, logging.FieldQuarantined: decision.Part.String(), "retry_after_ms": decision.RetryAfter.Milliseconds(),
+	}, "request held back")
+	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "backend servers crash when they answer part %s of the prompt", decision.Part).
+		WithRetryAfter(decision.RetryAfter)
+}
+
+// endProbe ends the probe that the last attempt was, if any.
+func (r *activeRequest) endProbe(now time.Time) {
+	if r.probe != 0 {
+		r.relay.Quarantine.EndProbe(r.probe, now)
+		r.probe = 0
+	}
+}
+
+// checkCrash checks whether the process of the last attempt's server has ended, and if so,
+// records the crash. A connection that broke for another reason says nothing of the request.
+func (r *activeRequest) checkCrash(ctx context.Context, stage quarantine.Stage) {
+	server := r.req.Snapshot.Servers[r.req.Log.Server]
+	if len(r.parts) == 0 || server == nil || ctx.Err() != nil {
+		return
+	}
+	crash := quarantine.Crash{
+		Server: fmt.Sprintf("%s@%d", server.ID, server.Incarnation), Sent: r.sent, Ended: time.Now(), Stage: stage, Parts: r.parts,
+	}
+	go r.relay.recordIfEnded(server.Address, &crash)
+}
+
+// recordIfEnded records a crash if no process serves the server's address. Requests that a
+// server lost together share one check.
+func (r *Relay) recordIfEnded(address string, crash *quarantine.Crash) {
+	ended, _, _ := r.checks.Do(crash.Server, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+		defer cancel()
+		return r.ProcessEnded(ctx, address), nil
+	})
+	if ended == true {
+		r.Quarantine.RecordCrash(*crash, time.Now())
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -14,6 +15,7 @@
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/placement"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -50,6 +52,7 @@
 type Relay struct {
 	meters  meters
 	returns *returns
+	checks  *singleflight.Group // of servers that broke off, by id and incarnation
 
 	Zone        string
 	Source      func() *deployment.Snapshot
@@ -59,6 +62,10 @@
 	Backend     Backend
 	Budget      Budget
 	Pick        Picker // nil: placement.Pick
+	Quarantine  *quarantine.Quarantine
+	// ProcessEnded reports whether no process serves an address any more; nil:
+	// backend.ProcessEnded.
+	ProcessEnded func(ctx context.Context, address string) bool
 }
 
 // Picker chooses the backend server of an attempt. It must not block.
@@ -68,9 +75,16 @@
 func NewRelay(config Relay) *Relay {
 	config.meters = newMeters()
 	config.returns = newReturns()
+	config.checks = &singleflight.Group{}
 	if config.Pick == nil {
 		config.Pick = placement.Pick
 	}
+	if config.Quarantine == nil {
+		config.Quarantine = quarantine.New(nil)
+	}
+	if config.ProcessEnded == nil {
+		config.ProcessEnded = backend.ProcessEnded
+	}
 	return &config
 }
 
@@ -81,7 +95,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "the route leads to no service")
 	}
 	r.Budget.RecordRequest(service, time.Now())
-	active := &activeRequest{relay: r, req: req, service: service, lastID: req.LastEventID}
+	active := &activeRequest{relay: r, req: req, service: service, lastID: req.LastEventID, parts: quarantineParts(service, req)}
 	return active.serve(ctx)
 }
 
@@ -99,6 +113,9 @@
 	lastID      string      // id of the last event that the client has received
 	reserved    atomic.Bool // the watchdog has taken a retry from the budget
 	begun       bool        // the server of the last attempt has begun a response
+	parts       []quarantine.Part
+	sent        time.Time       // when the last attempt was sent
+	probe       quarantine.Part // the last attempt is a probe of it; 0: it is none
 }
 
 // serve makes attempts until one succeeds or no further one is allowed.
@@ -110,7 +127,9 @@
 			return resp, nil
 		}
 		retry := r.allowRetry(ctx, err)
-		r.logFailure(err, retry)
+		if err.Code != verdict.CodeQuarantined { // already logged
+			r.logFailure(err, retry)
+		}
 		if !retry {
 			return r.finalResult(err)
 		}
@@ -123,8 +142,8 @@
 		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": r.req.Log.Server, "code": string(err.Code),
 		"verdict": err.Verdict.String(), "error": err.Error(), "again": retry, "response_begun": r.begun,
 	}
-	if hashes := r.req.sharedHashes(); len(hashes) > 0 {
-		entry[logging.FieldParts] = hashes
+	if len(r.parts) > 0 {
+		entry[logging.FieldParts] = r.partNames()
 	}
 	logger.Info(entry, "attempt failed")
 }
@@ -155,7 +174,7 @@
 // allowRetry reports whether the request may be sent to another server, and takes the
 // retry from the budget.
 func (r *activeRequest) allowRetry(ctx context.Context, err *verdict.Error) bool {
-	if ctx.Err() != nil || err.Code == verdict.CodeNoBackendServer || !r.hasTime() {
+	if ctx.Err() != nil || err.Code == verdict.CodeNoBackendServer || err.Code == verdict.CodeQuarantined || !r.hasTime() {
 		return false
 	}
 	if r.executions >= r.req.Route.MaxAttempts || r.reached >= r.req.Route.MaxAttempts+maxExtraRefusals {
@@ -175,16 +194,20 @@
 // attempt sends the request to the best server that it has not tried yet.
 func (r *activeRequest) attempt(ctx context.Context) (*Response, *verdict.Error) {
 	now := time.Now()
+	if held := r.checkQuarantine(now); held != nil {
+		return nil, held
+	}
 	r.refreshSnapshot()
 	choice, ok := r.relay.Pick(r.placementQuery(now), r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now))
 	if !ok {
+		r.endProbe(now)
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Excluded)
 	}
 	call := r.newCall(&choice, now)
 	r.recordAttempt(&choice, call)
 	attempt := r.relay.Fleet.Begin(choice.Server.ID, choice.PrefillTokens, now)
 	attemptCtx, wd := r.startWatchdog(ctx, choice.Server.ID, now)
-	r.begun = false
+	r.begun, r.sent = false, now
 	resp, err := r.relay.Backend.Do(attemptCtx, call)
 	if err != nil {
 		wd.stop()
@@ -235,7 +258,7 @@
 func (r *activeRequest) addPromptFields(entry fields) {
 	last, shared, own := r.req.Prompt()
 	if last != "" {
-		entry[logging.FieldPart] = formatHash(last)
+		entry[logging.FieldPart] = strconv.FormatUint(hash(last), 16)
 	}
 	entry[logging.FieldSharedTokens] = shared
 	entry[logging.FieldOwnTokens] = own
@@ -247,9 +270,6 @@
 
 func hash(text string) uint64 { return xxhash.Sum64String(text) }
 
-// formatHash returns the hash of a part's id as logs show it.
-func formatHash(id string) string { return strconv.FormatUint(hash(id), 16) }
-
 // chooseTarget returns the service of a request, chosen by the weights of the route's
 // targets and a hash of the request's id, so that all attempts use the same one.
 func chooseTarget(route *deployment.Route, id string) string {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -65,15 +65,6 @@
 	return r.Parts[:len(r.Parts)-1]
 }
 
-// sharedHashes returns the hashes of the shared parts' ids for the log.
-func (r *Request) sharedHashes() []string {
-	hashes := make([]string, 0, len(r.Shared()))
-	for _, part := range r.Shared() {
-		hashes = append(hashes, formatHash(part.ID))
-	}
-	return hashes
-}
-
 // Prompt returns the id of the last shared part, empty if there is none, and the
 // numbers of tokens in the shared parts and in the rest.
 func (r *Request) Prompt() (last string, shared, own int64) {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -12,6 +12,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -29,14 +30,17 @@
 	if failure.Verdict != verdict.NotRun {
 		r.reached++
 		r.countExecution()
+		r.checkCrash(ctx, quarantine.Waiting)
 	}
 	return r.asTimeout(ctx, failure)
 }
 
 // endAttempt records the outcome of an attempt.
 func (r *activeRequest) endAttempt(attempt *fleet.Attempt, outcome fleet.Outcome) {
+	now := time.Now()
 	r.relay.meters.countAttempt(outcome)
-	attempt.End(outcome, time.Now())
+	attempt.End(outcome, now)
+	r.endProbe(now)
 }
 
 // countExecution records that a server may have run the request.
@@ -102,9 +106,13 @@
 func (r *activeRequest) readWhole(ctx context.Context, attempt *fleet.Attempt, resp *backend.Response, success bool) (*Response, *verdict.Error) {
 	body, err := backend.ReadBody(resp)
 	if err != nil {
+		r.checkCrash(ctx, quarantine.Beginning)
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
 	}
 	result := &Response{Status: resp.Status, Header: resp.Header, Body: body}
+	if success {
+		r.relay.Quarantine.RecordSuccess(r.parts, time.Now())
+	}
 	if success || resp.Status < http.StatusInternalServerError {
 		r.endAttempt(attempt, fleet.Succeeded)
 		return r.checkStatus(result)
@@ -138,6 +146,7 @@
 		err = io.ErrUnexpectedEOF // a stream without events is incomplete
 	}
 	if err != nil {
+		r.checkCrash(ctx, quarantine.Beginning)
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
 	}
 	s.first = &first
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,6 +10,7 @@
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -23,7 +24,7 @@
 	body     io.Closer
 	reader   *eventstream.Reader
 	first    *eventstream.Batch // read ahead
-	started  bool               // the server has sent an event
+	started  time.Time          // when the server sent the first event
 	ended    bool
 }
 
@@ -40,6 +41,7 @@
 		}
 		if err == io.EOF { // not errors.Is: a failure may wrap the EOF of a connection
 			s.end(fleet.Succeeded)
+			s.active.relay.Quarantine.RecordSuccess(s.active.parts, time.Now())
 			return nil, io.EOF
 		}
 		if err := s.resume(ctx, err); err != nil {
@@ -55,10 +57,10 @@
 		return
 	}
 	s.watchdog.reset()
-	if s.started {
+	if !s.started.IsZero() {
 		return
 	}
-	s.started = true
+	s.started = time.Now()
 	s.attempt.PrefillDone()
 	if len(s.active.req.Shared()) == 0 {
 		return
@@ -84,6 +86,7 @@
 		s.end(fleet.Refused)
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeCancelled, "the client left, or its time is up: %v", context.Cause(ctx))
 	}
+	s.checkCrash(ctx)
 	s.end(fleet.Failed)
 	broken := verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeStreamLost, "%s broke off the stream", s.active.req.Log.Server)
 	if !s.active.req.MayRetry() || !s.active.allowRetry(ctx, broken) {
@@ -103,6 +106,20 @@
 	return nil
 }
 
+// startTime is the time after its first event in which a stream still counts as a possible
+// cause of its server's end.
+const startTime = 500 * time.Millisecond
+
+// checkCrash checks whether the server has ended under the stream.
+func (s *stream) checkCrash(ctx context.Context) {
+	switch {
+	case s.started.IsZero():
+		s.active.checkCrash(ctx, quarantine.Beginning)
+	case time.Since(s.started) < startTime:
+		s.active.checkCrash(ctx, quarantine.Streaming)
+	}
+}
+
 // Close implements Events.
 func (s *stream) Close() { s.end(fleet.Refused) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/wasabigate/wasabigate/internal/peering"
 	"github.com/wasabigate/wasabigate/internal/pipeline"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/retrybudget"
 	"github.com/wasabigate/wasabigate/internal/rollout"
 	"github.com/wasabigate/wasabigate/internal/roster"
@@ -86,6 +87,8 @@
 	limits   *limits
 	exchange *peering.Exchange
 	ingress  *ingress
+	// quarantine is shared with the other gateways through exchange.
+	quarantine *quarantine.Quarantine
 }
 
 // Run runs the gateway until ctx ends, then drains it.
@@ -154,6 +157,7 @@
 	g.follower = follower.New(g.store, adapter.Layout, g.onSnapshot)
 	g.limits.follower = g.follower
 	registerStateGauges(g.follower)
+	g.quarantine = quarantine.New(g.mayProbe)
 	g.exchange = peering.New(peering.Options{
 		Self:     settings.Daemon.RPCAddress,
 		Seeds:    settings.Daemon.Peers,
@@ -161,6 +165,8 @@
 		Follower: g.follower,
 		Fleet:    g.fleet,
 		Cache:    g.cache,
+
+		Quarantine: g.quarantine,
 	})
 	g.budget = retrybudget.New(retryBound(settings), time.Now())
 	g.rollout = rollout.New(rollout.Options{
@@ -176,6 +182,18 @@
 	return g
 }
 
+// mayProbe reports whether this gateway may send the probe of a part that crashes servers.
+func (g *Gateway) mayProbe(part quarantine.Part, turn int64) bool {
+	var others []string
+	for _, gateway := range g.follower.Snapshot().Gateways {
+		others = append(others, gateway.Address)
+	}
+	if len(others) == 0 {
+		others = g.exchange.PeersSince(time.Now().Add(-unlistedPeerTTL))
+	}
+	return quarantine.Elected(part, turn, g.settings.Daemon.RPCAddress, others)
+}
+
 // newChain returns the filter chain, in the order in which the filters run.
 func (g *Gateway) newChain() forward.Handler {
 	relay := forward.NewRelay(forward.Relay{
@@ -186,6 +204,7 @@
 		Cache:       g.cache,
 		Backend:     backend.NewClient(g.platform.Headers),
 		Budget:      g.budget,
+		Quarantine:  g.quarantine,
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -32,6 +32,10 @@
 // FieldParts is the field with the hashes of all shared parts of a prompt.
 const FieldParts = "parts"
 
+// FieldQuarantined is the field with the hash of a part that is blamed for crashes of
+// backend servers.
+const FieldQuarantined = "quarantined_part"
+
 // Names of the fields from which a request can be replayed.
 const (
 	FieldPart         = "part"          // hash of the last shared part of the prompt
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -21,6 +21,7 @@
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
@@ -61,6 +62,9 @@
 	Follower *follower.Follower
 	Fleet    *fleet.Fleet
 	Cache    *kvcache.Directory
+	// Quarantine learns from the other gateways which parts of prompts crash servers, and
+	// tells them; nil: a new one.
+	Quarantine *quarantine.Quarantine
 }
 
 // Exchange exchanges reports with the other gateways. It implements
@@ -77,6 +81,7 @@
 type peer struct {
 	lastReport time.Time
 	usesSent   uint64 // uses of cached parts that were sent to it so far
+	findings   uint64 // digest of what it finds of crashing parts
 	calling    bool
 	failing    bool
 	nextTry    time.Time
@@ -86,6 +91,9 @@
 
 // New returns an Exchange. Run starts it.
 func New(opts Options) *Exchange {
+	if opts.Quarantine == nil {
+		opts.Quarantine = quarantine.New(nil)
+	}
 	return &Exchange{opts: opts, started: time.Now(), peers: make(map[string]*peer)}
 }
 
@@ -280,9 +288,17 @@
 			Salt: use.Salt, Parts: use.Parts, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
 		})
 	}
+	report.Quarantine = x.opts.Quarantine.News(x.findingsOf(address), now)
 	return report
 }
 
+// findingsOf returns the digest in the last report of a peer.
+func (x *Exchange) findingsOf(address string) uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.peer(address).findings
+}
+
 // newUses returns the uses of cached parts that were not sent to the peer yet, and marks
 // them as sent.
 func (x *Exchange) newUses(address string) []kvcache.Use {
@@ -312,7 +328,8 @@
 		loads[load.Server] = fleet.Load{Running: int(load.Running), PendingTokens: load.PendingTokens}
 	}
 	x.opts.Fleet.SetRemoteLoad(report.Sender, loads, now)
-	x.recordReport(report.Sender, now)
+	x.recordReport(report, now)
+	x.opts.Quarantine.Merge(report.Quarantine, now)
 	for _, note := range report.Notes {
 		x.opts.Fleet.MergeObservation(fleet.Observation{
 			Server: note.Server, Incarnation: note.Incarnation, Model: note.Model, Weights: note.Weights,
@@ -328,10 +345,11 @@
 	x.mergeTargetReports(ctx, report.Named, now)
 }
 
-func (x *Exchange) recordReport(address string, now time.Time) {
+func (x *Exchange) recordReport(report *wire.GatewayReport, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.peer(address).lastReport = now
+	p := x.peer(report.Sender)
+	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
 }
 
 func (x *Exchange) mergeTargetReports(ctx context.Context, list []*wire.NamedWeights, now time.Time) {
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,415 @@
+// Package quarantine finds parts of prompts that crash the backend servers that answer
+// them, and decides which requests are held back because of them.
+//
+// When a server's process ends, each request that waited for its first event there is a
+// possible cause, and so is each of the shared parts of its prompt. A part is blamed once
+// several servers have ended under requests with it, each sent after the end of the server
+// before, and no request with it has succeeded since. Servers that end together therefore
+// count once, and the parts of successful requests are never blamed. A blamed part holds
+// back only the requests that have all parts in common with those that crashed servers.
+//
+// From time to time one gateway sends one of the held requests as a probe. Its success
+// ends the blame; another crash doubles the time until the next probe.
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// minCrashes is the number of servers that must have ended under requests with a part,
+	// one after the other, before the part is blamed.
+	minCrashes = 3
+	// firstHold is the time from a crash to the first probe. Each probe that crashes a
+	// server doubles it, up to maxHold.
+	firstHold = 20 * time.Second
+	maxHold   = 10 * time.Minute
+	// forgetAfter is how long a crash is remembered. It must cover minCrashes probes.
+	forgetAfter = (minCrashes + 1) * maxHold
+	// probeTurn is how long a gateway is the one that may send a probe.
+	probeTurn = 5 * time.Second
+	// probePause is the time after a probe without a clear outcome until the next one.
+	probePause = time.Second
+	// maxCrashes bounds the crashes that are remembered, maxPerServer those of one server,
+	// and MaxParts the parts of a request that are considered.
+	maxCrashes   = 512
+	maxPerServer = 8
+	MaxParts     = 32
+)
+
+// Part identifies a shared part of a prompt within its service.
+type Part uint64
+
+// PartOf returns the Part with the given id in the prompts to a service.
+func PartOf(service, id string) Part {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(service) // never fails
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(id)
+	return Part(digest.Sum64())
+}
+
+// Stage is how far a server was with a request when its process ended. Of the requests at a
+// server, only those of the highest stage count.
+type Stage uint8
+
+// The stages, in the order in which they point to a request as the cause.
+const (
+	Waiting   Stage = iota // no response had begun
+	Streaming              // the first events had come
+	Beginning              // a response had begun, without an event
+	stages
+)
+
+// Crash is the end of a server's process under a request.
+type Crash struct {
+	Server string    // id and incarnation
+	Sent   time.Time // when the request was sent to the server
+	Ended  time.Time
+	Stage  Stage
+	Parts  []Part // shared parts of the request's prompt
+}
+
+// Elect reports whether this process may send the probe of a part in the given turn.
+type Elect func(part Part, turn int64) bool
+
+// Decision says what to do with a request.
+type Decision struct {
+	Held       bool
+	Part       Part          // the blamed part; set if Held or Probe
+	RetryAfter time.Duration // when Held: the time until the next probe
+	Probe      bool          // the request tests whether its part still crashes servers
+}
+
+// crashKey identifies a crash, so that a report that comes twice counts once.
+type crashKey struct {
+	server string
+	parts  uint64
+}
+
+// ended is a server whose process has ended.
+type ended struct {
+	crashes int
+	stage   Stage // the highest of its crashes
+}
+
+// blame is the finding against a part.
+type blame struct {
+	common  []Part    // that a request must have to be held back; includes the part
+	until   time.Time // no probe before
+	servers int       // that ended one after the other
+	newest  string    // server that ended last
+}
+
+// Quarantine holds the crashes that are known, and what follows from them. It is safe for
+// concurrent use.
+type Quarantine struct {
+	elect  Elect
+	meters meters
+
+	remembers atomic.Bool // any crash is known
+	blames    atomic.Bool // any part is blamed
+
+	mu      sync.Mutex
+	crashes []*Crash // in the order in which they were learned
+	known   map[crashKey]struct{}
+	byPart  map[Part][]*Crash
+	servers map[string]*ended
+	success map[Part]time.Time // newest success, of parts in byPart
+	blamed  map[Part]*blame
+	probes  map[Part]time.Time // no other probe before
+	rumors  []*rumor
+}
+
+// New returns a Quarantine without crashes. A nil elect allows each probe.
+func New(elect Elect) *Quarantine {
+	if elect == nil {
+		elect = func(Part, int64) bool { return true }
+	}
+	q := &Quarantine{
+		elect: elect, known: make(map[crashKey]struct{}), byPart: make(map[Part][]*Crash),
+		servers: make(map[string]*ended),
+		success: make(map[Part]time.Time), blamed: make(map[Part]*blame), probes: make(map[Part]time.Time),
+	}
+	q.meters = newMeters(q)
+	return q
+}
+
+// Remembers reports whether any crash is known. Until then, successes need not be recorded.
+func (q *Quarantine) Remembers() bool { return q.remembers.Load() }
+
+// Blames reports whether any part is blamed. Until then, no request is held back.
+func (q *Quarantine) Blames() bool { return q.blames.Load() }
+
+// Check decides whether a request with the given parts may be sent to a server. A request
+// that is a probe must be followed by RecordCrash, RecordSuccess or EndProbe.
+func (q *Quarantine) Check(parts []Part, now time.Time) Decision {
+	if !q.Blames() {
+		return Decision{}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forget(now)
+	var result Decision
+	for _, part := range limitParts(parts) {
+		b := q.blamed[part]
+		if b == nil || !containsAll(parts, b.common) {
+			continue
+		}
+		wait := q.untilProbe(part, b, now)
+		if wait > result.RetryAfter || result.Part == 0 {
+			result = Decision{Held: wait > 0, Part: part, RetryAfter: wait, Probe: wait == 0}
+		}
+	}
+	switch {
+	case result.Probe:
+		q.probes[result.Part] = now.Add(probeTurn)
+		q.meters.count(q.meters.probes)
+		logProbe(result.Part)
+	case result.Held:
+		q.meters.count(q.meters.held)
+	}
+	return result
+}
+
+// untilProbe returns the time until a request may be sent as a probe of a blamed part; 0:
+// now, and here. The caller holds the lock.
+func (q *Quarantine) untilProbe(part Part, b *blame, now time.Time) time.Duration {
+	from := b.until
+	if next := q.probes[part]; next.After(from) {
+		from = next
+	}
+	if wait := from.Sub(now); wait > 0 {
+		return wait
+	}
+	since := now.Sub(b.until)
+	if !q.elect(part, int64(since/probeTurn)) {
+		return probeTurn - since%probeTurn
+	}
+	return 0
+}
+
+// EndProbe ends a probe of which neither success nor crash was recorded.
+func (q *Quarantine) EndProbe(part Part, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if _, ok := q.probes[part]; ok {
+		q.probes[part] = now.Add(probePause)
+	}
+}
+
+// RecordCrash records a crash that this process has seen.
+func (q *Quarantine) RecordCrash(crash Crash, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	crash.Parts = slices.Clone(limitParts(crash.Parts))
+	if q.add(&crash, now) {
+		q.meters.count(q.meters.crashes)
+		q.spread(&rumor{crash: &crash})
+	}
+}
+
+// RecordSuccess records that a server has answered a request with the given parts whole.
+func (q *Quarantine) RecordSuccess(parts []Part, now time.Time) {
+	if !q.Remembers() {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range limitParts(parts) {
+		if open := q.openCrashes(part); open > 0 {
+			q.clear(part, now)
+			if open > 1 {
+				q.spread(&rumor{success: part})
+			}
+		}
+	}
+}
+
+// limitParts returns the parts that are considered: the last ones, since requests share
+// the first ones most often.
+func limitParts(parts []Part) []Part { return parts[max(0, len(parts)-MaxParts):] }
+
+// add adds a crash unless it is known or too old. The caller holds the lock.
+func (q *Quarantine) add(crash *Crash, now time.Time) bool {
+	key := keyOf(crash)
+	if _, ok := q.known[key]; ok || len(crash.Parts) == 0 || now.Sub(crash.Ended) > forgetAfter {
+		return false
+	}
+	server := q.servers[crash.Server]
+	if server == nil {
+		server = &ended{}
+	}
+	if server.crashes >= maxPerServer && crash.Stage <= server.stage {
+		return false
+	}
+	q.forget(now)
+	if len(q.crashes) >= maxCrashes {
+		q.removeOldest()
+	}
+	q.known[key] = struct{}{}
+	q.crashes = append(q.crashes, crash)
+	server.crashes++
+	server.stage = max(server.stage, crash.Stage)
+	q.servers[crash.Server] = server
+	for _, part := range crash.Parts {
+		q.byPart[part] = append(q.byPart[part], crash)
+	}
+	q.remembers.Store(true)
+	q.judgeServer(crash.Server)
+	return true
+}
+
+func keyOf(crash *Crash) crashKey {
+	sum := uint64(0)
+	for _, part := range crash.Parts {
+		sum = sum*31 + uint64(part)
+	}
+	return crashKey{server: crash.Server, parts: sum}
+}
+
+// forget removes the crashes that are too old. The caller holds the lock.
+func (q *Quarantine) forget(now time.Time) {
+	for len(q.crashes) > 0 && now.Sub(q.crashes[0].Ended) > forgetAfter {
+		q.removeOldest()
+	}
+}
+
+func (q *Quarantine) removeOldest() {
+	oldest := q.crashes[0]
+	q.crashes = slices.Delete(q.crashes, 0, 1)
+	delete(q.known, keyOf(oldest))
+	if server := q.servers[oldest.Server]; server != nil {
+		if server.crashes--; server.crashes == 0 {
+			delete(q.servers, oldest.Server)
+		}
+	}
+	for _, part := range oldest.Parts {
+		rest := slices.DeleteFunc(q.byPart[part], func(c *Crash) bool { return c == oldest })
+		if q.byPart[part] = rest; len(rest) == 0 {
+			delete(q.byPart, part)
+			delete(q.success, part)
+			delete(q.probes, part)
+		}
+		q.judge(part)
+	}
+	q.remembers.Store(len(q.crashes) > 0)
+}
+
+// openCrashes returns the number of crashes with a part since its last success. The caller
+// holds the lock.
+func (q *Quarantine) openCrashes(part Part) int {
+	open := 0
+	for _, crash := range q.byPart[part] {
+		if crash.Ended.After(q.success[part]) {
+			open++
+		}
+	}
+	return open
+}
+
+// clear records the success of a part, and judges again each part that was in the same
+// request when a server ended. The caller holds the lock.
+func (q *Quarantine) clear(part Part, at time.Time) {
+	q.success[part] = at
+	delete(q.probes, part)
+	for _, crash := range q.byPart[part] {
+		for _, other := range crash.Parts {
+			q.judge(other)
+		}
+	}
+}
+
+// judgeServer judges the parts of all requests under which a server ended, since those of
+// a higher stage explain the others. The caller holds the lock.
+func (q *Quarantine) judgeServer(server string) {
+	for _, crash := range q.crashes {
+		if crash.Server != server {
+			continue
+		}
+		for _, part := range crash.Parts {
+			q.judge(part)
+		}
+	}
+}
+
+// judge decides whether a part is blamed. The caller holds the lock.
+func (q *Quarantine) judge(part Part) {
+	before := q.blamed[part]
+	open, counted := q.evidence(part)
+	if len(counted) < minCrashes {
+		if before != nil {
+			delete(q.blamed, part)
+			logCleared(part)
+		}
+	} else {
+		now := &blame{common: q.common(part, counted), servers: len(counted), newest: open[len(open)-1].Server, until: holdUntil(open)}
+		q.blamed[part] = now
+		if before == nil {
+			logBlamed(part, now)
+			q.spreadEvidence(counted)
+		}
+	}
+	q.blames.Store(len(q.blamed) > 0)
+}
+
+// evidence returns the crashes against a part since its last success, ordered by time, and
+// those of them that count: of different servers, and under requests sent after the one
+// counted before had ended. A request without a response does not count if the server had begun
+// one to another request. The caller holds the lock.
+func (q *Quarantine) evidence(part Part) (open, counted []*Crash) {
+	success := q.success[part]
+	for _, crash := range q.byPart[part] {
+		if crash.Ended.After(success) && crash.Stage == q.servers[crash.Server].stage {
+			open = append(open, crash)
+		}
+	}
+	slices.SortFunc(open, func(a, b *Crash) int { return a.Ended.Compare(b.Ended) })
+	for _, crash := range open {
+		if len(counted) == 0 || !crash.Sent.Before(counted[len(counted)-1].Ended) {
+			counted = append(counted, crash)
+		}
+	}
+	return open, counted
+}
+
+// common returns the parts that all of the requests had, without those that have succeeded
+// in other requests since the first crash. The caller holds the lock.
+func (q *Quarantine) common(blamed Part, counted []*Crash) []Part {
+	var common []Part
+	for _, part := range counted[0].Parts {
+		shared := !slices.ContainsFunc(counted[1:], func(c *Crash) bool { return !slices.Contains(c.Parts, part) })
+		if part == blamed || shared && !q.success[part].After(counted[0].Ended) {
+			common = append(common, part)
+		}
+	}
+	return common
+}
+
+// holdUntil returns the time of the next probe, from the crashes in order of time. One that
+// came firstHold or more after the one before was a probe.
+func holdUntil(open []*Crash) time.Time {
+	hold := firstHold
+	for i := 1; i < len(open); i++ {
+		if open[i].Ended.Sub(open[i-1].Ended) >= firstHold {
+			hold = min(maxHold, 2*hold)
+		}
+	}
+	return open[len(open)-1].Ended.Add(hold)
+}
+
+// containsAll reports whether parts contains all of wanted.
+func containsAll(parts, wanted []Part) bool {
+	for _, part := range wanted {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -61,6 +61,7 @@
 	CodeInProgress       Code = "request_in_progress"
 	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeStoreUnavailable Code = "store_unavailable"
+	CodeQuarantined      Code = "prompt_quarantined"
 	CodeBackendFailed    Code = "backend_failed"
 	CodeStreamLost       Code = "stream_lost"
 	CodeCancelled        Code = "cancelled"
@@ -88,6 +89,7 @@
 	CodeInProgress:       http.StatusConflict,
 	CodeOutcomeUnknown:   http.StatusConflict,
 	CodeStoreUnavailable: http.StatusServiceUnavailable,
+	CodeQuarantined:      http.StatusServiceUnavailable,
 	CodeBackendFailed:    http.StatusBadGateway,
 	CodeStreamLost:       http.StatusBadGateway,
 	CodeCancelled:        statusClientClosedRequest,
