--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -38,6 +38,7 @@
 
 func (e *Engine) startLocked() {
 	e.current = newInstance(&e.opts, &e.faults, e.opts.FirstIncarnation+e.starts)
+	e.current.crashEngine = e.Crash
 	e.starts++
 	e.power.Start()
 }
@@ -56,6 +57,17 @@
 	}
 }
 
+// Crashes returns the number of crashes so far.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	crashes := int(e.starts)
+	if e.current != nil {
+		crashes--
+	}
+	return crashes
+}
+
 // Close stops the engine permanently.
 func (e *Engine) Close() {
 	e.mu.Lock()
--- a/internal/standin/model/faults.go
+++ b/internal/standin/model/faults.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -11,6 +12,8 @@
 	CutStreams     int           // number of next streams to cut; 0: all while CutAfterChunks is set
 	CrossStreams   int           // number of next streams whose chunks carry another request's ID
 	AnswerDelay    time.Duration // wait before the first chunk
+	CrashPrompt    string        // the engine crashes when it begins to answer a prompt with this text; empty: never
+	CrashDown      time.Duration // time until the restart after CrashPrompt
 }
 
 // faultState holds the faults and assigns them to streams.
@@ -51,6 +54,14 @@
 	return taken
 }
 
+// crashes reports whether the engine crashes when it begins to answer a prompt, and for how
+// long it is down then.
+func (f *faultState) crashes(prompt string) (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.CrashPrompt != "" && strings.Contains(prompt, f.current.CrashPrompt), f.current.CrashDown
+}
+
 func (f *faultState) freeze(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/model/generation.go
+++ b/internal/standin/model/generation.go
@@ -57,7 +57,16 @@
 	defer g.instance.slots.release()
 	g.instance.running.Add(1)
 	defer g.instance.running.Add(-1)
-	return g.prefill() && g.instance.pause(g.ctx, g.stream.faults.delay) && g.decode()
+	return g.prefill() && g.instance.pause(g.ctx, g.stream.faults.delay) && !g.crash() && g.decode()
+}
+
+// crash reports whether the engine crashes now because of the prompt.
+func (g *generation) crash() bool {
+	crashes, down := g.instance.faults.crashes(g.req.Prompt)
+	if crashes {
+		go g.instance.crashEngine(down)
+	}
+	return crashes
 }
 
 // prefill computes the prompt tokens that are not cached. It reports whether it
--- a/internal/standin/model/http.go
+++ b/internal/standin/model/http.go
@@ -29,6 +29,7 @@
 	CutStreams     int     `json:"cut_streams"`
 	CrossStreams   int     `json:"cross_streams"`
 	AnswerDelayMs  int64   `json:"answer_delay_ms"`
+	CrashPrompt    string  `json:"crash_prompt"` // crashes for DownMs when it begins to answer a prompt with this text
 }
 
 type handler struct {
@@ -193,6 +194,8 @@
 		CutStreams:     body.CutStreams,
 		CrossStreams:   body.CrossStreams,
 		AnswerDelay:    milliseconds(body.AnswerDelayMs),
+		CrashPrompt:    body.CrashPrompt,
+		CrashDown:      milliseconds(body.DownMs),
 	})
 	h.engine.LoseEvents(body.LoseEvents, body.LoseRate)
 	if body.FreezeMs > 0 {
--- a/internal/standin/model/instance.go
+++ b/internal/standin/model/instance.go
@@ -18,6 +18,7 @@
 	incarnation uint64
 	ctx         context.Context // cancelled by the crash
 	crash       context.CancelFunc
+	crashEngine func(down time.Duration) // crashes the engine of this instance
 
 	slots   *semaphore // one slot per running generation
 	prefill *semaphore // one prefill at a time
