--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -18,6 +18,8 @@
 	// pushFanout is the number of peers that a new revision is pushed to. Each of
 	// them pushes it once to as many others.
 	pushFanout = 4
+	// crashPushInterval is the least time between two pushes of news of crashes.
+	crashPushInterval = 100 * time.Millisecond
 	// initialPeers is the number of peers asked for state at start-up.
 	initialPeers = 8
 )
@@ -86,6 +88,7 @@
 		logger.Debug(logging.Fields{"peer": address, "error": err.Error()}, "exchange failed")
 		return
 	}
+	l.options.Quarantine.Merge(reply.GetQuarantine(), time.Now())
 	l.OfferTable(reply.GetShardTable())
 	if !l.offerDocument(documentFrom(reply)) {
 		l.pullFull(ctx, address)
@@ -98,6 +101,8 @@
 		Revisions: l.Snapshot().Revisions(),
 		Sender:    l.options.Settings.Daemon.RPCAddress,
 		Want:      true,
+		// The peer's findings are not known here; it gets all of them when it asks itself.
+		Quarantine: l.options.Quarantine.News(l.options.Quarantine.Digest(), time.Now()),
 	}
 }
 
@@ -118,6 +123,19 @@
 	return l.options.Peers.Exchange(ctx, address, req)
 }
 
+// pushCrashes tells a few random peers at once what this daemon has learned of crashes.
+func (l *Loop) pushCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.options.Quarantine.Learned():
+			l.push(ctx, nil)
+			_ = clock.Sleep(ctx, crashPushInterval) // the loop checks ctx
+		}
+	}
+}
+
 // pullFull requests a peer's full document after a delta from it could not be
 // applied.
 func (l *Loop) pullFull(ctx context.Context, address string) {
@@ -149,13 +167,18 @@
 
 // HandleExchange handles a peer's ExchangeRequest.
 func (l *Loop) HandleExchange(req *wire.ExchangeRequest) *wire.ExchangeReply {
+	now := time.Now()
+	l.options.Quarantine.Merge(req.GetQuarantine(), now)
 	l.OfferTable(req.GetShardTable())
 	decoded := l.offerDocument(documentFrom(req))
 	if !decoded || len(req.GetDocument()) == 0 {
 		l.ObserveRevisions(req.GetSender(), req.GetRevisions())
 	}
 	snapshot := l.Snapshot()
-	reply := &wire.ExchangeReply{Revisions: snapshot.Revisions()}
+	reply := &wire.ExchangeReply{
+		Revisions:  snapshot.Revisions(),
+		Quarantine: l.options.Quarantine.News(req.GetQuarantine().GetDigest(), now),
+	}
 	if req.GetWant() {
 		l.addNewer(reply, req.GetRevisions(), snapshot)
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,7 @@
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/membership"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/shard"
 )
@@ -50,6 +51,8 @@
 	Shards    ShardManager // nil if this daemon gets the shard table only from peers
 	Peers     Peers
 	Codec     Codec
+	// Quarantine is exchanged with the peers; nil: a new one.
+	Quarantine *quarantine.Quarantine
 	// OnChange is called on the control goroutine after each new snapshot. It
 	// must not block or call a Loop method that sends an event.
 	OnChange func(*Snapshot)
@@ -88,6 +91,9 @@
 
 // NewLoop returns a Loop with an empty snapshot.
 func NewLoop(options Options) *Loop {
+	if options.Quarantine == nil {
+		options.Quarantine = quarantine.New(nil)
+	}
 	empty := &Snapshot{View: membership.NewView(nil)}
 	return &Loop{
 		options:   options,
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -34,6 +34,7 @@
 	workers.Go(func() { l.gossip(ctx) })
 	workers.Go(func() { l.pullOnDemand(ctx) })
 	workers.Go(func() { l.pushChanges(ctx) })
+	workers.Go(func() { l.pushCrashes(ctx) })
 	if l.options.KV != nil {
 		workers.Go(func() { l.watchConfig(ctx) })
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,9 +97,10 @@
 	if b.settings.Daemon.Role == config.RoleRouter {
 		limiter := newLimiter(b, source)
 		options.Shards = newShardManager(b, limiter)
+		options.Quarantine = newQuarantine(source, b.settings.Daemon.RPCAddress)
 		b.loop = control.NewLoop(options)
 		source.loop = b.loop
-		r, err = newRouter(b, limiter)
+		r, err = newRouter(b, limiter, options.Quarantine)
 	} else {
 		b.loop = control.NewLoop(options)
 		r, err = newSidecar(b)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -13,12 +13,14 @@
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/controller"
 	"github.com/wasabigate/wasabigate/internal/dispatch"
+	"github.com/wasabigate/wasabigate/internal/hold"
 	"github.com/wasabigate/wasabigate/internal/httpapi"
 	"github.com/wasabigate/wasabigate/internal/inflight"
 	"github.com/wasabigate/wasabigate/internal/limit"
 	"github.com/wasabigate/wasabigate/internal/pipeline"
 	"github.com/wasabigate/wasabigate/internal/platform/client"
 	"github.com/wasabigate/wasabigate/internal/prefix"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/relay"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/route"
@@ -76,8 +78,15 @@
 	return controller.New(options)
 }
 
+// newQuarantine returns a Quarantine whose probes the routers share.
+func newQuarantine(source control.Source, self string) *quarantine.Quarantine {
+	return quarantine.New(func(part quarantine.Part, turn int64) bool {
+		return quarantine.Elected(part, turn, self, otherRouters(source, self))
+	})
+}
+
 // newRouter builds a router with its filter chain.
-func newRouter(b *base, limiter *limit.Local) (*router, error) {
+func newRouter(b *base, limiter *limit.Local, q *quarantine.Quarantine) (*router, error) {
 	r := &router{base: b, inflight: &inflight.Registry{}, limiter: limiter, controller: newController(b)}
 	routing, err := route.New(b.settings, b.loop, route.NewTracker(), prefix.NewIndex(b.settings.Router.PrefixEntries))
 	if err != nil {
@@ -90,7 +99,7 @@
 	r.server = httpapi.New(httpapi.Options{
 		Settings: b.settings,
 		Source:   b.loop,
-		Handler:  r.chain(routing),
+		Handler:  r.chain(routing, q),
 		Inflight: r.inflight,
 		Metrics:  b.metrics,
 	})
@@ -98,7 +107,7 @@
 }
 
 // chain returns the filter chain. Filters are listed in the order in which they run.
-func (r *router) chain(routing *route.Filter) request.Handler {
+func (r *router) chain(routing *route.Filter, q *quarantine.Quarantine) request.Handler {
 	dispatcher := dispatch.New(r.base.dialer, routing, r.base.loop)
 	return pipeline.Chain[*request.Request, request.Stream](
 		dispatcher,
@@ -108,6 +117,7 @@
 		limit.NewFilter(r.limiter, r.base.loop),
 		relay.New(r.base.loop, dispatcher),
 		routing,
+		hold.New(q),
 	)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,8 +129,10 @@
 
 // FailureError converts a failure frame to an error.
 func FailureError(failure *wire.Failure) *verdict.Error {
-	return verdict.New(verdict.Verdict(failure.GetVerdict()), verdict.Code(failure.GetCode()), "%s", failure.GetMessage()).
+	err := verdict.New(verdict.Verdict(failure.GetVerdict()), verdict.Code(failure.GetCode()), "%s", failure.GetMessage()).
 		WithRetryAfter(time.Duration(failure.GetRetryAfterMs()) * time.Millisecond)
+	err.Crashed = failure.GetCrashed()
+	return err
 }
 
 // stream reads the frames of one attempt.
--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -182,9 +182,24 @@
 		Stop:        b.Stop,
 		Chat:        chat,
 		Streamed:    b.Stream,
+		SharedTexts: b.sharedTexts(chat),
 	}
 }
 
+// sharedTexts returns the messages before the last one, or the paragraphs of a plain prompt
+// before the last one.
+func (b *completionBody) sharedTexts(chat bool) []string {
+	if !chat {
+		paragraphs := strings.Split((*b.Prompt)[0], "\n\n")
+		return paragraphs[:len(paragraphs)-1]
+	}
+	texts := make([]string, 0, len(b.Messages)-1)
+	for _, message := range b.Messages[:len(b.Messages)-1] {
+		texts = append(texts, message.Role+"\n"+string(message.Content))
+	}
+	return texts
+}
+
 // seed returns the caller's seed, or one derived from the request ID: a generation
 // that is resumed on another server must continue with the same seed.
 func (b *completionBody) seed(requestID string) int64 {
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -33,8 +33,15 @@
 		q.rumors = slices.Delete(q.rumors, 0, 1)
 	}
 	q.rumors = append(q.rumors, r)
+	select {
+	case q.learned <- struct{}{}:
+	default:
+	}
 }
 
+// Learned returns a channel that gets a signal when there is something new to tell.
+func (q *Quarantine) Learned() <-chan struct{} { return q.learned }
+
 // spreadEvidence tells the crashes against a newly blamed part once more, since some
 // processes may not hear from those that saw them. The caller holds the lock.
 func (q *Quarantine) spreadEvidence(crashes []*Crash) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -125,6 +125,7 @@
 	blamed  map[Part]*blame
 	probes  map[Part]time.Time // no other probe before
 	rumors  []*rumor
+	learned chan struct{} // holds one signal
 }
 
 // New returns a Quarantine without crashes. A nil elect allows each probe.
@@ -136,6 +137,7 @@
 		elect: elect, known: make(map[crashKey]struct{}), byPart: make(map[Part][]*Crash),
 		servers: make(map[string]*ended),
 		success: make(map[Part]time.Time), blamed: make(map[Part]*blame), probes: make(map[Part]time.Time),
+		learned: make(chan struct{}, 1),
 	}
 	q.meters = newMeters(q)
 	return q
@@ -372,13 +374,17 @@
 	}
 	slices.SortFunc(open, func(a, b *Crash) int { return a.Ended.Compare(b.Ended) })
 	for _, crash := range open {
-		if len(counted) == 0 || !crash.Sent.Before(counted[len(counted)-1].Ended) {
+		if len(counted) == 0 || !crash.Sent.Before(counted[len(counted)-1].Ended) && !ofServer(counted, crash.Server) {
 			counted = append(counted, crash)
 		}
 	}
 	return open, counted
 }
 
+func ofServer(crashes []*Crash, server string) bool {
+	return slices.ContainsFunc(crashes, func(c *Crash) bool { return c.Server == server })
+}
+
 // common returns the parts that all of the requests had, without those that have succeeded
 // in other requests since the first crash. The caller holds the lock.
 func (q *Quarantine) common(blamed Part, counted []*Crash) []Part {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -77,7 +77,8 @@
 	Stop           []string
 	Chat           bool
 	Streamed       bool
-	WeightsVersion string // set by classify to the document's; route may choose another until the stream has begun
+	SharedTexts    []string // parts of the prompt that other requests may share: all but the last
+	WeightsVersion string   // set by classify to the document's; route may choose another until the stream has begun
 
 	// Blocks are the block hashes of the prompt under the salt of CacheSeed. Set by
 	// route.
--- a/internal/sidecar/execute/generate.go
+++ b/internal/sidecar/execute/generate.go
@@ -33,6 +33,9 @@
 	defer w.stop()
 	stream, err := x.engine.Generate(w.ctx, req)
 	if err != nil {
+		if x.crashed(ctx, err, incarnation) {
+			return nil, crashError(ctx, err, incarnation, "engine crashed before the generation began")
+		}
 		x.cancelIfMayHaveRun(ctx, req.RequestID, err)
 		return nil, backendError(ctx, err, "generation did not start")
 	}
@@ -41,12 +44,37 @@
 	r := reader{stream: stream, watchdog: w, emit: j.Emit, start: start}
 	last, err := r.readAll(ctx)
 	if err != nil {
+		if x.crashed(ctx, err, incarnation) {
+			return nil, crashError(ctx, w.withCause(err), incarnation, "engine crashed after %d tokens", r.tokens)
+		}
 		x.cancelIfMayHaveRun(ctx, req.RequestID, err)
 		return nil, backendError(ctx, w.withCause(err), "generation broke after %d tokens", r.tokens)
 	}
 	return &wire.Frame{Tail: tail(&last)}, nil
 }
 
+// crashed reports whether the engine has ended, or started again, after the connection of a
+// generation broke. An engine that only does not respond may be alive.
+func (x *executor) crashed(ctx context.Context, err error, incarnation uint64) bool {
+	if ctx.Err() != nil || !errors.Is(err, engine.ErrBroken) {
+		return false
+	}
+	stateCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, err := x.engine.State(stateCtx)
+	if err != nil {
+		return stateCtx.Err() == nil
+	}
+	return state.Incarnation != incarnation
+}
+
+// crashError returns the error of a generation under which the engine crashed.
+func crashError(ctx context.Context, err error, incarnation uint64, format string, args ...any) *verdict.Error {
+	failure := backendError(ctx, err, format, args...)
+	failure.Crashed = incarnation
+	return failure
+}
+
 // checkWeights returns the incarnation of the engine if it has loaded the
 // weights. A chunk of another incarnation may come from other weights.
 func (x *executor) checkWeights(ctx context.Context, g *wire.Generation) (uint64, *verdict.Error) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -165,6 +165,7 @@
 		Message:      err.Message,
 		RetryAfterMs: err.RetryAfter.Milliseconds(),
 		Load:         s.Load(),
+		Crashed:      err.Crashed,
 	}}
 }
 
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -114,6 +114,7 @@
 	Code       Code
 	Message    string
 	RetryAfter time.Duration // zero if unknown
+	Crashed    uint64        // incarnation of the engine that crashed under the request; 0: none did
 	Cause      error
 }
 
