--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -64,6 +64,13 @@
 	Signed         bool // the response comes from the backend server itself
 	WeightsVersion uint64
 	IdleTimeout    time.Duration // how long the server keeps an idle connection open; 0: not announced
+	Limit          Limit
+}
+
+// Limit is the number of requests a second that a server takes from all gateways together.
+type Limit struct {
+	Named     bool    // the response names one
+	PerSecond float64 // 0: the value is malformed
 }
 
 // Codec writes request headers and reads response headers.
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -114,5 +114,14 @@
 // ServersOf returns the listed servers of a service, draining ones included.
 func (s *Snapshot) ServersOf(service string) []*Server { return s.byService[service] }
 
+// Incarnation returns the incarnation of a listed server.
+func (s *Snapshot) Incarnation(id string) (incarnation int64, ok bool) {
+	server := s.Servers[id]
+	if server == nil {
+		return 0, false
+	}
+	return server.Incarnation, true
+}
+
 // Ready reports whether requests can be checked and routed.
 func (s *Snapshot) Ready() bool { return s.Config != nil }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -16,6 +16,7 @@
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/placement"
 	"github.com/wasabigate/wasabigate/internal/quarantine"
+	"github.com/wasabigate/wasabigate/internal/serverlimit"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -63,6 +64,7 @@
 	Budget      Budget
 	Pick        Picker // nil: placement.Pick
 	Quarantine  *quarantine.Quarantine
+	Limits      *serverlimit.Limits
 	// ProcessEnded reports whether no process serves an address any more; nil:
 	// backend.ProcessEnded.
 	ProcessEnded func(ctx context.Context, address string) bool
@@ -82,6 +84,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.New(nil)
 	}
+	if config.Limits == nil {
+		config.Limits = serverlimit.New("")
+	}
 	if config.ProcessEnded == nil {
 		config.ProcessEnded = backend.ProcessEnded
 	}
@@ -157,7 +162,7 @@
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "no backend server answered")
 	}
 	if mayReturn(err) {
-		err.RetryAfter = r.relay.returns.of(r.service).Delay(enginePriority(r.req), time.Now())
+		err.RetryAfter = max(err.RetryAfter, r.relay.returns.of(r.service).Delay(enginePriority(r.req), time.Now()))
 	}
 	return nil, err
 }
@@ -198,10 +203,10 @@
 		return nil, held
 	}
 	r.refreshSnapshot()
-	choice, ok := r.relay.Pick(r.placementQuery(now), r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now))
-	if !ok {
+	choice, failure := r.chooseServer(now)
+	if failure != nil {
 		r.endProbe(now)
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Excluded)
+		return nil, failure
 	}
 	call := r.newCall(&choice, now)
 	r.recordAttempt(&choice, call)
@@ -215,6 +220,7 @@
 	}
 	r.reached++
 	r.begun = true
+	r.recordLimit(call, resp)
 	result, failure := r.handleResponse(ctx, attempt, call, resp, wd)
 	if failure != nil || result.Events == nil {
 		wd.stop()
@@ -222,6 +228,40 @@
 	return result, failure
 }
 
+// chooseServer chooses the server of an attempt, and takes the request from the server's
+// limit if it has one.
+func (r *activeRequest) chooseServer(now time.Time) (placement.Choice, *verdict.Error) {
+	servers := r.relay.Fleet.View(r.req.Snapshot, r.service, r.req.Model, now)
+	wait := r.markLimited(servers, now)
+	query := r.placementQuery(now)
+	for {
+		choice, ok := r.relay.Pick(query, servers)
+		if !ok {
+			return choice, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Excluded).
+				WithRetryAfter(wait)
+		}
+		if r.relay.Limits.Take(choice.Server.ID, now) {
+			return choice, nil
+		}
+		choice.Server.Limited = true // another request took what was left
+	}
+}
+
+// markLimited marks the servers whose limit allows no request now. It returns the shortest
+// time until one of them does; 0: there are none.
+func (r *activeRequest) markLimited(servers []placement.Server, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for i := range servers {
+		if wait := r.relay.Limits.Wait(servers[i].ID, now); wait > 0 {
+			servers[i].Limited = true
+			if shortest == 0 || wait < shortest {
+				shortest = wait
+			}
+		}
+	}
+	return shortest
+}
+
 // refreshSnapshot takes the current snapshot for an attempt after the first, unless the
 // service has been removed from the configuration.
 func (r *activeRequest) refreshSnapshot() {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -77,6 +77,21 @@
 	return r.readWhole(ctx, attempt, resp, success)
 }
 
+// recordLimit records the limit that a response names, or that it names none.
+func (r *activeRequest) recordLimit(call *backend.Call, resp *backend.Response) {
+	server := r.req.Snapshot.Servers[call.ServerID]
+	if server == nil || resp.ServerID != "" && resp.ServerID != call.ServerID {
+		return
+	}
+	now := time.Now()
+	switch {
+	case resp.Limit.Named:
+		r.relay.Limits.RecordNamed(server.ID, server.Incarnation, resp.Limit.PerSecond, now)
+	case resp.Signed:
+		r.relay.Limits.RecordUnnamed(server.ID, server.Incarnation, now)
+	}
+}
+
 // handleRefusal ends an attempt whose response guarantees that the request has not run.
 func (r *activeRequest) handleRefusal(attempt *fleet.Attempt, call *backend.Call, resp *backend.Response) *verdict.Error {
 	_ = resp.Body.Close() // the body is not needed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/serverlimit"
 )
 
 var logger = logging.For("gateway")
@@ -88,7 +89,8 @@
 	exchange *peering.Exchange
 	ingress  *ingress
 	// quarantine is shared with the other gateways through exchange.
-	quarantine *quarantine.Quarantine
+	quarantine   *quarantine.Quarantine
+	serverLimits *serverlimit.Limits
 }
 
 // Run runs the gateway until ctx ends, then drains it.
@@ -158,6 +160,7 @@
 	g.limits.follower = g.follower
 	registerStateGauges(g.follower)
 	g.quarantine = quarantine.New(g.mayProbe)
+	g.serverLimits = serverlimit.New(settings.Daemon.RPCAddress)
 	g.exchange = peering.New(peering.Options{
 		Self:     settings.Daemon.RPCAddress,
 		Seeds:    settings.Daemon.Peers,
@@ -167,6 +170,7 @@
 		Cache:    g.cache,
 
 		Quarantine: g.quarantine,
+		Limits:     g.serverLimits,
 	})
 	g.budget = retrybudget.New(retryBound(settings), time.Now())
 	g.rollout = rollout.New(rollout.Options{
@@ -205,6 +209,7 @@
 		Backend:     backend.NewClient(g.platform.Headers),
 		Budget:      g.budget,
 		Quarantine:  g.quarantine,
+		Limits:      g.serverLimits,
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
@@ -219,6 +224,12 @@
 func (g *Gateway) onSnapshot(snapshot *deployment.Snapshot) {
 	g.fleet.Prune(snapshot)
 	g.budget.SetGateways(len(snapshot.Gateways))
+	addresses := make([]string, len(snapshot.Gateways))
+	for i, gateway := range snapshot.Gateways {
+		addresses[i] = gateway.Address
+	}
+	g.serverLimits.SetGateways(addresses)
+	g.serverLimits.Prune(snapshot.Incarnation)
 	g.limits.update(snapshot, g.exchange.PeersSince(time.Now().Add(-unlistedPeerTTL)), time.Now())
 	g.follower.SetIdle(!roster.Watches(snapshot.Gateways, g.settings.Daemon.RPCAddress))
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -25,6 +25,7 @@
 	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/serverlimit"
 )
 
 var logger = logging.For("peering")
@@ -65,6 +66,7 @@
 	// Quarantine learns from the other gateways which parts of prompts crash servers, and
 	// tells them; nil: a new one.
 	Quarantine *quarantine.Quarantine
+	Limits     *serverlimit.Limits // that servers named; nil: a new one
 }
 
 // Exchange exchanges reports with the other gateways. It implements
@@ -80,8 +82,9 @@
 // peer is the state of another gateway.
 type peer struct {
 	lastReport time.Time
-	usesSent   uint64 // uses of cached parts that were sent to it so far
-	findings   uint64 // digest of what it finds of crashing parts
+	usesSent   uint64    // uses of cached parts that were sent to it so far
+	findings   uint64    // digest of what it finds of crashing parts
+	joined     time.Time // first report after a silence
 	calling    bool
 	failing    bool
 	nextTry    time.Time
@@ -94,6 +97,9 @@
 	if opts.Quarantine == nil {
 		opts.Quarantine = quarantine.New(nil)
 	}
+	if opts.Limits == nil {
+		opts.Limits = serverlimit.New(opts.Self)
+	}
 	return &Exchange{opts: opts, started: time.Now(), peers: make(map[string]*peer)}
 }
 
@@ -288,15 +294,25 @@
 			Salt: use.Salt, Parts: use.Parts, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
 		})
 	}
-	report.Quarantine = x.opts.Quarantine.News(x.findingsOf(address), now)
+	findings, joined := x.lastKnown(address)
+	report.Quarantine = x.opts.Quarantine.News(findings, now)
+	report.Limits = x.opts.Limits.News(now.Sub(joined) < joinTime, now)
 	return report
 }
 
-// findingsOf returns the digest in the last report of a peer.
-func (x *Exchange) findingsOf(address string) uint64 {
+// joinTime is how long a peer that joins, or was cut off, is told all limits. A peer counts
+// as cut off after a silence of silenceTime.
+const (
+	joinTime    = time.Second
+	silenceTime = 2 * time.Second
+)
+
+// lastKnown returns the digest in the last report of a peer, and when the peer joined.
+func (x *Exchange) lastKnown(address string) (findings uint64, joined time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.peer(address).findings
+	p := x.peer(address)
+	return p.findings, p.joined
 }
 
 // newUses returns the uses of cached parts that were not sent to the peer yet, and marks
@@ -330,6 +346,7 @@
 	x.opts.Fleet.SetRemoteLoad(report.Sender, loads, now)
 	x.recordReport(report, now)
 	x.opts.Quarantine.Merge(report.Quarantine, now)
+	x.opts.Limits.Merge(report.Limits, x.opts.Follower.Snapshot().Incarnation, now)
 	for _, note := range report.Notes {
 		x.opts.Fleet.MergeObservation(fleet.Observation{
 			Server: note.Server, Incarnation: note.Incarnation, Model: note.Model, Weights: note.Weights,
@@ -349,6 +366,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peer(report.Sender)
+	if now.Sub(p.lastReport) > silenceTime {
+		p.joined = now
+	}
 	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -83,6 +83,7 @@
 	Draining      bool
 	Cold          bool
 	Loading       bool    // loads weights and refuses requests meanwhile
+	Limited       bool    // named a limit that allows no request now
 	Suspect       bool    // was unreachable or refused a request recently
 	Weights       uint64  // version of the weights of the query's model
 	Running       int     // requests in flight, from all gateways
@@ -146,12 +147,12 @@
 
 // Exclusions counts the servers that may not take a request, by reason.
 type Exclusions struct {
-	Draining, Loading, Tried, OldWeights int
+	Draining, Loading, Tried, OldWeights, Limited int
 }
 
 // String returns the counts as text. Clients receive it in the message of an error.
 func (e Exclusions) String() string {
-	return fmt.Sprintf("%d leave, %d load weights, %d were tried, %d have old weights", e.Draining, e.Loading, e.Tried, e.OldWeights)
+	return fmt.Sprintf("%d leave, %d load weights, %d were tried, %d have old weights, %d limit their requests", e.Draining, e.Loading, e.Tried, e.OldWeights, e.Limited)
 }
 
 // AtHome reports whether the chosen server is the home of the prompt.
@@ -216,6 +217,8 @@
 			excluded.Tried++
 		case d.weightsExpired(s):
 			excluded.OldWeights++
+		case s.Limited:
+			excluded.Limited++
 		case s.Suspect:
 			suspect = append(suspect, s)
 		default:
