--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -38,8 +38,10 @@
 		Environment: b.settings.Daemon.Environment,
 		OnRevisions: b.loop.PullNewer,
 	}
+	observe := func(header http.Header) { s.sidecar.ObserveResponse(header) }
 	if settings.Kind == config.GroupEngines {
 		backend := client.NewEngine(settings.BackendURL)
+		backend.OnResponse = observe
 		s.engine = backend
 		s.index = cacheindex.New()
 		options.Engine = backend
@@ -47,7 +49,9 @@
 		options.PieceStore = newPieceStore(&b.settings.Platform)
 		options.Executor = execute.New(backend, nil)
 	} else {
-		options.Executor = execute.New(nil, client.NewService(settings.BackendURL))
+		backend := client.NewService(settings.BackendURL)
+		backend.OnResponse = observe
+		options.Executor = execute.New(nil, backend)
 	}
 	s.sidecar = sidecar.New(options)
 	return s, errors.Wrap(wire.DRPCRegisterBackend(b.mux, s.sidecar), "backend service")
--- a/internal/engine/client/engine.go
+++ b/internal/engine/client/engine.go
@@ -18,6 +18,8 @@
 type Engine struct {
 	base string
 	http *http.Client
+	// OnResponse is called with the header of each response to a generation, if set.
+	OnResponse func(header http.Header)
 }
 
 // NewEngine returns a client of the model engine at baseURL.
--- a/internal/engine/client/service.go
+++ b/internal/engine/client/service.go
@@ -20,6 +20,8 @@
 type Service struct {
 	base string
 	http *http.Client
+	// OnResponse is called with the header of each response, if set.
+	OnResponse func(header http.Header)
 }
 
 // NewService returns a client of the plain service at baseURL.
@@ -38,6 +40,9 @@
 		return engine.CallReply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if s.OnResponse != nil {
+		s.OnResponse(resp.Header)
+	}
 	body, err := readReply(resp.Body)
 	if err != nil {
 		return engine.CallReply{}, err
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -95,6 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if e.OnResponse != nil && strings.HasSuffix(req.URL.Path, httpapi.PathCompletions) {
+		e.OnResponse(resp.Header)
+	}
 	if resp.StatusCode/100 == 2 {
 		return resp, nil
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -172,6 +172,10 @@
 // and in their responses.
 const HeaderRequestID = "X-Request-Id"
 
+// HeaderLimit is the header in which a backend server names the requests a second that it
+// takes, a decimal number, for as long as it does so.
+const HeaderLimit = "X-Request-Limit"
+
 // Service is a plain service.
 type Service interface {
 	// Call sends the request once. Errors wrap ErrUnreachable (not run) or
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -124,6 +124,30 @@
 	l.name(id, incarnation, limit, now, now)
 }
 
+// Observe records the limit in the values of a response's header. Without a value the
+// response names none.
+func (l *Limits) Observe(id string, incarnation int64, values []string, now time.Time) {
+	if len(values) == 0 {
+		l.RecordUnnamed(id, incarnation, now)
+		return
+	}
+	limit, _ := Parse(values[0]) // 0 if malformed
+	l.RecordNamed(id, incarnation, limit, now)
+}
+
+// Rate returns the limit of a server in requests a second, or 0 if it has none.
+func (l *Limits) Rate(id string, now time.Time) float64 {
+	if !l.any.Load() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.servers[id]; s != nil && s.holds(now) {
+		return s.limit
+	}
+	return 0
+}
+
 // RecordMalformed counts a limit that is no positive number. It changes no limit.
 func (l *Limits) RecordMalformed() { l.meters.countMalformed() }
 
--- a/internal/sidecar/queue/queue.go
+++ b/internal/sidecar/queue/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/serverlimit"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
@@ -28,6 +29,7 @@
 	reasonDeadline     = "deadline"
 	reasonCancelled    = "cancelled"
 	reasonDraining     = "leaving"
+	reasonLimit        = "limit of the backend server"
 )
 
 // Queue is a job.Filter that limits the number of running requests and orders
@@ -38,6 +40,7 @@
 	maxWaiting  int
 	ageingBound time.Duration // wait after which a deferrable request counts as aged
 	metrics     metrics
+	limits      *serverlimit.Limits // of the backend server
 
 	mu            sync.Mutex
 	lanes         [laneCount]lane
@@ -45,6 +48,7 @@
 	urgentStarts  int              // starts from the urgent lane since the last aged request started
 	backlogTokens [laneCount]int64 // prompt tokens still to be computed, by lane
 	monitor       monitor
+	wake          *time.Timer // set while requests wait for the backend server's limit
 }
 
 // Name implements job.Filter.
@@ -94,6 +98,10 @@
 	defer q.mu.Unlock()
 	l := &q.lanes[laneIndex]
 	f := l.flow(workspaceOf(j), rateOf(j))
+	if wait := q.limitWaitLocked(now); wait > maxLimitWait {
+		l.prune(f)
+		return nil, q.overloadError(j, laneIndex, wait, reasonLimit)
+	}
 	expected := q.expectedWaitLocked(f, laneIndex)
 	if deadline := j.Deadline(); !deadline.IsZero() && now.Add(expected).After(deadline) {
 		l.prune(f)
@@ -162,10 +170,15 @@
 // dispatchLocked grants free slots to waiting requests.
 func (q *Queue) dispatchLocked(now time.Time) {
 	for q.running < q.slots {
+		if q.waitingLocked() > 0 && q.limits.Wait(limitedServer, now) > 0 {
+			q.wakeLocked(now)
+			return
+		}
 		l, f := q.nextLocked(now)
 		if f == nil {
 			return
 		}
+		q.limits.Take(limitedServer, now)
 		w := l.dequeue(f, now)
 		f.running++
 		f.charge(w.prompt)
--- a/internal/sidecar/queue/setup.go
+++ b/internal/sidecar/queue/setup.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/serverlimit"
 )
 
 const (
@@ -27,6 +28,7 @@
 		slots:       positiveOr(settings.MaxConcurrent, defaultMaxConcurrent),
 		maxWaiting:  positiveOr(settings.QueueLimit, defaultQueueLimit),
 		ageingBound: settings.AgeingBound,
+		limits:      serverlimit.New(""),
 	}
 	if q.ageingBound <= 0 {
 		q.ageingBound = defaultAgeingBound
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -158,6 +159,9 @@
 	return outcome
 }
 
+// ObserveResponse records what the backend server says of itself in the header of a response.
+func (s *Sidecar) ObserveResponse(header http.Header) { s.queue.ObserveResponse(header) }
+
 func (s *Sidecar) failureFrame(err *verdict.Error) *wire.Frame {
 	return &wire.Frame{Revisions: s.revisions(), Failure: &wire.Failure{
 		Verdict:      uint32(err.Verdict),
--- a/internal/standin/model/faults.go
+++ b/internal/standin/model/faults.go
@@ -12,6 +12,7 @@
 	CutStreams     int           // number of next streams to cut; 0: all while CutAfterChunks is set
 	CrossStreams   int           // number of next streams whose chunks carry another request's ID
 	AnswerDelay    time.Duration // wait before the first chunk
+	Limit          string        // named in responses as the requests a second that the engine takes; empty: none
 	CrashPrompt    string        // the engine crashes when it begins to answer a prompt with this text; empty: never
 	CrashDown      time.Duration // time until the restart after CrashPrompt
 }
@@ -62,6 +63,13 @@
 	return f.current.CrashPrompt != "" && strings.Contains(prompt, f.current.CrashPrompt), f.current.CrashDown
 }
 
+// limit returns the limit to name in responses.
+func (f *faultState) limit() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.Limit
+}
+
 func (f *faultState) freeze(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/model/http.go
+++ b/internal/standin/model/http.go
@@ -29,6 +29,7 @@
 	CutStreams     int     `json:"cut_streams"`
 	CrossStreams   int     `json:"cross_streams"`
 	AnswerDelayMs  int64   `json:"answer_delay_ms"`
+	Limit          string  `json:"limit"`        // requests a second that responses name; empty: none
 	CrashPrompt    string  `json:"crash_prompt"` // crashes for DownMs when it begins to answer a prompt with this text
 }
 
@@ -73,6 +74,7 @@
 	if err := c.Bind(&req); err != nil {
 		return malformed(c, err)
 	}
+	h.nameLimit(c)
 	chunks, err := h.engine.Generate(c.Request().Context(), req)
 	if err != nil {
 		return fail(c, err)
@@ -93,6 +95,13 @@
 	}
 }
 
+// nameLimit sets the header with the engine's limit, if it has one.
+func (h handler) nameLimit(c echo.Context) {
+	if limit := h.engine.faults.limit(); limit != "" {
+		c.Response().Header().Set(engine.HeaderLimit, limit)
+	}
+}
+
 func startEventStream(c echo.Context) {
 	c.Response().Header().Set(echo.HeaderContentType, "text/event-stream")
 	c.Response().WriteHeader(http.StatusOK)
@@ -194,6 +203,7 @@
 		CutStreams:     body.CutStreams,
 		CrossStreams:   body.CrossStreams,
 		AnswerDelay:    milliseconds(body.AnswerDelayMs),
+		Limit:          body.Limit,
 		CrashPrompt:    body.CrashPrompt,
 		CrashDown:      milliseconds(body.DownMs),
 	})
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -113,6 +113,11 @@
 	})
 }
 
+// generations returns the number of requests for a generation so far.
+func (c *capture) generations() int {
+	return strings.Count(c.String(), "POST "+httpapi.PathCompletions+" ")
+}
+
 // workCount returns the number of requests so far that are not queries for state and
 // events, which a sidecar makes until it has stopped.
 func (c *capture) workCount() int {
