--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -167,7 +167,8 @@
 // *verdict.Error. The HTTP client never retries the request by itself.
 func (c *Client) Do(ctx context.Context, call *Call) (*Response, error) {
 	traced, trace := conntrace.Attach(ctx)
-	httpResponse, err := c.transportFor(call).RoundTrip(c.newRequest(traced, call))
+	transport := c.transportFor(call)
+	httpResponse, err := transport.RoundTrip(c.newRequest(traced, call))
 	if err != nil {
 		return nil, callError(ctx, err, call.Address, trace.Connected())
 	}
@@ -187,6 +188,11 @@
 		// An extra response may be complete, so closing its body keeps the connection.
 		trace.CloseConn()
 		closeBody(httpResponse.Body)
+		if httpResponse.ContentLength == 0 {
+			// Without a body the connection is idle by now, and would be used again
+			// before the transport learns that it is closed.
+			transport.CloseIdleConnections()
+		}
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s sent the answer of another request", call.Address)
 	}
 	return response, nil
