--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -28,7 +28,8 @@
 type explainResult struct {
 	Request      string         `json:"request"`
 	RequestLines []explain.Line `json:"story"`
-	ProcessLines []explain.Line `json:"beliefs"` // changes of the cached state of the process that accepted the request
+	ProcessLines []explain.Line `json:"beliefs"`          // changes of the cached state of the process that accepted the request
+	CauseLines   []explain.Line `json:"causes,omitempty"` // why it was held back, or servers took no request
 }
 
 func (r *explainResult) writeText(w io.Writer) {
@@ -46,6 +47,12 @@
 	for i := range r.ProcessLines {
 		writeLine(w, &r.ProcessLines[i], start)
 	}
+	if len(r.CauseLines) > 0 {
+		fmt.Fprintln(w, "what crashed servers, and which servers limit their requests")
+	}
+	for i := range r.CauseLines {
+		writeLine(w, &r.CauseLines[i], start)
+	}
 }
 
 func writeLine(w io.Writer, line *explain.Line, start time.Time) {
@@ -120,7 +127,10 @@
 	if len(requestLines) == 0 {
 		return fail(ExitFailure, "pass the log files of all processes", "no line concerns the request %q", args[0])
 	}
-	return s.print(&explainResult{Request: args[0], RequestLines: requestLines, ProcessLines: log.ProcessLines(requestLines, s.command.Duration(flagBefore))})
+	return s.print(&explainResult{
+		Request: args[0], RequestLines: requestLines, ProcessLines: log.ProcessLines(requestLines, s.command.Duration(flagBefore)),
+		CauseLines: log.CauseLines(requestLines),
+	})
 }
 
 // readLogs reads log files, or standard input if paths is empty.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
 // maxLineBytes is the maximum length of a log line.
@@ -103,6 +104,55 @@
 	return related
 }
 
+// CauseLines returns the lines that tell why a request with the given lines was held back, or
+// why servers took no request: what all processes say of the parts of its prompt that crash
+// servers, and what its process said last of the limits of servers.
+func (log *Log) CauseLines(lines []Line) []Line {
+	if len(lines) == 0 {
+		return nil
+	}
+	parts := partsIn(lines)
+	limits := make(map[string]Line) // by server
+	var causes []Line
+	for i := range log.Lines {
+		l := &log.Lines[i]
+		switch {
+		case l.RequestID() != "" || l.Time.After(lines[len(lines)-1].Time):
+		case parts[l.text(logging.FieldQuarantined)]:
+			causes = append(causes, *l)
+		case l.Fields[logging.FieldLimit] != nil && l.Process() == lines[0].Process():
+			limits[l.text("server")] = *l
+		}
+	}
+	if refusedByServers(lines) {
+		causes = slices.AppendSeq(causes, maps.Values(limits))
+	}
+	slices.SortStableFunc(causes, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return causes
+}
+
+// partsIn returns the hashes of the parts of prompts in the lines.
+func partsIn(lines []Line) map[string]bool {
+	parts := make(map[string]bool)
+	for i := range lines {
+		if part := lines[i].text(logging.FieldQuarantined); part != "" {
+			parts[part] = true
+		}
+		list, _ := lines[i].Fields[logging.FieldParts].([]any) // absent in most lines
+		for _, part := range list {
+			if name, ok := part.(string); ok {
+				parts[name] = true
+			}
+		}
+	}
+	return parts
+}
+
+// refusedByServers reports whether no server could take the request.
+func refusedByServers(lines []Line) bool {
+	return slices.ContainsFunc(lines, func(l Line) bool { return l.text("code") == string(verdict.CodeNoBackendServer) })
+}
+
 // Group is a group of requests that failed in the same way.
 type Group struct {
 	Message string    `json:"message"`
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -52,3 +53,35 @@
 		log.Failures()
 	})
 }
+
+// A request that was held back leads to the blame, of any process; one that no server could
+// take leads to the limits of the servers.
+func TestCauseLines(t *testing.T) {
+	log, err := Read(strings.NewReader(`
+{"fields":{"process":"g1","request_id":"r1","parts":["aa","bb"],"code":"backend_failed"},"level":"info","timestamp":"2026-01-01T00:00:01Z","message":"relay: attempt failed"}
+{"fields":{"process":"g2","quarantined_part":"bb","servers":3},"level":"warn","timestamp":"2026-01-01T00:00:02Z","message":"quarantine: part of a prompt blamed for crashes"}
+{"fields":{"process":"g2","quarantined_part":"cc","servers":3},"level":"warn","timestamp":"2026-01-01T00:00:02Z","message":"quarantine: part of a prompt blamed for crashes"}
+{"fields":{"process":"g1","server":"i1","limit_per_s":2},"level":"info","timestamp":"2026-01-01T00:00:02Z","message":"serverlimit: server limits its requests"}
+{"fields":{"process":"g1","server":"i1","limit_per_s":0},"level":"info","timestamp":"2026-01-01T00:00:03Z","message":"serverlimit: server's limit ended"}
+{"fields":{"process":"g2","server":"i1","limit_per_s":1},"level":"info","timestamp":"2026-01-01T00:00:03Z","message":"serverlimit: server limits its requests"}
+{"fields":{"process":"g1","request_id":"r2","quarantined_part":"bb"},"level":"info","timestamp":"2026-01-01T00:00:04Z","message":"relay: request held back"}
+{"fields":{"process":"g1","request_id":"r3","code":"no_backend_server"},"level":"warn","timestamp":"2026-01-01T00:00:04Z","message":"gateway: refused"}
+{"fields":{"process":"g1","quarantined_part":"bb"},"level":"info","timestamp":"2026-01-01T00:00:05Z","message":"quarantine: part of a prompt no longer blamed"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, want := range map[string][]string{
+		"r1": nil, // the blame came later
+		"r2": {"quarantine: part of a prompt blamed for crashes"},
+		"r3": {"serverlimit: server's limit ended"},
+	} {
+		var got []string
+		for _, line := range log.CauseLines(log.RequestLines(id)) {
+			got = append(got, line.Message)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: %q, want %q", id, got, want)
+		}
+	}
+}
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -36,6 +36,10 @@
 // backend servers.
 const FieldQuarantined = "quarantined_part"
 
+// FieldLimit is the field with the limit of a backend server, in requests a second; 0 after its
+// end.
+const FieldLimit = "limit_per_s"
+
 // Names of the fields from which a request can be replayed.
 const (
 	FieldPart         = "part"          // hash of the last shared part of the prompt
--- a/internal/serverlimit/metrics.go
+++ b/internal/serverlimit/metrics.go
@@ -38,9 +38,9 @@
 func (m *meters) countMalformed() { m.malformed.Add(context.Background(), 1) }
 
 func logLimit(id string, limit float64, users int, share float64) {
-	logger.Info(logging.Fields{"server": id, "limit_per_s": limit, "gateways": users, "share_per_s": share}, "server limits its requests")
+	logger.Info(logging.Fields{"server": id, logging.FieldLimit: limit, "gateways": users, "share_per_s": share}, "server limits its requests")
 }
 
 func logEnd(id string) {
-	logger.Info(logging.Fields{"server": id}, "server's limit ended")
+	logger.Info(logging.Fields{"server": id, logging.FieldLimit: 0}, "server's limit ended")
 }
