--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -15,11 +15,13 @@
 
 // Link forwards connections. It is safe for concurrent use.
 type Link struct {
-	listener net.Listener
-	target   string
-	work     sync.WaitGroup
+	address string
+	target  string
+	work    sync.WaitGroup
 
 	mu          sync.Mutex
+	listener    net.Listener
+	closed      bool
 	conns       map[net.Conn]struct{}
 	down        bool
 	frozenUntil time.Time // no bytes are forwarded before
@@ -33,17 +35,20 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "link")
 	}
-	l := &Link{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
-	l.work.Go(l.accept)
+	l := &Link{address: listener.Addr().String(), listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	l.work.Go(func() { l.accept(listener) })
 	return l, nil
 }
 
 // Address returns the address that the link listens on.
-func (l *Link) Address() string { return l.listener.Addr().String() }
+func (l *Link) Address() string { return l.address }
 
 // Close closes the link permanently and waits for its goroutines.
 func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
 	_ = l.listener.Close()
+	l.mu.Unlock()
 	l.SetDown(true)
 	l.work.Wait()
 }
@@ -57,6 +62,31 @@
 	}
 }
 
+// StopListening breaks all connections, and has the host refuse new ones like that of a
+// process that has ended.
+func (l *Link) StopListening() {
+	l.mu.Lock()
+	_ = l.listener.Close()
+	l.mu.Unlock()
+	l.Cut()
+}
+
+// Listen ends the effect of StopListening.
+func (l *Link) Listen() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return errors.Wrap(err, "link")
+	}
+	l.listener = listener
+	l.work.Go(func() { l.accept(listener) })
+	return nil
+}
+
 // SetDown breaks all connections and refuses new ones until it is called with
 // false.
 func (l *Link) SetDown(down bool) {
@@ -82,9 +112,9 @@
 	return bytes.Clone(l.recorded.Bytes())
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
