--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -188,14 +189,18 @@
 
 // mayProbe reports whether this gateway may send the probe of a part that crashes servers.
 func (g *Gateway) mayProbe(part quarantine.Part, turn int64) bool {
-	var others []string
-	for _, gateway := range g.follower.Snapshot().Gateways {
-		others = append(others, gateway.Address)
-	}
-	if len(others) == 0 {
-		others = g.exchange.PeersSince(time.Now().Add(-unlistedPeerTTL))
+	return quarantine.Elected(part, turn, g.settings.Daemon.RPCAddress, g.runningGateways(g.follower.Snapshot()))
+}
+
+// runningGateways returns the addresses of the gateways that the store lists and of those
+// heard of recently: after an outage of the store, the leases of all may have expired.
+func (g *Gateway) runningGateways(snapshot *deployment.Snapshot) []string {
+	addresses := g.exchange.PeersSince(time.Now().Add(-unlistedPeerTTL))
+	for _, gateway := range snapshot.Gateways {
+		addresses = append(addresses, gateway.Address)
 	}
-	return quarantine.Elected(part, turn, g.settings.Daemon.RPCAddress, others)
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
 }
 
 // newChain returns the filter chain, in the order in which the filters run.
@@ -223,17 +228,27 @@
 // onSnapshot applies a new snapshot of the deployment to the parts that depend on it.
 func (g *Gateway) onSnapshot(snapshot *deployment.Snapshot) {
 	g.fleet.Prune(snapshot)
-	g.budget.SetGateways(len(snapshot.Gateways))
-	addresses := make([]string, len(snapshot.Gateways))
-	for i, gateway := range snapshot.Gateways {
-		addresses[i] = gateway.Address
-	}
-	g.serverLimits.SetGateways(addresses)
+	g.shareBounds(snapshot)
 	g.serverLimits.Prune(snapshot.Incarnation)
 	g.limits.update(snapshot, g.exchange.PeersSince(time.Now().Add(-unlistedPeerTTL)), time.Now())
 	g.follower.SetIdle(!roster.Watches(snapshot.Gateways, g.settings.Daemon.RPCAddress))
 }
 
+// shareBounds divides what the gateways may do together among those that run.
+func (g *Gateway) shareBounds(snapshot *deployment.Snapshot) {
+	gateways := g.runningGateways(snapshot)
+	others := slices.DeleteFunc(gateways, func(address string) bool { return address == g.settings.Daemon.RPCAddress })
+	g.budget.SetGateways(1 + len(others))
+	g.serverLimits.SetGateways(others)
+}
+
+// shareBoundsRegularly divides them again as gateways fall silent.
+func (g *Gateway) shareBoundsRegularly(ctx context.Context) {
+	for clock.Sleep(ctx, unlistedPeerTTL/2) == nil {
+		g.shareBounds(g.follower.Snapshot())
+	}
+}
+
 // serve runs all listeners and background work until ctx ends, then drains.
 func (g *Gateway) serve(ctx context.Context, open *listeners, metricsHandler http.Handler) error {
 	background, stop := context.WithCancel(context.Background())
@@ -279,7 +294,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -158,6 +158,7 @@
 	settings *config.Settings
 	stop     context.CancelFunc
 	done     chan error
+	gateway  *Gateway
 }
 
 func startSystem(t *testing.T) *system { return startGateway(t, &memoryStore{}, "g1") }
@@ -175,15 +176,13 @@
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
-	go func() {
-		gateway := newGateway(s.settings, Platform{
-			Store:   func(string) platform.Store { return s.store },
-			Layout:  s.store,
-			Headers: testHeaders{},
-			Reload:  func() (*config.Settings, error) { return s.settings, nil },
-		})
-		s.done <- gateway.serve(ctx, open, http.NotFoundHandler())
-	}()
+	s.gateway = newGateway(s.settings, Platform{
+		Store:   func(string) platform.Store { return s.store },
+		Layout:  s.store,
+		Headers: testHeaders{},
+		Reload:  func() (*config.Settings, error) { return s.settings, nil },
+	})
+	go func() { s.done <- s.gateway.serve(ctx, open, http.NotFoundHandler()) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-s.done; err != nil {
@@ -440,3 +439,28 @@
 	close(stopped)
 	group.Wait()
 }
+
+// Gateways share the retry budget and servers' limits with those that they hear of, even if
+// the store lists none: all leases may have expired in an outage.
+func TestUnlistedGatewaysShareBounds(t *testing.T) {
+	store := &memoryStore{}
+	one := startGateway(t, store, "g1")
+	two := startGateway(t, store, "g2")
+	store.set(testConfig(1, deployment.Idempotent))
+	one.waitReady(t)
+	two.waitReady(t)
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if len(one.gateway.runningGateways(one.gateway.follower.Snapshot())) >= 2 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the gateways don't hear of each other")
+		}
+	}
+	unlisted := &deployment.Snapshot{}
+	for _, s := range []*system{one, two} {
+		if running := s.gateway.runningGateways(unlisted); len(running) == 0 || len(running) == 1 && running[0] == s.settings.Daemon.RPCAddress {
+			t.Errorf("%s counts itself only: %v", s.settings.Daemon.Name, running)
+		}
+	}
+}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -91,7 +91,7 @@
 	return l
 }
 
-// SetGateways sets the addresses of the gateways that share the limits.
+// SetGateways sets the addresses of the other gateways that share the limits.
 func (l *Limits) SetGateways(addresses []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
