--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,6 +25,8 @@
 	// minCrashes is the number of servers that must have ended under requests with a part,
 	// one after the other, before the part is blamed.
 	minCrashes = 3
+	// maxCounted bounds the crashes that count against a part.
+	maxCounted = 8
 	// firstHold is the time from a crash to the first probe. Each probe that crashes a
 	// server doubles it, up to maxHold.
 	firstHold = 20 * time.Second
@@ -374,6 +376,9 @@
 	}
 	slices.SortFunc(open, func(a, b *Crash) int { return a.Ended.Compare(b.Ended) })
 	for _, crash := range open {
+		if len(counted) == maxCounted {
+			break
+		}
 		if len(counted) == 0 || !crash.Sent.Before(counted[len(counted)-1].Ended) && !ofServer(counted, crash.Server) {
 			counted = append(counted, crash)
 		}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -95,6 +96,9 @@
 func (l *Limits) SetGateways(addresses []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if slices.Equal(l.gateways, addresses) {
+		return
+	}
 	l.gateways = addresses
 	for id, s := range l.servers {
 		l.divide(id, s)
