--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -80,8 +80,9 @@
 	news := &newsWriter{message: &wire.QuarantineNews{Digest: digest}, quarantine: q, now: now}
 	if digest != theirs {
 		for part := range q.blamed {
-			_, counted := q.evidence(part)
-			news.addCrashes(counted[max(0, len(counted)-minCrashes):])
+			open, counted := q.evidence(part)
+			news.addCrashes(counted[:minCrashes])
+			news.addCrashes(open[max(0, len(open)-maxCounted):]) // from which the next probe follows
 		}
 	}
 	for _, r := range q.rumors {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -190,3 +190,26 @@
 		}
 	}
 }
+
+// A gateway that joins after several probes waits as long as the others for the next one.
+func TestJoiningGatewayWaitsForTheProbe(t *testing.T) {
+	q, joined := New(nil), New(nil)
+	at := start
+	for i := range 7 {
+		q.RecordCrash(Crash{Server: fmt.Sprint("s", i), Sent: at, Ended: at, Parts: partsOf("AP")}, at)
+		if i >= minCrashes-1 {
+			at = at.Add(maxHold)
+		} else {
+			at = at.Add(time.Second)
+		}
+	}
+	at = at.Add(time.Second - maxHold) // after the last crash
+	for range 2 * rumorSends {
+		q.News(q.Digest(), at)
+	}
+	joined.Merge(q.News(joined.Digest(), at), at)
+	want, got := q.Check(partsOf("AP"), at), joined.Check(partsOf("AP"), at)
+	if !got.Held || got.RetryAfter != want.RetryAfter || joined.Digest() != q.Digest() {
+		t.Errorf("the joining gateway decides %+v, the other one %+v", got, want)
+	}
+}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -126,6 +126,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.name(id, incarnation, limit, now, now)
+	if s := l.servers[id]; now.Sub(s.toldFrom) > tellInterval {
+		s.toldFrom = now
+	}
 }
 
 // Observe records the limit in the values of a response's header. Without a value the
@@ -185,13 +188,10 @@
 		return
 	}
 	s.named, s.unnamed = named, 0
-	switch {
-	case s.limit != limit:
+	if s.limit != limit {
 		s.limit, s.toldFrom = limit, now
 		l.divide(id, s)
 		logLimit(id, limit, s.users, s.share)
-	case named.Equal(now) && now.Sub(s.toldFrom) > tellInterval:
-		s.toldFrom = now
 	}
 }
 
