--- a/internal/replaytest/cluster_test.go
+++ b/internal/replaytest/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/forward"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
+	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/recording"
 )
 
@@ -79,6 +80,8 @@
 	cache    *kvcache.Directory
 	relay    *forward.Relay
 	reported uint64 // cache uses reported to the others so far
+
+	quarantine *quarantine.Quarantine
 }
 
 // unlimitedBudget allows every retry: the replays test placement only.
@@ -113,10 +116,11 @@
 }
 
 func (c *cluster) addGateway(name string, pick forward.Picker) {
-	g := &gateway{name: name, fleet: fleet.New(), cache: kvcache.NewDirectory()}
+	g := &gateway{name: name, fleet: fleet.New(), cache: kvcache.NewDirectory(), quarantine: quarantine.New(nil)}
 	g.relay = forward.NewRelay(forward.Relay{
 		Source: func() *deployment.Snapshot { return c.snapshot },
 		Fleet:  g.fleet, Cache: g.cache, Backend: c.engines, Budget: unlimitedBudget{}, Pick: pick,
+		Quarantine: g.quarantine, ProcessEnded: c.engines.ended,
 	})
 	c.gateways = append(c.gateways, g)
 	c.byName[name] = g
@@ -145,6 +149,7 @@
 
 func (g *gateway) merge(from *gateway, uses []kvcache.Use, now time.Time) {
 	g.fleet.SetRemoteLoad(from.name, from.fleet.OwnLoad(), now)
+	g.quarantine.Merge(from.quarantine.News(g.quarantine.Digest(), now), now)
 	for i := range uses {
 		g.cache.MergeUse(&uses[i], now)
 	}
--- a/internal/replaytest/engines_test.go
+++ b/internal/replaytest/engines_test.go
@@ -83,6 +83,12 @@
 	return resp, nil
 }
 
+// ended reports whether the engine at an address has crashed and not started again.
+func (e *engines) ended(ctx context.Context, address string) bool {
+	_, err := e.byAddress[address].State(ctx)
+	return err != nil
+}
+
 // stream writes an engine's chunks as events.
 func (e *engines) stream(chunks engine.ChunkStream, w *io.PipeWriter) {
 	defer func() { _ = chunks.Close() }() // never fails
