--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -83,7 +83,7 @@
 type peer struct {
 	lastReport time.Time
 	usesSent   uint64    // uses of cached parts that were sent to it so far
-	findings   uint64    // digest of what it finds of crashing parts
+	findings   uint64    // digest of its findings on parts that crash servers
 	joined     time.Time // first report after a silence
 	calling    bool
 	failing    bool
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -95,8 +95,8 @@
 	parts  uint64
 }
 
-// ended is a server whose process has ended.
-type ended struct {
+// endedServer is a server whose process has ended.
+type endedServer struct {
 	crashes int
 	stage   Stage // the highest of its crashes
 }
@@ -122,7 +122,7 @@
 	crashes []*Crash // in the order in which they were learned
 	known   map[crashKey]struct{}
 	byPart  map[Part][]*Crash
-	servers map[string]*ended
+	servers map[string]*endedServer
 	success map[Part]time.Time // newest success, of parts in byPart
 	blamed  map[Part]*blame
 	probes  map[Part]time.Time // no other probe before
@@ -137,7 +137,7 @@
 	}
 	q := &Quarantine{
 		elect: elect, known: make(map[crashKey]struct{}), byPart: make(map[Part][]*Crash),
-		servers: make(map[string]*ended),
+		servers: make(map[string]*endedServer),
 		success: make(map[Part]time.Time), blamed: make(map[Part]*blame), probes: make(map[Part]time.Time),
 		learned: make(chan struct{}, 1),
 	}
@@ -248,7 +248,7 @@
 	}
 	server := q.servers[crash.Server]
 	if server == nil {
-		server = &ended{}
+		server = &endedServer{}
 	}
 	if server.crashes >= maxPerServer && crash.Stage <= server.stage {
 		return false
@@ -329,98 +329,3 @@
 		}
 	}
 }
-
-// judgeServer judges the parts of all requests under which a server ended, since those of
-// a higher stage explain the others. The caller holds the lock.
-func (q *Quarantine) judgeServer(server string) {
-	for _, crash := range q.crashes {
-		if crash.Server != server {
-			continue
-		}
-		for _, part := range crash.Parts {
-			q.judge(part)
-		}
-	}
-}
-
-// judge decides whether a part is blamed. The caller holds the lock.
-func (q *Quarantine) judge(part Part) {
-	before := q.blamed[part]
-	open, counted := q.evidence(part)
-	if len(counted) < minCrashes {
-		if before != nil {
-			delete(q.blamed, part)
-			logCleared(part)
-		}
-	} else {
-		now := &blame{common: q.common(part, counted), servers: len(counted), newest: open[len(open)-1].Server, until: holdUntil(open)}
-		q.blamed[part] = now
-		if before == nil {
-			logBlamed(part, now)
-			q.spreadEvidence(counted)
-		}
-	}
-	q.blames.Store(len(q.blamed) > 0)
-}
-
-// evidence returns the crashes against a part since its last success, ordered by time, and
-// those of them that count: of different servers, and under requests sent after the one
-// counted before had ended. A request without a response does not count if the server had begun
-// one to another request. The caller holds the lock.
-func (q *Quarantine) evidence(part Part) (open, counted []*Crash) {
-	success := q.success[part]
-	for _, crash := range q.byPart[part] {
-		if crash.Ended.After(success) && crash.Stage == q.servers[crash.Server].stage {
-			open = append(open, crash)
-		}
-	}
-	slices.SortFunc(open, func(a, b *Crash) int { return a.Ended.Compare(b.Ended) })
-	for _, crash := range open {
-		if len(counted) == maxCounted {
-			break
-		}
-		if len(counted) == 0 || !crash.Sent.Before(counted[len(counted)-1].Ended) && !ofServer(counted, crash.Server) {
-			counted = append(counted, crash)
-		}
-	}
-	return open, counted
-}
-
-func ofServer(crashes []*Crash, server string) bool {
-	return slices.ContainsFunc(crashes, func(c *Crash) bool { return c.Server == server })
-}
-
-// common returns the parts that all of the requests had, without those that have succeeded
-// in other requests since the first crash. The caller holds the lock.
-func (q *Quarantine) common(blamed Part, counted []*Crash) []Part {
-	var common []Part
-	for _, part := range counted[0].Parts {
-		shared := !slices.ContainsFunc(counted[1:], func(c *Crash) bool { return !slices.Contains(c.Parts, part) })
-		if part == blamed || shared && !q.success[part].After(counted[0].Ended) {
-			common = append(common, part)
-		}
-	}
-	return common
-}
-
-// holdUntil returns the time of the next probe, from the crashes in order of time. One that
-// came firstHold or more after the one before was a probe.
-func holdUntil(open []*Crash) time.Time {
-	hold := firstHold
-	for i := 1; i < len(open); i++ {
-		if open[i].Ended.Sub(open[i-1].Ended) >= firstHold {
-			hold = min(maxHold, 2*hold)
-		}
-	}
-	return open[len(open)-1].Ended.Add(hold)
-}
-
-// containsAll reports whether parts contains all of wanted.
-func containsAll(parts, wanted []Part) bool {
-	for _, part := range wanted {
-		if !slices.Contains(parts, part) {
-			return false
-		}
-	}
-	return true
-}
