--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -61,13 +61,16 @@
 
 // checkCrash checks whether the process of the last attempt's server has ended, and if so,
 // records the crash. A connection that broke for another reason says nothing of the request.
-func (r *activeRequest) checkCrash(ctx context.Context, stage quarantine.Stage) {
+// firstEvent is the time of the response's first event, zero if none came.
+func (r *activeRequest) checkCrash(ctx context.Context, firstEvent time.Time) {
+	now := time.Now()
 	server := r.req.Snapshot.Servers[r.req.Log.Server]
-	if len(r.parts) == 0 || server == nil || ctx.Err() != nil {
+	stage, possible := quarantine.StageAt(r.begun, firstEvent, now)
+	if len(r.parts) == 0 || server == nil || ctx.Err() != nil || !possible {
 		return
 	}
 	crash := quarantine.Crash{
-		Server: fmt.Sprintf("%s@%d", server.ID, server.Incarnation), Sent: r.sent, Ended: time.Now(), Stage: stage, Parts: r.parts,
+		Server: fmt.Sprintf("%s@%d", server.ID, server.Incarnation), Sent: r.sent, Ended: now, Stage: stage, Parts: r.parts,
 	}
 	go r.relay.recordIfEnded(server.Address, &crash)
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -12,7 +12,6 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
-	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -30,7 +29,7 @@
 	if failure.Verdict != verdict.NotRun {
 		r.reached++
 		r.countExecution()
-		r.checkCrash(ctx, quarantine.Waiting)
+		r.checkCrash(ctx, time.Time{})
 	}
 	return r.asTimeout(ctx, failure)
 }
@@ -121,7 +120,7 @@
 func (r *activeRequest) readWhole(ctx context.Context, attempt *fleet.Attempt, resp *backend.Response, success bool) (*Response, *verdict.Error) {
 	body, err := backend.ReadBody(resp)
 	if err != nil {
-		r.checkCrash(ctx, quarantine.Beginning)
+		r.checkCrash(ctx, time.Time{})
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
 	}
 	result := &Response{Status: resp.Status, Header: resp.Header, Body: body}
@@ -161,7 +160,7 @@
 		err = io.ErrUnexpectedEOF // a stream without events is incomplete
 	}
 	if err != nil {
-		r.checkCrash(ctx, quarantine.Beginning)
+		r.checkCrash(ctx, time.Time{})
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
 	}
 	s.first = &first
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,7 +10,6 @@
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
-	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -86,7 +85,7 @@
 		s.end(fleet.Refused)
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeCancelled, "the client left, or its time is up: %v", context.Cause(ctx))
 	}
-	s.checkCrash(ctx)
+	s.active.checkCrash(ctx, s.started)
 	s.end(fleet.Failed)
 	broken := verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeStreamLost, "%s broke off the stream", s.active.req.Log.Server)
 	if !s.active.req.MayRetry() || !s.active.allowRetry(ctx, broken) {
@@ -106,20 +105,6 @@
 	return nil
 }
 
-// startTime is the time after its first event in which a stream still counts as a possible
-// cause of its server's end.
-const startTime = 500 * time.Millisecond
-
-// checkCrash checks whether the server has ended under the stream.
-func (s *stream) checkCrash(ctx context.Context) {
-	switch {
-	case s.started.IsZero():
-		s.active.checkCrash(ctx, quarantine.Beginning)
-	case time.Since(s.started) < startTime:
-		s.active.checkCrash(ctx, quarantine.Streaming)
-	}
-}
-
 // Close implements Events.
 func (s *stream) Close() { s.end(fleet.Refused) }
 
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -17,10 +17,6 @@
 
 var logger = logging.For("hold")
 
-// startTime is the time after its first token in which a generation still counts as a
-// possible cause of its engine's crash.
-const startTime = 500 * time.Millisecond
-
 // Filter implements pipeline.Filter for attempts whose target is chosen.
 type Filter struct {
 	quarantine *quarantine.Quarantine
@@ -101,16 +97,10 @@
 func (a *attempt) failed(err *verdict.Error) {
 	now := time.Now()
 	a.end()
-	if err.Crashed == 0 || !a.firstToken.IsZero() && now.Sub(a.firstToken) >= startTime {
+	stage, possible := quarantine.StageAt(a.began, a.firstToken, now)
+	if err.Crashed == 0 || !possible {
 		return
 	}
-	stage := quarantine.Waiting
-	switch {
-	case !a.firstToken.IsZero():
-		stage = quarantine.Streaming
-	case a.began:
-		stage = quarantine.Beginning
-	}
 	a.quarantine.RecordCrash(quarantine.Crash{
 		Server: fmt.Sprintf("%s@%d", a.server, err.Crashed), Sent: a.sent, Ended: now, Stage: stage, Parts: a.parts,
 	}, now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -69,6 +69,24 @@
 	stages
 )
 
+// startTime is the time after its first event in which a response still counts as a possible
+// cause of its server's end.
+const startTime = 500 * time.Millisecond
+
+// StageAt returns the stage of a request whose server has ended: began says whether a response
+// had begun, first is the time of its first event, zero if none came. It returns false if
+// the response had gone on for too long to be the cause.
+func StageAt(began bool, first, now time.Time) (Stage, bool) {
+	switch {
+	case !first.IsZero():
+		return Streaming, now.Sub(first) < startTime
+	case began:
+		return Beginning, true
+	default:
+		return Waiting, true
+	}
+}
+
 // Crash is the end of a server's process under a request.
 type Crash struct {
 	Server string    // id and incarnation
