--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
@@ -15,7 +16,8 @@
 
 // cachedState is a gateway's view of the deployment, cached from the platform's store.
 type cachedState struct {
-	Position         uint64         `json:"position"` // of the platform's store
+	Position         uint64         `json:"position"` // of the platform's store, in its era
+	StoreEra         uint64         `json:"store_era"`
 	StalenessSeconds float64        `json:"store_silence_seconds"`
 	Leader           string         `json:"leader,omitempty"`
 	Gateways         uint32         `json:"gateways"`
@@ -46,6 +48,7 @@
 func newCachedState(reply *wire.Belief) *cachedState {
 	state := &cachedState{
 		Position:         reply.Position,
+		StoreEra:         reply.StoreEra,
 		StalenessSeconds: seconds(reply.StoreSilenceMs),
 		Leader:           reply.Leader,
 		Gateways:         reply.Gateways,
@@ -73,8 +76,8 @@
 // writeCachedState writes the gateway's cached state, one line per backend server.
 func (d *daemonStatus) writeCachedState(w io.Writer) {
 	state := d.CachedState
-	fmt.Fprintf(w, "\n%s believes: position %d, heard %.1f s ago, %d gateways, wanted weights %s\n",
-		d.Name, state.Position, state.StalenessSeconds, state.Gateways, weightsText(state.TargetVersions))
+	fmt.Fprintf(w, "\n%s believes: position %s, heard %.1f s ago, %d gateways, wanted weights %s\n",
+		d.Name, platform.NewVersion(platform.Era(state.StoreEra), state.Position), state.StalenessSeconds, state.Gateways, weightsText(state.TargetVersions))
 	table := newTable(w)
 	fmt.Fprintln(table, "SERVER\tSERVICE\tADDRESS\tZONE\tSTATE\tRUNNING\tFAILURES\tWEIGHTS")
 	for i := range state.Servers {
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/wasabigate/wasabigate/internal/platform"
 )
 
 // Server is a backend server as last listed.
@@ -17,6 +19,7 @@
 	Draining         bool
 	ColdUntil        time.Time         // slow after its start until then
 	Incarnation      int64             // start of the process, Unix milliseconds; 0: unknown
+	Sequence         int64             // grows with the entries of an incarnation
 	Weights          map[string]uint64 // version by model
 }
 
@@ -30,13 +33,13 @@
 
 // Gateway is another process with the role gateway.
 type Gateway struct {
-	Address string // of its RPC listener
-	Since   uint64 // position of the store at which it registered
+	Address string           // of its RPC listener
+	Since   platform.Version // at which it registered in the store
 }
 
 // Snapshot is a gateway's cached state of the deployment at one time. It is immutable.
 type Snapshot struct {
-	Position uint64 // of the platform's key-value store
+	Position platform.Version // of the platform's key-value store
 	Config   *Config
 	Servers  map[string]*Server       // by id
 	Weights  map[string]WeightsTarget // by model
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -79,6 +79,9 @@
 	Decode(key string, value []byte, now time.Time) (Item, error)
 	// ServerID returns the ID of the backend server whose entry has the key.
 	ServerID(key string) (string, bool)
+	// FromOperator reports whether operators write the entry with the key. Such an entry
+	// has a version of its own that only grows.
+	FromOperator(key string) bool
 }
 
 // Follower keeps the cached state of the deployment up to date.
@@ -102,7 +105,8 @@
 type batch struct {
 	events    []platform.Event
 	position  platform.Version
-	complete  bool           // events are the whole content of the store
+	complete  bool           // events are the whole content of the store at the position
+	operators bool           // events are operators' entries of any position
 	reports   []TargetReport // another gateway's reports of target versions
 	staleness time.Duration  // before the batch
 }
@@ -119,32 +123,59 @@
 func (f *Follower) Snapshot() *deployment.Snapshot { return f.current.Load() }
 
 // EventsAfter returns the entries that were written or deleted after a position, and the
-// position up to which the state is current.
+// position up to which the state is current. For a position of an earlier era it returns
+// all entries.
 func (f *Follower) EventsAfter(after platform.Version) ([]platform.Event, platform.Version) {
 	latestEvents := f.latestEvents.Load()
 	if latestEvents == nil {
 		return nil, 0
 	}
+	position := f.Snapshot().Position
 	var events []platform.Event
 	for _, event := range *latestEvents {
-		if event.Version > after {
+		if event.Version > after || after.Era() < position.Era() {
 			events = append(events, event)
 		}
 	}
-	return events, platform.Version(f.Snapshot().Position)
+	return events, position
+}
+
+// OperatorEvents returns the operators' entries that are in force.
+func (f *Follower) OperatorEvents() []platform.Event {
+	latestEvents := f.latestEvents.Load()
+	if latestEvents == nil {
+		return nil
+	}
+	var events []platform.Event
+	for _, event := range *latestEvents {
+		if f.layout.FromOperator(event.Key) {
+			events = append(events, event)
+		}
+	}
+	return events
 }
 
 // Merge merges another gateway's events after this one's position. age is the time
-// since the store confirmed them.
-func (f *Follower) Merge(ctx context.Context, events []platform.Event, position platform.Version, age time.Duration) {
+// since the store confirmed them. If complete, the events are the whole content of the
+// store.
+func (f *Follower) Merge(ctx context.Context, events []platform.Event, position platform.Version, complete bool, age time.Duration) {
 	staleness := f.Staleness(time.Now())
 	select {
-	case f.batches <- batch{events: events, position: position, staleness: staleness}:
+	case f.batches <- batch{events: events, position: position, complete: complete, staleness: staleness}:
 		f.Confirm(age)
 	case <-ctx.Done():
 	}
 }
 
+// MergeOperatorEvents merges the operators' entries that are in force at another gateway,
+// whatever the store has now: a restored store may have lost them.
+func (f *Follower) MergeOperatorEvents(ctx context.Context, events []platform.Event) {
+	select {
+	case f.batches <- batch{events: events, operators: true}:
+	case <-ctx.Done():
+	}
+}
+
 // Confirm records that another gateway has no newer state than this one, and that the
 // store confirmed its state age ago.
 func (f *Follower) Confirm(age time.Duration) { f.setConfirmed(time.Now().Add(-age)) }
@@ -245,21 +276,61 @@
 
 // apply applies a batch to the state and publishes a snapshot if it changed.
 func (f *Follower) apply(b batch, now time.Time) {
+	changed := false
+	switch {
+	case b.operators:
+		changed = f.applyOperatorEvents(b.events, now)
+	case b.reports != nil:
+		for i := range b.reports {
+			changed = f.state.applyReport(&b.reports[i]) || changed
+		}
+	case b.position.Era() < f.state.position.Era():
+		// Read before a restore of the store that this state already includes.
+	default:
+		changed = f.applyStoreBatch(&b, now)
+	}
+	if changed {
+		f.publish()
+	}
+}
+
+// applyStoreBatch applies what the store returned, directly or through another gateway. It
+// reports whether the state changed.
+func (f *Follower) applyStoreBatch(b *batch, now time.Time) bool {
+	lost := b.staleness >= storeLostAfter
+	if era := b.position.Era(); f.state.position != 0 && era != f.state.position.Era() {
+		f.state.startEra(b.position)
+		defer func() { f.state.restored = false }()
+		lost = true
+	}
 	if b.complete {
 		keys, servers := f.keysOf(b.events)
-		f.state.removeMissing(keys, servers, b.staleness, now)
+		f.state.removeMissing(keys, servers, f.layout.FromOperator, lost, now)
 	}
 	changed := b.complete
 	for i := range b.events {
-		changed = f.applyEvent(&b.events[i], b.staleness, now) || changed
-	}
-	for i := range b.reports {
-		changed = f.state.applyReport(&b.reports[i]) || changed
+		changed = f.applyEvent(&b.events[i], lost, now) || changed
 	}
-	f.state.position = max(f.state.position, uint64(b.position))
-	if changed {
-		f.publish()
+	f.state.position = max(f.state.position, b.position)
+	return changed
+}
+
+// applyOperatorEvents applies operators' entries by the versions that operators gave them.
+func (f *Follower) applyOperatorEvents(events []platform.Event, now time.Time) bool {
+	changed := false
+	for i := range events {
+		event := &events[i]
+		if !f.layout.FromOperator(event.Key) || event.Deleted {
+			continue
+		}
+		item, err := f.decode(event, now)
+		if err == nil && f.state.applyItem(&item, now) {
+			logger.Info(fields{"key": event.Key}, "operators' entry restored from another gateway")
+			f.state.record(event)
+			changed = true
+		}
 	}
+	return changed
 }
 
 // keysOf returns the keys of the events, and the IDs of the backend servers among them.
@@ -277,28 +348,57 @@
 
 // applyEvent applies an event if it is newer than the last one of its key, and reports
 // whether the state changed. A backend server whose entry cannot be decoded is removed.
-func (f *Follower) applyEvent(event *platform.Event, staleness time.Duration, now time.Time) bool {
+func (f *Follower) applyEvent(event *platform.Event, storeLost bool, now time.Time) bool {
 	if !f.state.isNewer(event) {
 		return false
 	}
-	f.state.record(event)
 	if strings.HasPrefix(event.Key, KeyPrefix) {
+		f.state.record(event)
 		return f.state.applyGatewayEntry(event)
 	}
+	if f.layout.FromOperator(event.Key) {
+		return f.applyOperatorEvent(event, now)
+	}
+	f.state.record(event)
 	id, isServer := f.layout.ServerID(event.Key)
 	if event.Deleted {
-		return isServer && f.state.removeServer(id, staleness >= storeLostAfter, now)
+		return isServer && f.state.removeServer(id, storeLost, now)
+	}
+	item, err := f.decode(event, now)
+	if err != nil {
+		return isServer && f.state.removeServer(id, false, now)
+	}
+	if item.Server != nil && f.state.restored {
+		return f.state.applyRestoredServer(item.Server, now)
+	}
+	return f.state.applyItem(&item, now)
+}
+
+// applyOperatorEvent applies an entry that operators wrote. If the one in force is newer,
+// which a restored store may have lost, that one is kept for other gateways.
+func (f *Follower) applyOperatorEvent(event *platform.Event, now time.Time) bool {
+	if event.Deleted {
+		return false
 	}
+	item, err := f.decode(event, now)
+	if err != nil || !f.state.applyItem(&item, now) {
+		return false
+	}
+	f.state.record(event)
+	return true
+}
+
+// decode decodes an entry, and logs a failure.
+func (f *Follower) decode(event *platform.Event, now time.Time) (Item, error) {
 	var item Item
 	err := guard.Call("entry of the store", func() (err error) {
 		item, err = f.layout.Decode(event.Key, event.Value, now)
 		return err
 	})
 	if err != nil {
-		logger.Warn(fields{"key": event.Key, "revision": uint64(event.Version), "error": err.Error()}, "entry not decoded")
-		return isServer && f.state.removeServer(id, false, now)
+		logger.Warn(fields{"key": event.Key, "revision": event.Version.Revision(), "error": err.Error()}, "entry not decoded")
 	}
-	return f.state.applyItem(&item, now)
+	return item, err
 }
 
 func (f *Follower) publish() {
@@ -318,12 +418,12 @@
 		position, err := f.readAll(ctx)
 		for err == nil {
 			if lost {
-				logger.Info(fields{"position": uint64(position)}, "store regained")
+				logger.Info(fields{"position": position.Revision(), "era": uint64(position.Era())}, "store regained")
 				lost = false
 			}
 			backoff = minBackoff
 			if f.waitWhileIdle(ctx) {
-				position = max(position, platform.Version(f.Snapshot().Position))
+				position = max(position, f.Snapshot().Position)
 			}
 			position, err = f.watch(ctx, position)
 		}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -97,6 +97,8 @@
 // "weights m 2".
 type textLayout struct{}
 
+func (textLayout) FromOperator(key string) bool { return strings.HasPrefix(key, "op/") }
+
 func (textLayout) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "servers/") }
 
 func (textLayout) Decode(key string, value []byte, _ time.Time) (Item, error) {
@@ -256,7 +258,7 @@
 		follower.Merge(context.Background(), []platform.Event{
 			{Entry: platform.Entry{Key: "op/config", Value: []byte("config 5"), Version: 50}},
 			{Entry: platform.Entry{Key: "servers/a", Value: []byte("server old 10.9.9.9:80"), Version: 1}},
-		}, 50, 0)
+		}, 50, false, 0)
 		now := time.Now()
 		follower.MergeReports(context.Background(), []TargetReport{
 			{Model: "m", WeightsVersion: deployment.WeightsVersion{Version: 2, Since: now.Add(-20 * time.Second)}},
@@ -313,7 +315,7 @@
 			if position%2 == 0 {
 				events[0] = platform.Event{Entry: platform.Entry{Key: "servers/a", Value: []byte("server lm 10.0.0.1:80"), Version: position}}
 			}
-			follower.Merge(context.Background(), events, position, 100*time.Millisecond)
+			follower.Merge(context.Background(), events, position, false, 100*time.Millisecond)
 			time.Sleep(200 * time.Millisecond)
 			if listed := follower.Snapshot().Servers["a"] != nil; listed != (position%2 == 0) {
 				t.Fatalf("at position %d the server is listed: %v", position, listed)
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -13,14 +13,17 @@
 // state is the cached state of the deployment, built from the store's entries. It is
 // owned by one goroutine.
 type state struct {
-	position uint64
+	position platform.Version
+	restored bool                        // the batch that is applied is the first of a new era
 	applied  map[string]platform.Version // by key, the version applied last
 	latest   map[string]platform.Event   // by key, including deletions
 	config   *deployment.Config
 	servers  map[string]*deployment.Server
 	removeAt map[string]time.Time // when to remove servers that are not listed again
+	departed map[string]departure // servers that were removed
+	held     map[string]heldServer
 	weights  map[string]deployment.WeightsTarget
-	gateways map[string]uint64 // by key, the position of the registration
+	gateways map[string]platform.Version // by key, the version of the registration
 	leader   string
 }
 
@@ -30,23 +33,28 @@
 		latest:   make(map[string]platform.Event),
 		servers:  make(map[string]*deployment.Server),
 		removeAt: make(map[string]time.Time),
+		departed: make(map[string]departure),
+		held:     make(map[string]heldServer),
 		weights:  make(map[string]deployment.WeightsTarget),
-		gateways: make(map[string]uint64),
+		gateways: make(map[string]platform.Version),
 	}
 }
 
 // removeMissing removes the entries and servers that are missing in a full read of the
-// store. keys and servers are the keys and server IDs that it returned. The operators'
-// configuration is never removed.
-func (st *state) removeMissing(keys, servers map[string]struct{}, staleness time.Duration, now time.Time) {
+// store. keys and servers are the keys and server IDs that it returned. Operators' entries
+// are never removed.
+func (st *state) removeMissing(keys, servers map[string]struct{}, fromOperator func(key string) bool, storeLost bool, now time.Time) {
 	maps.DeleteFunc(st.applied, func(key string, _ platform.Version) bool { return !contains(keys, key) })
-	maps.DeleteFunc(st.latest, func(key string, event platform.Event) bool { return !event.Deleted && !contains(keys, key) })
-	maps.DeleteFunc(st.gateways, func(key string, _ uint64) bool { return !contains(keys, key) })
+	maps.DeleteFunc(st.latest, func(key string, event platform.Event) bool {
+		return !event.Deleted && !contains(keys, key) && !fromOperator(key)
+	})
+	maps.DeleteFunc(st.gateways, func(key string, _ platform.Version) bool { return !contains(keys, key) })
 	for id := range st.servers {
 		if !contains(servers, id) {
-			st.removeServer(id, staleness >= storeLostAfter, now)
+			st.removeServer(id, storeLost, now)
 		}
 	}
+	maps.DeleteFunc(st.held, func(id string, _ heldServer) bool { return !contains(servers, id) })
 	if !contains(keys, LeaderKey) {
 		st.leader = ""
 	}
@@ -128,6 +136,7 @@
 func (st *state) applyServer(server *deployment.Server) bool {
 	previous := st.servers[server.ID]
 	delete(st.removeAt, server.ID)
+	delete(st.held, server.ID)
 	st.servers[server.ID] = server
 	if previous == nil || previous.Draining != server.Draining || !previous.SameProcess(server) {
 		logger.Info(fields{"server": server.ID, "address": server.Address, "incarnation": server.Incarnation, "draining": server.Draining}, "backend server listed")
@@ -138,6 +147,7 @@
 // removeServer removes a server: at once, or after relistGrace if it disappeared while
 // the store was lost. It reports whether the server was removed.
 func (st *state) removeServer(id string, storeLost bool, now time.Time) bool {
+	delete(st.held, id)
 	if st.servers[id] == nil {
 		return false
 	}
@@ -147,16 +157,17 @@
 		}
 		return false
 	}
+	st.departed[id] = departure{server: st.servers[id], at: now}
 	delete(st.servers, id)
 	delete(st.removeAt, id)
 	logger.Info(fields{"server": id}, "backend server gone")
 	return true
 }
 
-// removeExpired removes the servers that were not listed again within relistGrace. It
-// reports whether the state changed.
+// removeExpired removes the servers that were not listed again within relistGrace, and
+// lists those that were held long enough. It reports whether the state changed.
 func (st *state) removeExpired(now time.Time) bool {
-	changed := false
+	changed := st.listHeld(now)
 	for id, deadline := range st.removeAt {
 		if !now.Before(deadline) {
 			changed = st.removeServer(id, false, now) || changed
@@ -194,7 +205,7 @@
 	case strings.HasPrefix(event.Key, GatewayPrefix) && event.Deleted:
 		delete(st.gateways, event.Key)
 	case strings.HasPrefix(event.Key, GatewayPrefix):
-		st.gateways[event.Key] = uint64(event.Version)
+		st.gateways[event.Key] = event.Version
 	}
 	return true
 }
@@ -215,7 +226,7 @@
 // listGateways returns one gateway for each address. A restarted process has two
 // entries until the lease of the previous process ends.
 func (st *state) listGateways() []deployment.Gateway {
-	since := make(map[string]uint64)
+	since := make(map[string]platform.Version)
 	for key, position := range st.gateways {
 		address, _, _ := strings.Cut(strings.TrimPrefix(key, GatewayPrefix), "/")
 		since[address] = max(since[address], position)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -285,7 +285,7 @@
 		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": choice.Server.ID, "address": choice.Server.Address,
 		"wait_ms": round(choice.WaitMs), "loss": choice.Loss, "missing": choice.PrefillTokens, "home": choice.AtHome(),
 		"running": choice.Server.Running, "failures": choice.Server.FailureRate, "weights": call.WeightsVersion,
-		"fetch_from": call.FetchFrom, "after": call.LastEventID, "position": r.req.Snapshot.Position,
+		"fetch_from": call.FetchFrom, "after": call.LastEventID, "position": r.req.Snapshot.Position.String(),
 	}
 	if r.req.Log.Attempts == 1 && r.req.Model != "" {
 		r.addPromptFields(entry)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -95,9 +95,14 @@
 func (*memoryStore) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
 	return 1, nil
 }
-func (*memoryStore) RenewLease(context.Context, platform.LeaseID) error  { return nil }
+func (*memoryStore) RenewLease(context.Context, platform.LeaseID) error { return nil }
+func (*memoryStore) Era() platform.Era                                  { return 0 }
+
 func (*memoryStore) RevokeLease(context.Context, platform.LeaseID) error { return nil }
 
+// FromOperator implements follower.Layout.
+func (*memoryStore) FromOperator(key string) bool { return !strings.HasPrefix(key, "servers/") }
+
 // ServerID implements follower.Layout.
 func (*memoryStore) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "servers/") }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -289,7 +289,7 @@
 func (in *ingress) logFields(req *forward.Request, status int) fields {
 	f := fields{
 		logging.FieldRequest: req.ID, "status": status, "ms": time.Since(req.Arrived).Milliseconds(),
-		"attempts": req.Log.Attempts, "server": req.Log.Server, "position": req.Snapshot.Position,
+		"attempts": req.Log.Attempts, "server": req.Log.Server, "position": req.Snapshot.Position.String(),
 	}
 	if req.Route != nil {
 		f["route"] = req.Route.Name
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -69,7 +69,7 @@
 	for _, address := range peers {
 		gateways = append(gateways, deployment.Gateway{Address: address})
 	}
-	table, changed := l.members.Update(gateways, snapshot.Position, now)
+	table, changed := l.members.Update(gateways, uint64(snapshot.Position), now)
 	if snapshot.Config == nil || !changed && snapshot.Config == l.source {
 		return
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -69,6 +69,10 @@
 	if err != nil {
 		otel.Handle(err)
 	}
+	era, err := meter.Int64ObservableGauge("wasabigate.gateway.store_era", metric.WithDescription("Restores of the store from an older copy, as in its last answer that was applied."))
+	if err != nil {
+		otel.Handle(err)
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		snapshot := f.Snapshot()
 		if snapshot.Config != nil {
@@ -76,8 +80,9 @@
 		}
 		o.ObserveFloat64(staleness, f.Staleness(time.Now()).Seconds())
 		o.ObserveInt64(servers, int64(len(snapshot.Servers)))
+		o.ObserveInt64(era, int64(snapshot.Position.Era()))
 		return nil
-	}, version, staleness, servers)
+	}, version, staleness, servers, era)
 	if err != nil {
 		otel.Handle(err)
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -52,7 +52,8 @@
 		Draining:    s.draining(),
 		Revisions:   &wire.Revisions{},
 		Belief: &wire.Belief{
-			Position:       snapshot.Position,
+			Position:       snapshot.Position.Revision(),
+			StoreEra:       uint64(snapshot.Position.Era()),
 			StoreSilenceMs: s.follower.Staleness(now).Milliseconds(),
 			Leader:         snapshot.Leader,
 			Gateways:       uint32(len(snapshot.Gateways)),
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -85,6 +85,8 @@
 	usesSent   uint64    // uses of cached parts that were sent to it so far
 	findings   uint64    // digest of its findings on parts that crash servers
 	joined     time.Time // first report after a silence
+	ahead      bool      // its last report showed newer operators' entries
+	aheadSince time.Time // as seen in its responses; zero: it is not ahead
 	calling    bool
 	failing    bool
 	nextTry    time.Time
@@ -139,11 +141,26 @@
 	if stale || time.Since(x.started) < seedPeriod {
 		addresses = append(addresses, x.opts.Seeds...)
 	}
+	addresses = append(addresses, x.peersAhead()...)
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
 	return slices.DeleteFunc(addresses, func(address string) bool { return address == x.opts.Self })
 }
 
+// peersAhead returns the peers that have newer operators' entries. They are called even if
+// it would be theirs to call.
+func (x *Exchange) peersAhead() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var addresses []string
+	for address, p := range x.peers {
+		if p.ahead && len(addresses) < maxWatcherCalls {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // seedPeriod is how long a process calls its seeds after its start even if the store
 // lists gateways, since the leases of all gateways may just have expired.
 const seedPeriod = 5 * time.Second
@@ -241,17 +258,47 @@
 // OperatorEntries implements wire.DRPCGatewaysServer. It returns the known changes of the
 // store after the requested position.
 func (x *Exchange) OperatorEntries(_ context.Context, req *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
-	events, position := x.opts.Follower.EventsAfter(platform.Version(req.After))
-	reply := &wire.OperatorEntriesReply{Position: uint64(position), StoreSilenceMs: x.staleness().Milliseconds()}
-	size := 0
+	if req.OperatorsOnly {
+		return &wire.OperatorEntriesReply{Entries: encodeEvents(x.opts.Follower.OperatorEvents())}, nil
+	}
+	after := platform.NewVersion(platform.Era(req.StoreEra), req.After)
+	events, position := x.opts.Follower.EventsAfter(after)
+	if after != 0 && sizeOf(events) > maxReplyBytes {
+		return nil, errTooLarge
+	}
+	return &wire.OperatorEntriesReply{
+		Entries: encodeEvents(events), Position: position.Revision(), StoreEra: uint64(position.Era()),
+		StoreSilenceMs: x.staleness().Milliseconds(), Complete: after.Era() < position.Era(),
+	}, nil
+}
+
+func encodeEvents(events []platform.Event) []*wire.StoredEntry {
+	entries := make([]*wire.StoredEntry, 0, len(events))
 	for i := range events {
 		e := &events[i]
-		if size += len(e.Key) + len(e.Value); size > maxReplyBytes && req.After > 0 {
-			return nil, errTooLarge
-		}
-		reply.Entries = append(reply.Entries, &wire.StoredEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Version), Deleted: e.Deleted})
+		entries = append(entries, &wire.StoredEntry{
+			Key: e.Key, Value: e.Value, Revision: e.Version.Revision(), Era: uint64(e.Version.Era()), Deleted: e.Deleted,
+		})
+	}
+	return entries
+}
+
+func decodeEvents(entries []*wire.StoredEntry) []platform.Event {
+	events := make([]platform.Event, 0, len(entries))
+	for _, e := range entries {
+		version := platform.NewVersion(platform.Era(e.Era), e.Revision)
+		events = append(events, platform.Event{Entry: platform.Entry{Key: e.Key, Value: e.Value, Version: version}, Deleted: e.Deleted})
 	}
-	return reply, nil
+	return events
+}
+
+// sizeOf returns the size of the events' keys and values in bytes.
+func sizeOf(events []platform.Event) int {
+	size := 0
+	for i := range events {
+		size += len(events[i].Key) + len(events[i].Value)
+	}
+	return size
 }
 
 // maxReplyBytes bounds the entries in a reply: about 30 ms of a link of 10 Mbit/s. If there
@@ -272,7 +319,8 @@
 		Sender:         x.opts.Self,
 		ConfigVersion:  configVersion(snapshot),
 		StoreSilenceMs: x.staleness().Milliseconds(),
-		Position:       snapshot.Position,
+		Position:       snapshot.Position.Revision(),
+		StoreEra:       uint64(snapshot.Position.Era()),
 	}
 	for id, load := range x.opts.Fleet.OwnLoad() {
 		report.Loads = append(report.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), PendingTokens: load.PendingTokens})
@@ -370,6 +418,7 @@
 		p.joined = now
 	}
 	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
+	p.ahead = isAhead(report, x.opts.Follower.Snapshot())
 }
 
 func (x *Exchange) mergeTargetReports(ctx context.Context, list []*wire.NamedWeights, now time.Time) {
@@ -387,34 +436,74 @@
 func (x *Exchange) updateFromPeer(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) {
 	mine, theirs := x.staleness(), time.Duration(report.StoreSilenceMs)*time.Millisecond
 	position := x.opts.Follower.Snapshot().Position
+	reported := platform.NewVersion(platform.Era(report.StoreEra), report.Position)
 	after := position
-	if mine > storeLostAfter {
+	if mine > storeLostAfter && reported.Era() == position.Era() {
 		after = 0
 	}
 	switch {
 	case mine <= staleAfter || theirs >= mine:
-	case report.Position > position || position == 0:
+	case reported > position || position == 0:
 		x.catchUp(ctx, client, address, after)
-	case report.Position == position:
+	case reported == position:
 		x.opts.Follower.Confirm(theirs)
 	}
+	if x.lagsBehind(address, report, time.Now()) {
+		x.catchUpOperators(ctx, client, address)
+	}
+}
+
+// operatorLag is how long a peer may have a newer configuration before its operators'
+// entries are read. It is longer than a change regularly takes to reach all gateways.
+const operatorLag = 600 * time.Millisecond
+
+// lagsBehind reports whether a peer has had a newer configuration, or target version of
+// weights, for operatorLag. The store may have lost it in a restore.
+func (x *Exchange) lagsBehind(address string, report *wire.GatewayReport, now time.Time) bool {
+	ahead := isAhead(report, x.opts.Follower.Snapshot())
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peer(address)
+	switch {
+	case !ahead:
+		p.aheadSince = time.Time{}
+	case p.aheadSince.IsZero():
+		p.aheadSince = now
+	}
+	if !ahead || now.Sub(p.aheadSince) < operatorLag {
+		return false
+	}
+	p.aheadSince = now
+	return true
+}
+
+// isAhead reports whether a peer has a newer configuration or target version of weights.
+func isAhead(report *wire.GatewayReport, snapshot *deployment.Snapshot) bool {
+	if report.ConfigVersion > configVersion(snapshot) {
+		return true
+	}
+	return slices.ContainsFunc(report.Named, func(n *wire.NamedWeights) bool { return n.Version > snapshot.Weights[n.Model].Version })
+}
+
+// catchUpOperators reads from a peer the operators' entries that are in force there.
+func (x *Exchange) catchUpOperators(ctx context.Context, client wire.DRPCGatewaysClient, address string) {
+	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{OperatorsOnly: true})
+	if err != nil {
+		logger.Warn(fields{"peer": address, "error": err.Error()}, "operators' entries not read from a gateway")
+		return
+	}
+	x.opts.Follower.MergeOperatorEvents(ctx, decodeEvents(reply.Entries))
 }
 
 // catchUp reads from a peer the changes of the store after a position.
-func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after uint64) {
-	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after})
+func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after platform.Version) {
+	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era())})
 	if err != nil {
 		logger.Warn(fields{"peer": address, "error": err.Error()}, "entries not read from a gateway")
 		x.opts.Follower.ForceRead()
 		return
 	}
-	events := make([]platform.Event, 0, len(reply.Entries))
-	for _, e := range reply.Entries {
-		events = append(events, platform.Event{
-			Entry:   platform.Entry{Key: e.Key, Value: e.Value, Version: platform.Version(e.Revision)},
-			Deleted: e.Deleted,
-		})
-	}
-	logger.Debug(fields{"peer": address, "entries": len(events), "after": after, "position": reply.Position}, "entries read from a gateway")
-	x.opts.Follower.Merge(ctx, events, platform.Version(reply.Position), time.Duration(reply.StoreSilenceMs)*time.Millisecond)
+	position := platform.NewVersion(platform.Era(reply.StoreEra), reply.Position)
+	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
+	x.opts.Follower.Merge(ctx, decodeEvents(reply.Entries), position, reply.Complete, time.Duration(reply.StoreSilenceMs)*time.Millisecond)
 }
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -23,13 +23,14 @@
 // sharedStore is a store that several gateways read.
 type sharedStore struct {
 	mu      sync.Mutex
+	era     platform.Era
 	entries []platform.Entry
 }
 
 func (s *sharedStore) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries = append(s.entries, platform.Entry{Key: key, Value: []byte(value), Version: platform.Version(len(s.entries) + 1)})
+	s.entries = append(s.entries, platform.Entry{Key: key, Value: []byte(value), Version: platform.NewVersion(s.era, uint64(len(s.entries)+1))})
 }
 
 // storeClient is a gateway's client of the store. It fails while unreachable is set.
@@ -57,7 +58,7 @@
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	return append([]platform.Entry(nil), c.store.entries...), platform.Version(len(c.store.entries)), nil
+	return append([]platform.Entry(nil), c.store.entries...), platform.NewVersion(c.store.era, uint64(len(c.store.entries))), nil
 }
 
 func (c *storeClient) Changes(ctx context.Context, _ string, after platform.Version, _ time.Duration) ([]platform.Event, platform.Version, error) {
@@ -70,7 +71,7 @@
 		return nil, after, err
 	}
 	var events []platform.Event
-	for _, entry := range entries[after:] {
+	for _, entry := range entries[after.Revision():] {
 		events = append(events, platform.Event{Entry: entry})
 	}
 	return events, position, nil
@@ -79,6 +80,8 @@
 // testLayout decodes the values "config VERSION" and "weights MODEL VERSION".
 type testLayout struct{}
 
+func (testLayout) FromOperator(key string) bool { return strings.HasPrefix(key, "op/") }
+
 func (testLayout) ServerID(string) (string, bool) { return "", false }
 
 func (testLayout) Decode(_ string, value []byte, _ time.Time) (follower.Item, error) {
@@ -177,3 +180,34 @@
 		return mine > 0 && (mine-theirs).Abs() < 300*time.Millisecond
 	})
 }
+
+// A gateway that starts after a restore reads older operators' entries from the store. It
+// gets those in force from a gateway that has them, even if that one can't reach the store.
+func TestGatewayStartsAfterARestore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	before := &sharedStore{}
+	before.put("op/config", "config 2")
+	before.put("op/version/m", "weights m 4")
+	restored := &sharedStore{era: 1}
+	restored.put("op/config", "config 1")
+	a := newGateway(ctx, t, before, &group, nil)
+	eventually(t, "the first configuration", func() bool { return a.follower.Snapshot().Ready() })
+	a.store.setUnreachable(true)
+	start := time.Now()
+	for range 2 { // one of them is called by the other, or both are
+		late := newGateway(ctx, t, restored, &group, []string{a.address})
+		eventually(t, "the configuration in force", func() bool {
+			s := late.follower.Snapshot()
+			return s.Ready() && s.Config.Version == 2 && s.Weights["m"].Version == 4
+		})
+		if took := time.Since(start); took > 2*time.Second { // the required bound for a change
+			t.Errorf("the operators' entries arrived after %v, want at most 2 s", took)
+		}
+		start = time.Now()
+	}
+	restored.put("op/config", "config 3")
+	eventually(t, "a later change at the gateway that was cut off", func() bool { return a.follower.Snapshot().Config.Version == 3 })
+}
--- a/internal/platform/client/caller.go
+++ b/internal/platform/client/caller.go
@@ -31,6 +31,8 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	// onResponse is called with the header of each response, unless nil.
+	onResponse func(http.Header)
 }
 
 func newCaller(baseURL string, timeout time.Duration) caller {
@@ -52,35 +54,35 @@
 // Close closes the idle connections.
 func (c caller) Close() { c.http.CloseIdleConnections() }
 
-// read makes a read-only call.
-func (c caller) read(ctx context.Context, path string, query url.Values, result any) error {
+// read makes a read-only call and returns the header of the response.
+func (c caller) read(ctx context.Context, path string, query url.Values, result any) (http.Header, error) {
 	start := time.Now()
-	err := c.get(ctx, path, query, result)
+	header, err := c.get(ctx, path, query, result)
 	recordCall(ctx, path, start, err)
-	return err
+	return header, err
 }
 
-func (c caller) get(ctx context.Context, path string, query url.Values, result any) error {
+func (c caller) get(ctx context.Context, path string, query url.Values, result any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	body, err := c.open(ctx, path, query)
+	response, err := c.open(ctx, path, query)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer drain(body)
-	if err := json.NewDecoder(body).Decode(result); err != nil {
-		return wrapError(platform.ErrUnavailable, path, err)
+	defer drain(response.Body)
+	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+		return nil, wrapError(platform.ErrUnavailable, path, err)
 	}
-	return nil
+	return response.Header, nil
 }
 
-// open makes a read-only call and returns the response body.
-func (c caller) open(ctx context.Context, path string, query url.Values) (io.ReadCloser, error) {
+// open makes a read-only call and returns the response, whose body is not read yet.
+func (c caller) open(ctx context.Context, path string, query url.Values) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, path)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
 		return nil, wrapError(platform.ErrUnavailable, path, err)
 	}
@@ -88,42 +90,52 @@
 		defer drain(response.Body)
 		return nil, responseError(response, path, platform.ErrUnavailable)
 	}
-	return response.Body, nil
+	return response, nil
 }
 
-// write makes a call that may change the service's state.
-func (c caller) write(ctx context.Context, path string, payload, result any) error {
+// do sends a request.
+func (c caller) do(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	if err == nil && c.onResponse != nil {
+		c.onResponse(response.Header)
+	}
+	return response, err
+}
+
+// write makes a call that may change the service's state, and returns the header of the
+// response.
+func (c caller) write(ctx context.Context, path string, payload, result any) (http.Header, error) {
 	start := time.Now()
-	err := c.post(ctx, path, payload, result)
+	header, err := c.post(ctx, path, payload, result)
 	recordCall(ctx, path, start, err)
-	return err
+	return header, err
 }
 
-func (c caller) post(ctx context.Context, path string, payload, result any) error {
+func (c caller) post(ctx context.Context, path string, payload, result any) (http.Header, error) {
 	body, err := json.Marshal(payload)
 	if err != nil {
-		return errors.Wrap(err, path)
+		return nil, errors.Wrap(err, path)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	ctx, trace := conntrace.Attach(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, path)
+		return nil, errors.Wrap(err, path)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
-		return wrapError(noResponseError(trace.Connected()), path, err)
+		return nil, wrapError(noResponseError(trace.Connected()), path, err)
 	}
 	defer drain(response.Body)
 	if response.StatusCode != http.StatusOK {
-		return responseError(response, path, platform.ErrOutcomeUnknown)
+		return nil, responseError(response, path, platform.ErrOutcomeUnknown)
 	}
 	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
-		return wrapError(platform.ErrOutcomeUnknown, path, err)
+		return nil, wrapError(platform.ErrOutcomeUnknown, path, err)
 	}
-	return nil
+	return response.Header, nil
 }
 
 // noResponseError returns the error of a write that got no response.
--- a/internal/platform/client/kv.go
+++ b/internal/platform/client/kv.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"net/url"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +17,7 @@
 // KV calls the key-value service. It implements platform.KV.
 type KV struct {
 	caller
+	era              atomic.Uint64 // latest in a response
 	watchIdleTimeout time.Duration
 }
 
@@ -21,32 +25,72 @@
 
 // NewKV returns a client whose calls time out after timeout.
 func NewKV(baseURL string, timeout time.Duration) *KV {
-	return &KV{
+	k := &KV{
 		caller:           newCaller(baseURL, timeout),
 		watchIdleTimeout: defaultWatchIdleTimeout,
 	}
+	k.onResponse = func(header http.Header) { k.observeEra(headerEra(header)) }
+	return k
+}
+
+// Era implements platform.KV.
+func (k *KV) Era() platform.Era { return platform.Era(k.era.Load()) }
+
+// observeEra records the era of a response.
+func (k *KV) observeEra(era platform.Era) {
+	for {
+		last := k.era.Load()
+		if uint64(era) <= last || k.era.CompareAndSwap(last, uint64(era)) {
+			return
+		}
+	}
+}
+
+// headerEra returns the era in the header of a response; 0 if there is none.
+func headerEra(header http.Header) platform.Era {
+	era, err := strconv.ParseUint(header.Get(httpapi.HeaderEra), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return platform.Era(era)
+}
+
+// withEra returns an entry of a response with the version in its era.
+func withEra(entry httpapi.Entry, header http.Header) platform.Entry {
+	entry.Version = platform.NewVersion(headerEra(header), uint64(entry.Version))
+	return platform.Entry(entry)
+}
+
+// checkExpected returns ErrConflict for an expected version of an earlier era.
+func (k *KV) checkExpected(key string, expected platform.Version) error {
+	if expected != 0 && expected.Era() < k.Era() {
+		return errors.Wrapf(platform.ErrConflict, "key %q: version of era %d, now %d", key, expected.Era(), k.Era())
+	}
+	return nil
 }
 
 // Get implements platform.KV.
 func (k *KV) Get(ctx context.Context, key string) (platform.Entry, error) {
 	var entry httpapi.Entry
 	query := url.Values{httpapi.QueryKey: {key}}
-	if err := k.read(ctx, httpapi.PathEntry, query, &entry); err != nil {
+	header, err := k.read(ctx, httpapi.PathEntry, query, &entry)
+	if err != nil {
 		return platform.Entry{}, err
 	}
-	return platform.Entry(entry), nil
+	return withEra(entry, header), nil
 }
 
 // List implements platform.KV.
 func (k *KV) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
 	var response httpapi.Entries
 	query := url.Values{httpapi.QueryPrefix: {prefix}}
-	if err := k.read(ctx, httpapi.PathEntries, query, &response); err != nil {
+	header, err := k.read(ctx, httpapi.PathEntries, query, &response)
+	if err != nil {
 		return nil, err
 	}
 	entries := make([]platform.Entry, len(response.Entries))
 	for i, entry := range response.Entries {
-		entries[i] = platform.Entry(entry)
+		entries[i] = withEra(entry, header)
 	}
 	return entries, nil
 }
@@ -56,25 +100,36 @@
 	if len(value) > platform.MaxValueSize {
 		return 0, errors.Wrapf(platform.ErrTooLarge, "key %q: %d bytes", key, len(value))
 	}
-	request := httpapi.SwapRequest{Key: key, Value: value, Expected: expected, Lease: lease}
+	if err := k.checkExpected(key, expected); err != nil {
+		return 0, err
+	}
+	request := httpapi.SwapRequest{Key: key, Value: value, Expected: platform.Version(expected.Revision()), Lease: lease}
 	var response httpapi.SwapResponse
-	if err := k.write(ctx, httpapi.PathSwap, request, &response); err != nil {
+	header, err := k.write(ctx, httpapi.PathSwap, request, &response)
+	if err != nil {
 		return 0, err
 	}
-	return response.Version, nil
+	if era := headerEra(header); expected != 0 && expected.Era() != era {
+		return 0, errors.Wrapf(platform.ErrOutcomeUnknown, "key %q: restored before the write", key)
+	}
+	return platform.NewVersion(headerEra(header), uint64(response.Version)), nil
 }
 
 // Delete implements platform.KV.
 func (k *KV) Delete(ctx context.Context, key string, expected platform.Version) error {
-	request := httpapi.DeleteRequest{Key: key, Expected: expected}
-	return k.write(ctx, httpapi.PathDelete, request, &httpapi.Done{})
+	if err := k.checkExpected(key, expected); err != nil {
+		return err
+	}
+	request := httpapi.DeleteRequest{Key: key, Expected: platform.Version(expected.Revision())}
+	_, err := k.write(ctx, httpapi.PathDelete, request, &httpapi.Done{})
+	return err
 }
 
 // GrantLease implements platform.KV.
 func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
 	request := httpapi.LeaseRequest{TTLMilliseconds: ttl.Milliseconds()}
 	var response httpapi.LeaseResponse
-	if err := k.write(ctx, httpapi.PathLeaseGrant, request, &response); err != nil {
+	if _, err := k.write(ctx, httpapi.PathLeaseGrant, request, &response); err != nil {
 		return 0, err
 	}
 	return response.ID, nil
@@ -82,10 +137,12 @@
 
 // RenewLease implements platform.KV.
 func (k *KV) RenewLease(ctx context.Context, id platform.LeaseID) error {
-	return k.write(ctx, httpapi.PathLeaseRenew, httpapi.LeaseRequest{ID: id}, &httpapi.Done{})
+	_, err := k.write(ctx, httpapi.PathLeaseRenew, httpapi.LeaseRequest{ID: id}, &httpapi.Done{})
+	return err
 }
 
 // RevokeLease implements platform.KV.
 func (k *KV) RevokeLease(ctx context.Context, id platform.LeaseID) error {
-	return k.write(ctx, httpapi.PathLeaseRevoke, httpapi.LeaseRequest{ID: id}, &httpapi.Done{})
+	_, err := k.write(ctx, httpapi.PathLeaseRevoke, httpapi.LeaseRequest{ID: id}, &httpapi.Done{})
+	return err
 }
--- a/internal/platform/client/stores.go
+++ b/internal/platform/client/stores.go
@@ -48,7 +48,7 @@
 // VMs implements platform.VMList.
 func (l *VMList) VMs(ctx context.Context) ([]platform.VM, error) {
 	var response httpapi.VMs
-	if err := l.read(ctx, httpapi.PathVMs, nil, &response); err != nil {
+	if _, err := l.read(ctx, httpapi.PathVMs, nil, &response); err != nil {
 		return nil, err
 	}
 	return response.VMs, nil
@@ -58,7 +58,7 @@
 func (s *WeightStore) Versions(ctx context.Context, model string) ([]platform.Weights, error) {
 	var response httpapi.Versions
 	query := url.Values{httpapi.QueryModel: {model}}
-	if err := s.read(ctx, httpapi.PathWeights, query, &response); err != nil {
+	if _, err := s.read(ctx, httpapi.PathWeights, query, &response); err != nil {
 		return nil, err
 	}
 	return response.Weights, nil
@@ -68,7 +68,7 @@
 func (s *PieceStore) Get(ctx context.Context, id string) (platform.Piece, error) {
 	var response httpapi.Piece
 	query := url.Values{httpapi.QueryID: {id}}
-	if err := s.read(ctx, httpapi.PathPiece, query, &response); err != nil {
+	if _, err := s.read(ctx, httpapi.PathPiece, query, &response); err != nil {
 		return platform.Piece{}, err
 	}
 	return response.Open()
@@ -76,5 +76,6 @@
 
 // Put implements platform.PieceStore.
 func (s *PieceStore) Put(ctx context.Context, piece platform.Piece) error {
-	return s.write(ctx, httpapi.PathPiece, httpapi.SealPiece(piece), &httpapi.Done{})
+	_, err := s.write(ctx, httpapi.PathPiece, httpapi.SealPiece(piece), &httpapi.Done{})
+	return err
 }
--- a/internal/platform/client/watch.go
+++ b/internal/platform/client/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"net/url"
 	"strconv"
 	"time"
@@ -21,6 +22,7 @@
 // watch is an open watch over HTTP.
 type watch struct {
 	body        io.ReadCloser
+	era         platform.Era
 	timer       *time.Timer // cancels the call
 	idleTimeout time.Duration
 	events      chan platform.Event
@@ -31,12 +33,12 @@
 func (k *KV) Watch(ctx context.Context, prefix string, after platform.Version) (<-chan platform.Event, error) {
 	query := url.Values{
 		httpapi.QueryPrefix: {prefix},
-		httpapi.QueryAfter:  {strconv.FormatUint(uint64(after), 10)},
+		httpapi.QueryAfter:  {strconv.FormatUint(after.Revision(), 10)},
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(k.timeout, cancel)
 	start := time.Now()
-	body, err := k.open(ctx, httpapi.PathWatch, query)
+	response, err := k.openWatch(ctx, query, after)
 	recordCall(ctx, httpapi.PathWatch, start, err)
 	if err != nil {
 		timer.Stop()
@@ -44,7 +46,8 @@
 		return nil, err
 	}
 	opened := &watch{
-		body:        body,
+		body:        response.Body,
+		era:         headerEra(response.Header),
 		timer:       timer,
 		idleTimeout: k.watchIdleTimeout,
 		events:      make(chan platform.Event),
@@ -56,6 +59,19 @@
 	return opened.events, nil
 }
 
+// openWatch starts the call. It returns ErrCompacted if after is of an earlier era.
+func (k *KV) openWatch(ctx context.Context, query url.Values, after platform.Version) (*http.Response, error) {
+	response, err := k.open(ctx, httpapi.PathWatch, query)
+	if err != nil {
+		return nil, err
+	}
+	if era := headerEra(response.Header); after != 0 && after.Era() != era {
+		_ = response.Body.Close()
+		return nil, errors.Wrapf(platform.ErrCompacted, "%s: version of era %d, now %d", httpapi.PathWatch, after.Era(), era)
+	}
+	return response, nil
+}
+
 // run forwards events until the watch breaks or ctx is done.
 func (w *watch) run(ctx context.Context) {
 	defer close(w.events)
@@ -70,6 +86,7 @@
 			continue
 		}
 		event := platform.Event{Entry: platform.Entry(*line.Event), Deleted: line.Deleted}
+		event.Version = platform.NewVersion(w.era, uint64(event.Version))
 		select {
 		case w.events <- event:
 		case <-ctx.Done():
--- a/internal/platform/client/wire_test.go
+++ b/internal/platform/client/wire_test.go
@@ -108,7 +108,7 @@
 			client := newCaller(serve(t, kv.Handler(kv.New(1))), callTimeout)
 			t.Cleanup(client.Close)
 			request := httpapi.SwapRequest{Key: "k", Value: make([]byte, size)}
-			err := client.write(t.Context(), httpapi.PathSwap, request, &httpapi.Done{})
+			_, err := client.write(t.Context(), httpapi.PathSwap, request, &httpapi.Done{})
 			if !errors.Is(err, platform.ErrTooLarge) {
 				t.Errorf("error %v, want ErrTooLarge", err)
 			}
--- a/internal/platform/httpapi/errors.go
+++ b/internal/platform/httpapi/errors.go
@@ -45,6 +45,7 @@
 	{platform.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
 	{platform.ErrThrottled, "throttled", http.StatusTooManyRequests},
 	{platform.ErrTooLarge, "too_large", http.StatusRequestEntityTooLarge},
+	{platform.ErrCompacted, "compacted", http.StatusGone},
 	{platform.ErrCorrupt, "corrupt", http.StatusUnprocessableEntity},
 }
 
--- a/internal/platform/httpapi/messages.go
+++ b/internal/platform/httpapi/messages.go
@@ -23,6 +23,10 @@
 	PathPiece   = "/v1/piece"   // GET, query: QueryID; POST Piece
 )
 
+// HeaderEra is a header of the key-value service's responses: the number of times that it
+// was restored from an older copy. The versions in messages are revisions of that era.
+const HeaderEra = "Key-Value-Era"
+
 // Names of query parameters.
 const (
 	QueryKey    = "key"
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,7 +21,7 @@
 	// ErrNotFound means that the key does not exist.
 	ErrNotFound = errors.New("not found")
 	// ErrConflict means that the condition of a write was not met; the write has no
-	// effect.
+	// effect. A version of an earlier era meets no condition.
 	ErrConflict = errors.New("version conflict")
 	// ErrUnavailable means that the call had no effect and may be retried.
 	ErrUnavailable = errors.New("service unavailable")
@@ -35,10 +37,42 @@
 	ErrCorrupt = errors.New("checksum mismatch")
 )
 
+// Era is the number of times that the key-value service was restored from an older copy
+// of itself. A restore loses the writes and leases since the copy, and the service then
+// gives out their revisions again.
+type Era uint64
+
 // Version is the version of a key; 0 means that the key does not exist. Every write
-// gives the key a larger version, which is unique among all keys of the service.
+// gives the key a larger version, which is unique among all keys of the service. It
+// consists of the era and the service's revision in that era, so that every version of
+// a later era is larger.
 type Version uint64
 
+// revisionBits is the number of bits of a Version that hold the revision.
+const revisionBits = 44
+
+// NewVersion returns the version of a revision in an era. A revision of 0 has the version 0.
+func NewVersion(era Era, revision uint64) Version {
+	if revision == 0 {
+		return 0
+	}
+	return Version(uint64(era)<<revisionBits | revision)
+}
+
+// Era returns the era in which the version was given out.
+func (v Version) Era() Era { return Era(v >> revisionBits) }
+
+// String returns the revision, after the era unless that is 0.
+func (v Version) String() string {
+	if v.Era() == 0 {
+		return strconv.FormatUint(v.Revision(), 10)
+	}
+	return fmt.Sprintf("%d/%d", v.Era(), v.Revision())
+}
+
+// Revision returns the service's revision within the era.
+func (v Version) Revision() uint64 { return uint64(v) & (1<<revisionBits - 1) }
+
 // Entry is a key with its value.
 type Entry struct {
 	Key     string
@@ -71,7 +105,8 @@
 	Delete(ctx context.Context, key string, expected Version) error
 	// Watch sends the changes of keys under prefix whose versions are larger than
 	// after. The channel is closed when the watch breaks or ctx is done; the caller
-	// then reads the state again and starts another watch.
+	// then reads the state again and starts another watch. It returns ErrCompacted if after
+	// is of an earlier era.
 	Watch(ctx context.Context, prefix string, after Version) (<-chan Event, error)
 	// GrantLease creates a lease that expires ttl after its last renewal.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
@@ -79,6 +114,8 @@
 	RenewLease(ctx context.Context, id LeaseID) error
 	// RevokeLease ends the lease and deletes its keys.
 	RevokeLease(ctx context.Context, id LeaseID) error
+	// Era returns the latest era seen in the service's responses.
+	Era() Era
 }
 
 // VMState is the state of a VM in the VM list.
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -16,7 +16,8 @@
 	// position, returns every change that is not in the entries.
 	Read(ctx context.Context, prefix string) ([]Entry, Version, error)
 	// Changes waits at most wait for a change under prefix after the given position.
-	// It returns the changes and the new position, or ErrCompacted.
+	// It returns the changes and the new position, or ErrCompacted, also if the position
+	// is of an earlier era.
 	Changes(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
 }
 
@@ -27,6 +28,8 @@
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	RenewLease(ctx context.Context, id LeaseID) error
 	RevokeLease(ctx context.Context, id LeaseID) error
+	// Era returns the latest era seen in the service's responses.
+	Era() Era
 }
 
 // Store is the subset of a key-value service that a gateway needs.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -235,6 +235,8 @@
 	return nil
 }
 
+func (*fakeLeases) Era() platform.Era { return 0 }
+
 func (l *fakeLeases) RevokeLease(context.Context, platform.LeaseID) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/kv/lease.go
+++ b/internal/standin/kv/lease.go
@@ -13,6 +13,7 @@
 
 // lease deletes its keys when it expires.
 type lease struct {
+	granted time.Time
 	ttl     time.Duration
 	expires time.Time
 	keys    map[string]struct{}
@@ -29,6 +30,7 @@
 		s.lastLease++
 		id = s.lastLease
 		s.leases[id] = &lease{
+			granted: time.Now(),
 			ttl:     ttl,
 			expires: time.Now().Add(ttl),
 			keys:    make(map[string]struct{}),
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -40,6 +40,8 @@
 	lastVersion platform.Version
 	leases      map[platform.LeaseID]*lease
 	lastLease   platform.LeaseID
+	era         platform.Era
+	undoLog     []undo // changes of the last maxRestoreAge, oldest first
 	watchers    map[*watcher]struct{}
 	faults      Faults
 	reads       *rate.Limiter
@@ -150,6 +152,7 @@
 
 // put writes a state under a new version and notifies the watchers.
 func (s *Store) put(key string, next state) platform.Version {
+	s.logUndo(key)
 	s.lastVersion++
 	next.version = s.lastVersion
 	rec, ok := s.records[key]
@@ -167,6 +170,7 @@
 
 // remove deletes an existing key and notifies the watchers.
 func (s *Store) remove(key string) {
+	s.logUndo(key)
 	s.lastVersion++
 	rec := s.records[key]
 	s.detach(key, rec.current.lease, 0)
--- a/internal/standin/kv/watch.go
+++ b/internal/standin/kv/watch.go
@@ -35,6 +35,9 @@
 	}
 	var w *watcher
 	err = s.run(func() error {
+		if after != 0 && after.Era() != s.era {
+			return errors.Wrapf(platform.ErrCompacted, "version of era %d, now %d", after.Era(), s.era)
+		}
 		w = s.openWatch(prefix, after)
 		return nil
 	})
