Hold leases across a restore of the store

A restore loses leases and gives their IDs out again. The holder of the order lease went on until its own deadline while another process could acquire the key at once; a gateway could renew another one's registration and stay unlisted.

Change: who acquires a lease waits in a new era until leases that the service forgot have ended, and stores the era that was waited for. Holders check after a restore that the key is still theirs. Registrations are made again.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,6 +71,7 @@
 	results chan func()    // handlers of finished calls, which Run runs
 	calls   sync.WaitGroup // running calls
 
+	candidate     *lease.Candidate
 	term          *lease.Term // nil if this router does not hold the lease
 	nextAcquire   time.Time
 	nextRenewal   time.Time
@@ -93,6 +94,7 @@
 		results:    make(chan func()),
 		servers:    make(map[string]*server),
 		storeCache: newStoreCache(),
+		candidate:  lease.NewCandidate(opts.KV, leaseKey(opts.Environment), opts.Self, leaseDuration),
 	}
 	c.metrics = newMetrics(c)
 	return c
@@ -172,7 +174,7 @@
 func (c *Controller) acquire(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
-	t, err := lease.Acquire(ctx, c.opts.KV, leaseKey(c.opts.Environment), c.opts.Self, leaseDuration)
+	t, err := c.candidate.Acquire(ctx)
 	if err != nil {
 		logger.Debug(fields{"error": err.Error()}, "lease not acquired")
 		return false
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,6 +35,8 @@
 	duration Duration
 	lease    platform.LeaseID
 	key      string
+	value    string
+	era      platform.Era     // in which the key was last known to be this term's
 	fence    platform.Version // version of the key: larger for each new holder
 	expiry   atomic.Pointer[deadline]
 }
@@ -57,24 +59,42 @@
 	return !now.Before(d.monotonic) || clock.SinceBoot() >= d.boot
 }
 
+// Candidate acquires the lease for one process. It is not safe for concurrent use.
+type Candidate struct {
+	kv       platform.LeaseKV
+	key      string
+	self     string
+	duration Duration
+	restored restoreWait
+}
+
+// NewCandidate returns a Candidate for the lease on key. self names the process.
+func NewCandidate(kv platform.LeaseKV, key, self string, duration Duration) *Candidate {
+	return &Candidate{kv: kv, key: key, self: self, duration: duration, restored: restoreWait{kv: kv, key: key + eraSuffix}}
+}
+
 // Acquire creates the key under a new lease if it does not exist. It returns ErrHeld if
-// another process holds it.
-func Acquire(ctx context.Context, kv platform.LeaseKV, key, self string, duration Duration) (*Term, error) {
-	entry, err := kv.Get(ctx, key)
+// another process holds it, and ErrRestored while a holder that a restore of the service
+// lost may still rely on its lease.
+func (c *Candidate) Acquire(ctx context.Context) (*Term, error) {
+	entry, err := c.kv.Get(ctx, c.key)
 	switch {
 	case err == nil:
 		return nil, errors.Wrapf(ErrHeld, "%s", entry.Value)
 	case !errors.Is(err, platform.ErrNotFound):
 		return nil, err
 	}
+	if err := c.restored.done(ctx, c.duration.TTL, time.Now()); err != nil {
+		return nil, err
+	}
 	requested := time.Now()
-	id, err := kv.GrantLease(ctx, duration.TTL)
+	id, err := c.kv.GrantLease(ctx, c.duration.TTL)
 	if err != nil {
 		return nil, err
 	}
-	t := &Term{kv: kv, duration: duration, lease: id, key: key}
-	t.expiry.Store(duration.end(requested))
-	if err := t.create(ctx, self+" "+uuid.NewString()); err != nil {
+	t := &Term{kv: c.kv, duration: c.duration, lease: id, key: c.key, value: c.self + " " + uuid.NewString(), era: c.kv.Era()}
+	t.expiry.Store(c.duration.end(requested))
+	if err := t.create(ctx); err != nil {
 		t.Release(ctx)
 		return nil, err
 	}
@@ -83,39 +103,60 @@
 
 // create writes the key. If the response is lost, it reads the key back: the value is
 // unique to this term, so it shows whether the write succeeded.
-func (t *Term) create(ctx context.Context, value string) error {
-	version, err := t.kv.CompareAndSwap(ctx, t.key, []byte(value), 0, t.lease)
+func (t *Term) create(ctx context.Context) error {
+	version, err := t.kv.CompareAndSwap(ctx, t.key, []byte(t.value), 0, t.lease)
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
-		version, err = t.readBack(ctx, value)
+		version, err = t.readBack(ctx)
 	}
 	if errors.Is(err, platform.ErrConflict) {
 		return errors.Wrap(ErrHeld, err.Error())
 	}
-	t.fence = version
+	t.fence, t.era = version, version.Era()
 	return err
 }
 
-func (t *Term) readBack(ctx context.Context, value string) (platform.Version, error) {
+func (t *Term) readBack(ctx context.Context) (platform.Version, error) {
 	entry, err := t.kv.Get(ctx, t.key)
 	if err != nil {
 		return 0, err
 	}
-	if string(entry.Value) != value {
+	if string(entry.Value) != t.value {
 		return 0, ErrHeld
 	}
 	return entry.Version, nil
 }
 
-// Renew extends the term. It returns platform.ErrNotFound if the lease has expired.
+// Renew extends the term. It returns platform.ErrNotFound if the lease has expired, or a
+// restore of the service lost it.
 func (t *Term) Renew(ctx context.Context) error {
 	requested := time.Now()
 	if err := t.kv.RenewLease(ctx, t.lease); err != nil {
 		return err
 	}
+	if err := t.checkEra(ctx); err != nil {
+		return err
+	}
 	t.expiry.Store(t.duration.end(requested))
 	return nil
 }
 
+// checkEra checks after a restore of the service that the key is still this term's: the
+// service may have given the lease's ID out again.
+func (t *Term) checkEra(ctx context.Context) error {
+	era := t.kv.Era()
+	if era == t.era {
+		return nil
+	}
+	if _, err := t.readBack(ctx); err != nil {
+		if errors.Is(err, ErrHeld) {
+			return errors.Wrap(platform.ErrNotFound, err.Error())
+		}
+		return err
+	}
+	t.era = era
+	return nil
+}
+
 // Fence returns the fencing token, which is larger for each new holder.
 func (t *Term) Fence() platform.Version { return t.fence }
 
@@ -124,8 +165,12 @@
 func (t *Term) Valid() bool { return !t.expiry.Load().expired(time.Now()) }
 
 // Release revokes the lease, so that another process can acquire the key at once. If
-// that fails, the lease expires.
+// that fails, the lease expires. A lease from before a restore of the service is left to
+// expire, since its ID may be another process's now.
 func (t *Term) Release(ctx context.Context) {
+	if t.kv.Era() != t.era {
+		return
+	}
 	if err := t.kv.RevokeLease(ctx, t.lease); err != nil {
 		logger.Debug(logging.Fields{"error": err.Error()}, "lease not revoked")
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -55,6 +55,7 @@
 // Rollout sends orders to engines while this gateway holds the lease.
 type Rollout struct {
 	opts        Options
+	candidate   *lease.Candidate
 	term        *lease.Term
 	nextAcquire time.Time
 	nextRenewal time.Time
@@ -67,7 +68,9 @@
 
 // New returns a Rollout, to be started by Run.
 func New(opts Options) *Rollout {
-	return &Rollout{opts: opts, jobs: make(map[string]*job), loadLimits: make(map[string]int)}
+	duration := lease.Duration{TTL: min(opts.Lease, maxLeaseTime), Margin: opts.Lease / marginDivisor}
+	candidate := lease.NewCandidate(opts.LeaseKV, opts.Key, opts.Self, duration)
+	return &Rollout{opts: opts, candidate: candidate, jobs: make(map[string]*job), loadLimits: make(map[string]int)}
 }
 
 // Run sends orders until ctx ends. It then waits for its jobs and releases the lease.
@@ -146,8 +149,10 @@
 		return false
 	}
 	r.nextAcquire = now.Add(acquireDelay + rand.N(acquireDelay))
-	duration := lease.Duration{TTL: min(r.opts.Lease, maxLeaseTime), Margin: r.opts.Lease / marginDivisor}
-	term, err := lease.Acquire(ctx, r.opts.LeaseKV, r.opts.Key, r.opts.Self, duration)
+	term, err := r.candidate.Acquire(ctx)
+	if errors.Is(err, lease.ErrRestored) {
+		return false // logged once by lease
+	}
 	if err != nil {
 		logger.Info(fields{"error": err.Error()}, "lease not acquired")
 		return false
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -27,6 +27,8 @@
 	renewInterval = 3 * time.Second
 	// retryInterval is the mean time until the next try after a failed call.
 	retryInterval = 500 * time.Millisecond
+	// eraCheckInterval is the time between two checks whether the store was restored.
+	eraCheckInterval = 500 * time.Millisecond
 	// callTimeout bounds the calls of one registration together.
 	callTimeout = 5 * time.Second
 )
@@ -46,42 +48,48 @@
 // Run keeps the process listed until ctx ends, and then revokes its lease.
 func (r *Registration) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		lease, err := r.register(ctx)
+		lease, era, err := r.register(ctx)
 		if err != nil {
 			logger.Warn(fields{"error": err.Error()}, "gateway not registered")
 			clock.Sleep(ctx, retryInterval/2+rand.N(retryInterval))
 			continue
 		}
 		logger.Info(fields{"key": r.key}, "gateway registered")
-		r.renewLoop(ctx, lease)
+		r.renewLoop(ctx, lease, era)
 	}
 }
 
-// register writes the entry under a new lease. If the response to the write is lost, the
-// caller registers again under another lease and the former one expires.
-func (r *Registration) register(ctx context.Context) (platform.LeaseID, error) {
+// register writes the entry under a new lease and returns the era of the write. If the
+// response to the write is lost, the caller registers again under another lease and the
+// former one expires.
+func (r *Registration) register(ctx context.Context) (platform.LeaseID, platform.Era, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	lease, err := r.kv.GrantLease(ctx, leaseTTL)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	entry, err := r.kv.Get(ctx, r.key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return 0, err
+		return 0, 0, err
 	}
-	_, err = r.kv.CompareAndSwap(ctx, r.key, []byte("{}"), entry.Version, lease)
-	return lease, err
+	version, err := r.kv.CompareAndSwap(ctx, r.key, []byte("{}"), entry.Version, lease)
+	return lease, version.Era(), err
 }
 
-// renewLoop renews the lease until it expires or ctx ends, and revokes it in the latter
-// case.
-func (r *Registration) renewLoop(ctx context.Context, lease platform.LeaseID) {
+// renewLoop renews the lease until it expires, the store is restored or ctx ends, and
+// revokes it in the latter case. A restored store may have lost the entry, and may give
+// out the lease's ID again.
+func (r *Registration) renewLoop(ctx context.Context, lease platform.LeaseID, era platform.Era) {
 	interval := renewInterval
 	for {
-		clock.Sleep(ctx, interval)
+		r.sleep(ctx, interval, era)
 		if ctx.Err() != nil {
-			r.revoke(ctx, lease)
+			r.revoke(ctx, lease, era)
+			return
+		}
+		if r.kv.Era() != era {
+			logger.Warn(fields{"era": uint64(r.kv.Era())}, "registering again in the restored store")
 			return
 		}
 		err := r.kv.RenewLease(ctx, lease)
@@ -96,7 +104,21 @@
 	}
 }
 
-func (r *Registration) revoke(ctx context.Context, lease platform.LeaseID) {
+// sleep waits for an interval, or until the store is known to be restored.
+func (r *Registration) sleep(ctx context.Context, interval time.Duration, era platform.Era) {
+	for deadline := time.Now().Add(interval); ctx.Err() == nil && r.kv.Era() == era; {
+		remaining := time.Until(deadline)
+		if remaining <= 0 {
+			return
+		}
+		clock.Sleep(ctx, min(remaining, eraCheckInterval))
+	}
+}
+
+func (r *Registration) revoke(ctx context.Context, lease platform.LeaseID, era platform.Era) {
+	if r.kv.Era() != era {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	if err := r.kv.RevokeLease(ctx, lease); err != nil {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,6 +12,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/shard"
+	"github.com/wasabigate/wasabigate/internal/standin/kv"
 )
 
 func gatewayList(addresses ...string) []deployment.Gateway {
@@ -161,6 +162,8 @@
 	return nil
 }
 
+func (*fakeKV) Era() platform.Era { return 0 }
+
 func (f *fakeKV) RevokeLease(_ context.Context, id platform.LeaseID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -195,3 +198,32 @@
 		}
 	})
 }
+
+// A gateway whose entry was lost in a restore of the store is listed again before the
+// others take over its shards, even if its lease's ID is another gateway's now.
+func TestRegistrationLostInARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.New(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		time.Sleep(time.Minute)
+		for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+			group.Go(func() { NewRegistration(store, "p/", address).Run(ctx) })
+		}
+		for restores := range 3 {
+			time.Sleep(5 * time.Second)
+			store.Restore(9 * time.Second)
+			time.Sleep(absenceGrace / 2)
+			entries, err := store.List(ctx, "p/")
+			if err != nil || len(entries) != 2 {
+				t.Errorf("%d gateways listed after %d restores, %v, want 2", len(entries), restores+1, err)
+			}
+			time.Sleep(2 * leaseTTL)
+			if entries, err = store.List(ctx, "p/"); err != nil || len(entries) != 2 {
+				t.Errorf("%d gateways listed long after %d restores, %v, want 2", len(entries), restores+1, err)
+			}
+		}
+		cancel()
+		group.Wait()
+	})
+}
--- a/internal/sidecar/once/lease.go
+++ b/internal/sidecar/once/lease.go
@@ -26,6 +26,7 @@
 	kv      platform.KV
 	sem     chan struct{} // binary semaphore; guards id and granted
 	id      platform.LeaseID
+	era     platform.Era // in which it was granted
 	granted time.Time
 }
 
@@ -44,6 +45,9 @@
 	}
 	defer func() { l.sem <- struct{}{} }()
 	age := time.Since(l.granted)
+	if l.era != l.kv.Era() {
+		l.id = 0 // lost in a restore
+	}
 	if l.id != 0 && age < leaseRotation {
 		return l.id, nil
 	}
@@ -52,7 +56,7 @@
 	if err != nil {
 		return l.fallback(age, err)
 	}
-	l.id = id
+	l.id, l.era = id, l.kv.Era()
 	l.granted = requestedAt
 	return id, nil
 }
