Keep an accepted document across a restore of the key-value service

A restore loses accepted documents and withdrawals. Daemons kept the higher revision, but the service and every operator went on from the older one, whose next number the daemons had seen already and refused.

Change: the routers that watch the document write the one in force again, and withdraw lost keys again, once they see a new era. A change accepted before that gets a number that no lost one can have. Withdrawn keys stay withdrawn when a document without them comes.

--- a/internal/configstore/envelope.go
+++ b/internal/configstore/envelope.go
@@ -128,6 +128,7 @@
 		Document:      envelope.Document,
 		WithdrawnKeys: envelope.WithdrawnKeys,
 		Environment:   envelope.Environment,
+		Era:           envelope.Era,
 	}
 }
 
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -119,7 +119,8 @@
 func (s *Store) nextEnvelope(base *State, text []byte, withdraw []string, author string) *wire.Envelope {
 	digest := Digest(text)
 	envelope := &wire.Envelope{
-		Revision:     base.Number() + 1,
+		Revision:     s.nextNumber(base),
+		Era:          uint64(s.kv.Era()),
 		Digest:       digest[:],
 		ChangeId:     uuid.NewString(),
 		Author:       author,
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -51,6 +51,9 @@
 	Shards    ShardManager // nil if this daemon gets the shard table only from peers
 	Peers     Peers
 	Codec     Codec
+	// RestoreConfig writes a revision to the key-value service again that a restore of the
+	// service lost, and reports whether it was lost; nil: nothing is written.
+	RestoreConfig func(ctx context.Context, inForce *config.Revision) (bool, error)
 	// Quarantine is exchanged with the peers; nil: a new one.
 	Quarantine *quarantine.Quarantine
 	// OnChange is called on the control goroutine after each new snapshot. It
@@ -208,14 +211,20 @@
 	}
 }
 
-// configUpdate applies a document if its revision is higher than the current one.
+// configUpdate applies a document if its revision is higher than the current one. Keys that
+// the current one withdraws stay withdrawn even if the new one was written without them,
+// since a restore of the key-value service lost their withdrawal.
 type configUpdate struct{ revision *config.Revision }
 
 func (e configUpdate) apply(state *Snapshot) bool {
-	if state.Config != nil && e.revision.Number <= state.Config.Number {
+	if state.Config == nil {
+		state.Config = e.revision
+		return true
+	}
+	if e.revision.Number <= state.Config.Number {
 		return false
 	}
-	state.Config = e.revision
+	state.Config = e.revision.WithWithdrawn(state.Config.Withdrawn)
 	return true
 }
 
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -144,6 +144,7 @@
 
 	codec     Codec
 	configKey string
+	restore   func(context.Context, *config.Revision) (bool, error)
 }
 
 func newCluster() *cluster {
@@ -175,6 +176,8 @@
 		VMs:       cl.vms,
 		Peers:     peerClient{cl.network, address},
 		Codec:     cl.codec,
+
+		RestoreConfig: cl.restore,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	cl.network.add(address, loop)
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -179,6 +179,9 @@
 	}
 	if entry.Version != lastRead {
 		l.OfferEnvelope(entry.Value)
+		if err := l.restoreConfig(ctx, lastRead, entry.Version); err != nil {
+			return lastRead, err
+		}
 		lastRead = entry.Version
 	}
 	if !l.isWatcher() {
@@ -199,6 +202,22 @@
 	return lastRead, nil
 }
 
+// restoreConfig writes the document in force to the key-value service again if it was
+// restored since the last read, or has no document any more.
+func (l *Loop) restoreConfig(ctx context.Context, lastRead, read platform.Version) error {
+	if l.options.RestoreConfig == nil || !l.hasConfig() || read != 0 && read.Era() == lastRead.Era() {
+		return nil
+	}
+	inForce := l.Snapshot().Config
+	callCtx, cancel := context.WithTimeout(ctx, l.options.Settings.Platform.Timeout)
+	defer cancel()
+	lost, err := l.options.RestoreConfig(callCtx, inForce)
+	if err == nil && lost {
+		logger.Warn(logging.Fields{"revision": inForce.Number, "era": uint64(l.options.KV.Era())}, "document written again that a restore of the key-value service lost")
+	}
+	return err
+}
+
 func (l *Loop) readConfig(ctx context.Context) (platform.Entry, error) {
 	callCtx, cancel := context.WithTimeout(ctx, l.options.Settings.Platform.Timeout)
 	defer cancel()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,6 +133,10 @@
 			Delta:        configstore.Delta,
 			ApplyDelta:   configstore.ApplyDelta,
 		},
+		RestoreConfig: func(ctx context.Context, inForce *config.Revision) (bool, error) {
+			author := "restored by " + b.settings.Daemon.Name
+			return configstore.New(b.kv, b.settings.Daemon.Environment).Restore(ctx, inForce, author)
+		},
 		OnChange: onChange,
 	}
 }
