Keep records of calls that run once across a restore

A restore loses the records of badge orders and lodges that ran; a repeat with the same key was executed again.

Change: a sidecar remembers the records of the last minute. Once any answer shows a new era, it writes them again, and executes no call for 3 s, in which the other sidecars do the same. Such calls are refused as not run. While it remembers records it reads from the service once a second to notice.

Open: a sidecar that restarts within a minute before the restore has forgotten its records.

--- a/internal/sidecar/once/store.go
+++ b/internal/sidecar/once/store.go
@@ -18,6 +18,7 @@
 	kv     platform.KV
 	leases *leases
 	prefix string
+	recent recent
 }
 
 // releasedAttemptID is the attempt id of a released intent, which another attempt
@@ -30,8 +31,23 @@
 // create writes the record's intent if there is none, and sets its version. If
 // there is an intent of another attempt, it returns that intent and
 // errIntentExists. After any other error the service may still apply the write
-// later.
+// later. It returns errRestored if a restore of the service may have lost the
+// intent of another attempt.
 func (s *store) create(ctx context.Context, r *record) (*wire.Intent, error) {
+	if err := s.observeEra(); err != nil {
+		return nil, err
+	}
+	other, err := s.createIntent(ctx, r)
+	if err == nil {
+		err = s.observeEra()
+	}
+	if err == nil {
+		s.remember(r)
+	}
+	return other, err
+}
+
+func (s *store) createIntent(ctx context.Context, r *record) (*wire.Intent, error) {
 	var expected platform.Version
 	for pause := minBackoff; ; pause = nextBackoff(pause) {
 		version, err := s.write(ctx, r, expected)
@@ -124,6 +140,7 @@
 // with a write that may still arrive is released instead of deleted, so that the
 // late write conflicts with the released intent.
 func (s *store) remove(ctx context.Context, r *record) error {
+	s.recent.remove(r.key)
 	for pause := minBackoff; ; pause = nextBackoff(pause) {
 		err := s.tryRemove(ctx, r)
 		if err == nil || sleep(ctx, pause) != nil {
@@ -136,7 +153,7 @@
 // stored, tryRemove first creates it, so that its version is known.
 func (s *store) tryRemove(ctx context.Context, r *record) error {
 	if r.version == 0 {
-		_, err := s.create(ctx, r)
+		_, err := s.createIntent(ctx, r)
 		if errors.Is(err, errIntentExists) {
 			return nil
 		}
@@ -173,11 +190,15 @@
 // recordReply writes the intent with the reply, and retries until it is stored or
 // ctx ends.
 func (s *store) recordReply(ctx context.Context, r *record) error {
+	s.remember(r)
 	for pause := minBackoff; ; pause = nextBackoff(pause) {
 		_, err := s.write(ctx, r, r.version)
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, platform.ErrConflict) && r.version.Era() != s.kv.Era() {
+			return s.restoreRecord(ctx, r)
+		}
 		if errors.Is(err, platform.ErrConflict) {
 			return s.confirm(ctx, r)
 		}
