--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -106,13 +106,16 @@
 
 // CauseLines returns the lines that tell why a request with the given lines was held back, or
 // why servers took no request: what all processes say of the parts of its prompt that crash
-// servers, and what its process said last of the limits of servers.
+// servers, and what its process said last of the limits of servers. Of a request that no
+// route or key allowed, they are the configuration of its process and the last restore of
+// the store.
 func (log *Log) CauseLines(lines []Line) []Line {
 	if len(lines) == 0 {
 		return nil
 	}
 	parts := partsIn(lines)
 	limits := make(map[string]Line) // by server
+	config := make(map[string]Line) // by message
 	var causes []Line
 	for i := range log.Lines {
 		l := &log.Lines[i]
@@ -122,8 +125,13 @@
 			causes = append(causes, *l)
 		case l.Fields[logging.FieldLimit] != nil && l.Process() == lines[0].Process():
 			limits[l.text("server")] = *l
+		case l.Fields[logging.FieldConfigVersion] != nil && l.Process() == lines[0].Process():
+			config[l.Message] = *l
 		}
 	}
+	if refusedByConfig(lines) {
+		causes = slices.AppendSeq(causes, maps.Values(config))
+	}
 	if refusedByServers(lines) {
 		causes = slices.AppendSeq(causes, maps.Values(limits))
 	}
@@ -153,6 +161,14 @@
 	return slices.ContainsFunc(lines, func(l Line) bool { return l.text("code") == string(verdict.CodeNoBackendServer) })
 }
 
+// refusedByConfig reports whether the configuration did not allow the request.
+func refusedByConfig(lines []Line) bool {
+	return slices.ContainsFunc(lines, func(l Line) bool {
+		code := l.text("code")
+		return code == string(verdict.CodeNotFound) || code == string(verdict.CodeUnauthenticated)
+	})
+}
+
 // Group is a group of requests that failed in the same way.
 type Group struct {
 	Message string    `json:"message"`
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -85,3 +85,26 @@
 		}
 	}
 }
+
+// A request that no route allowed leads to the configuration that was in force at its
+// process, and to the last restore of the store.
+func TestCauseOfARefusalByConfiguration(t *testing.T) {
+	log, err := Read(strings.NewReader(`
+{"fields":{"process":"g1","config_version":9},"level":"info","timestamp":"2026-01-01T00:00:01Z","message":"follower: configuration in force"}
+{"fields":{"process":"g1","config_version":11},"level":"info","timestamp":"2026-01-01T00:00:02Z","message":"follower: configuration in force"}
+{"fields":{"process":"g1","config_version":11,"era":2},"level":"warn","timestamp":"2026-01-01T00:00:03Z","message":"follower: store restored from an older copy"}
+{"fields":{"process":"g2","config_version":14},"level":"info","timestamp":"2026-01-01T00:00:04Z","message":"follower: configuration in force"}
+{"fields":{"process":"g1","request_id":"r1","code":"not_found"},"level":"warn","timestamp":"2026-01-01T00:00:05Z","message":"gateway: refused"}
+{"fields":{"process":"g1","request_id":"r2","code":"overloaded"},"level":"warn","timestamp":"2026-01-01T00:00:05Z","message":"gateway: refused"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	causes := log.CauseLines(log.RequestLines("r1"))
+	if len(causes) != 2 || causes[0].Fields["config_version"] != 11.0 || causes[1].Message != "follower: store restored from an older copy" {
+		t.Errorf("causes %+v", causes)
+	}
+	if causes := log.CauseLines(log.RequestLines("r2")); len(causes) != 0 {
+		t.Errorf("causes of another refusal %+v", causes)
+	}
+}
--- a/internal/follower/restore.go
+++ b/internal/follower/restore.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
 
@@ -37,8 +38,13 @@
 
 // startEra prepares the state for the first batch after a restore of the store.
 func (st *state) startEra(position platform.Version) {
+	var configVersion uint64
+	if st.config != nil {
+		configVersion = st.config.Version
+	}
 	logger.Warn(fields{
-		"era": uint64(position.Era()), "position": position.Revision(),
+		logging.FieldConfigVersion: configVersion,
+		"era":                      uint64(position.Era()), "position": position.Revision(),
 		"former_era": uint64(st.position.Era()), "former_position": st.position.Revision(),
 	}, "store restored from an older copy")
 	st.restored = true
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
 
@@ -129,7 +130,7 @@
 		return false
 	}
 	st.config = config
-	logger.Info(fields{"version": config.Version, "routes": len(config.Routes), "workspaces": len(config.Workspaces)}, "configuration in force")
+	logger.Info(fields{logging.FieldConfigVersion: config.Version, "routes": len(config.Routes), "workspaces": len(config.Workspaces)}, "configuration in force")
 	return true
 }
 
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -36,6 +36,9 @@
 // backend servers.
 const FieldQuarantined = "quarantined_part"
 
+// FieldConfigVersion is the field with the version of the configuration in force.
+const FieldConfigVersion = "config_version"
+
 // FieldLimit is the field with the limit of a backend server, in requests a second; 0 after its
 // end.
 const FieldLimit = "limit_per_s"
