Log a hash of requests that may have run and failed

The log could not tell whether the requests under which servers ended were the same. A failed attempt that may have run now names a hash of service, method, path, caller and body.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -26,6 +26,11 @@
 	return parts
 }
 
+// requestPart returns the Part that stands for the whole request.
+func requestPart(service string, req *Request) quarantine.Part {
+	return quarantine.RequestOf(service, req.Method, req.URL.RequestURI(), req.WorkspaceName(), req.Body)
+}
+
 // partNames returns the parts as logs show them.
 func (r *activeRequest) partNames() []string {
 	names := make([]string, len(r.parts))
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -150,6 +150,9 @@
 	if len(r.parts) > 0 {
 		entry[logging.FieldParts] = r.partNames()
 	}
+	if err.Verdict != verdict.NotRun {
+		entry["request_hash"] = requestPart(r.service, r.req).String()
+	}
 	logger.Info(entry, "attempt failed")
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -57,6 +57,19 @@
 	return Part(digest.Sum64())
 }
 
+// RequestOf returns the Part that stands for whole requests: those to a service with the same
+// method, target (path and query), caller and body.
+func RequestOf(service, method, target, caller string, body []byte) Part {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, text := range []string{service, method, target, caller} {
+		_, _ = digest.WriteString(text) // never fails
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return Part(digest.Sum64())
+}
+
 // Stage is how far a server was with a request when its process ended. Of the requests at a
 // server, only those of the highest stage count.
 type Stage uint8
