--- a/internal/gateway/crashingpart_test.go
+++ b/internal/gateway/crashingpart_test.go
@@ -33,6 +33,7 @@
 	store   *memoryStore
 	servers []*http.Server
 	listed  []*deployment.Server
+	deadly  func(*http.Request) bool // whether a request crashes its server
 
 	mu       sync.Mutex
 	sound    bool        // the part no longer crashes servers
@@ -42,6 +43,7 @@
 
 func startEngines(t *testing.T, store *memoryStore, count int) *engines {
 	e := &engines{store: store, servers: make([]*http.Server, count)}
+	e.deadly = func(r *http.Request) bool { return strings.Contains(r.Header.Get("Parts"), crashingPart) }
 	for i := range count {
 		listener := listenLoopback(t)
 		e.listed = append(e.listed, serverAt(fmt.Sprint("i", i), listener.Addr().String()))
@@ -87,7 +89,7 @@
 func (e *engines) arrive(r *http.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.sound || !strings.Contains(r.Header.Get("Parts"), crashingPart) {
+	if e.sound || !e.deadly(r) {
 		return false
 	}
 	e.crashing = append(e.crashing, time.Now())
@@ -124,15 +126,15 @@
 	e.store.setServers(e.listed)
 }
 
-// lateCrashing returns how many servers ended, and how many requests with the part arrived
-// too late.
-func (e *engines) lateCrashing() (ended, late int) {
+// lateCrashing returns how many servers ended, and how many crashing requests arrived later
+// than blameTime after the first beforeBlame ends.
+func (e *engines) lateCrashing(beforeBlame int) (ended, late int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.crashes) < crashesBeforeBlame {
+	if len(e.crashes) < beforeBlame {
 		return len(e.crashes), 0
 	}
-	bound := e.crashes[crashesBeforeBlame-1].Add(blameTime)
+	bound := e.crashes[beforeBlame-1].Add(blameTime)
 	for _, at := range e.crashing {
 		if at.After(bound) {
 			late++
@@ -179,8 +181,11 @@
 
 // generate sends a request with the given parts, and returns its status, or 0 if it got no
 // whole response.
-func (s *system) generate(id, parts string) int {
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.settings.Gateway.HTTPAddress+"/x/1", strings.NewReader("x"))
+func (s *system) generate(id, parts string) int { return s.call(id, "/x/1", "x", parts) }
+
+// call sends a request, and returns its status, or 0 if it got no whole response.
+func (s *system) call(id, path, body, parts string) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.settings.Gateway.HTTPAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -217,7 +222,7 @@
 	tr := traffic{gateways: []*system{one, two}, parts: []string{"system", "system bad", "system doc", "system other", "doc bad doc", "system doc"}}
 	tr.run(t, 2*blameTime, 25*time.Millisecond)
 	statuses := tr.run(t, blameTime, 25*time.Millisecond)
-	ended, late := e.lateCrashing()
+	ended, late := e.lateCrashing(crashesBeforeBlame)
 	if ended == 0 {
 		t.Fatal("no server has ended: the part crashes none")
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -213,3 +214,48 @@
 		t.Errorf("the joining gateway decides %+v, the other one %+v", got, want)
 	}
 }
+
+// Sound requests that a crashing one took with it must not be blamed together with it, even
+// if none of them succeeded in between: they could not succeed any more.
+func TestSoundRequestsLostWithACrashingOne(t *testing.T) {
+	lost := func(server int, lists ...string) []step {
+		var steps []step
+		for _, parts := range lists {
+			steps = append(steps, step{server: fmt.Sprint("s", server), parts: parts, sent: float64(server) + 0.1, at: float64(server) + 0.5})
+		}
+		return steps
+	}
+	for _, c := range []struct {
+		name       string
+		steps      [][]step
+		held, sent []string
+	}{
+		{"with the crashing part's requests", [][]step{lost(0, "RP", "R"), lost(1, "PO", "R"), lost(2, "R", "RP", "O")},
+			[]string{"P", "RP", "PO"}, []string{"R", "RO", "O"}},
+		{"more sound ones than crashing ones", [][]step{lost(0, "R", "R1", "P"), lost(1, "R2", "R", "P"), lost(2, "P", "R", "R3")},
+			[]string{"P", "PR"}, []string{"R", "R1"}},
+		{"the crashing part ended one more", [][]step{lost(0, "R", "P"), lost(1, "R", "P"), lost(2, "R", "P"), lost(3, "P")},
+			[]string{"P", "PR"}, []string{"R"}},
+		{"the other part ended one more", [][]step{lost(0, "R", "P"), lost(1, "R", "P"), lost(2, "R", "P"), lost(3, "R")},
+			[]string{"R", "PR"}, []string{"P"}},
+	} {
+		for _, reversed := range []bool{false, true} { // in any order of learning
+			q := New(func(Part, int64) bool { return false })
+			steps := slices.Concat(c.steps...)
+			if reversed {
+				slices.Reverse(steps)
+			}
+			apply(q, steps)
+			for _, parts := range c.held {
+				if d := q.Check(partsOf(parts), second(5)); !d.Held {
+					t.Errorf("%s, reversed %v: %q is not held back", c.name, reversed, parts)
+				}
+			}
+			for _, parts := range c.sent {
+				if d := q.Check(partsOf(parts), second(5)); d.Held || d.Probe {
+					t.Errorf("%s, reversed %v: %q: %+v", c.name, reversed, parts, d)
+				}
+			}
+		}
+	}
+}
