Hold back repeats of a request that crashes servers

One plain request came again and again and ended each server that began it; with it went the sound requests there. Cause: what gateways remember of crashes was keyed by shared parts of prompts only; a plain request, and a generation as a whole, had no key. Class of fault: a request that kills what serves it.

Change: a request is a part of itself, by service, method, target, caller and body, and is blamed, held back, probed and told like a part. Repeats that were sent together count each, unless the request has succeeded lately: a sound request that is at several servers when they end together has. A whole answer below 500 clears it. Of two parts lost at the same servers only the one with more ends or fewer lost requests is blamed, so that sound requests are not held back with the crashing one that took them along; the next crash tells if that is wrong.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -13,22 +13,14 @@
 // crashCheckTimeout bounds the check whether a server's process has ended.
 const crashCheckTimeout = time.Second
 
-// quarantineParts returns the shared parts of a request's prompt.
+// quarantineParts returns the shared parts of a request's prompt, and the request itself.
 func quarantineParts(service string, req *Request) []quarantine.Part {
 	shared := req.Shared()
-	if len(shared) == 0 {
-		return nil
-	}
-	parts := make([]quarantine.Part, len(shared))
-	for i, part := range shared {
-		parts[i] = quarantine.PartOf(service, part.ID)
+	parts := make([]quarantine.Part, 0, len(shared)+1)
+	for _, part := range shared {
+		parts = append(parts, quarantine.PartOf(service, part.ID))
 	}
-	return parts
-}
-
-// requestPart returns the Part that stands for the whole request.
-func requestPart(service string, req *Request) quarantine.Part {
-	return quarantine.RequestOf(service, req.Method, req.URL.RequestURI(), req.WorkspaceName(), req.Body)
+	return append(parts, quarantine.RequestOf(service, req.Method, req.URL.RequestURI(), req.WorkspaceName(), req.Body))
 }
 
 // partNames returns the parts as logs show them.
@@ -52,7 +44,7 @@
 	logger.Info(fields{
 		logging.FieldRequest: r.req.ID, logging.FieldQuarantined: decision.Part.String(), "retry_after_ms": decision.RetryAfter.Milliseconds(),
 	}, "request held back")
-	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "backend servers crash when they answer part %s of the prompt", decision.Part).
+	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "backend servers crash when they answer %s", decision.Part.Describe()).
 		WithRetryAfter(decision.RetryAfter)
 }
 
@@ -71,7 +63,7 @@
 	now := time.Now()
 	server := r.req.Snapshot.Servers[r.req.Log.Server]
 	stage, possible := quarantine.StageAt(r.begun, firstEvent, now)
-	if len(r.parts) == 0 || server == nil || ctx.Err() != nil || !possible {
+	if server == nil || ctx.Err() != nil || !possible {
 		return
 	}
 	crash := quarantine.Crash{
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -147,11 +147,8 @@
 		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": r.req.Log.Server, "code": string(err.Code),
 		"verdict": err.Verdict.String(), "error": err.Error(), "again": retry, "response_begun": r.begun,
 	}
-	if len(r.parts) > 0 {
-		entry[logging.FieldParts] = r.partNames()
-	}
 	if err.Verdict != verdict.NotRun {
-		entry["request_hash"] = requestPart(r.service, r.req).String()
+		entry[logging.FieldParts] = r.partNames()
 	}
 	logger.Info(entry, "attempt failed")
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -124,10 +124,8 @@
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
 	}
 	result := &Response{Status: resp.Status, Header: resp.Header, Body: body}
-	if success {
-		r.relay.Quarantine.RecordSuccess(r.parts, time.Now())
-	}
 	if success || resp.Status < http.StatusInternalServerError {
+		r.relay.Quarantine.RecordSuccess(r.parts, time.Now())
 		r.endAttempt(attempt, fleet.Succeeded)
 		return r.checkStatus(result)
 	}
--- a/internal/forward/watchdog_test.go
+++ b/internal/forward/watchdog_test.go
@@ -18,7 +18,8 @@
 // another request shortly after this one is sent.
 func relayTo(f *fakeBackend, req *Request, retries int, serversRespond bool) *Relay {
 	relay := NewRelay(Relay{
-		Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries},
+		ProcessEnded: func(context.Context, string) bool { return false },
+		Fleet:        fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries},
 		Source: func() *deployment.Snapshot { return req.Snapshot },
 	})
 	if serversRespond {
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -121,6 +121,7 @@
 		w.told = append(w.told, crash)
 		entry := &wire.ServerCrash{
 			Server: crash.Server, SentAgeMs: w.now.Sub(crash.Sent).Milliseconds(), EndedAgeMs: w.now.Sub(crash.Ended).Milliseconds(), Stage: uint32(crash.Stage),
+			Proven: crash.Proven,
 		}
 		for _, part := range crash.Parts {
 			entry.Parts = append(entry.Parts, uint64(part))
@@ -151,15 +152,19 @@
 			q.spread(&rumor{crash: crash})
 		}
 	}
+	settled := make(map[string]struct{})
 	for _, entry := range news.Successes[:min(len(news.Successes), maxTold*MaxParts)] {
-		q.mergeSuccess(Part(entry.GetPart()), entry.GetAgeMs(), now)
+		q.mergeSuccess(Part(entry.GetPart()), entry.GetAgeMs(), now, settled)
+	}
+	for server := range settled {
+		q.judgeServer(server)
 	}
 }
 
 // mergeSuccess records another process's success if it settles any crash that is open
-// here. A success that does not is not kept, since ages grow a little with each message. The
-// caller holds the lock.
-func (q *Quarantine) mergeSuccess(part Part, ageMs int64, now time.Time) {
+// here, and adds the servers to judge again. A success that does not is not kept, since
+// ages grow a little with each message. The caller holds the lock.
+func (q *Quarantine) mergeSuccess(part Part, ageMs int64, now time.Time, servers map[string]struct{}) {
 	at, ok := fromAge(ageMs, now)
 	if !ok {
 		return
@@ -168,7 +173,7 @@
 	settles := slices.ContainsFunc(q.byPart[part], func(c *Crash) bool { return c.Ended.After(success) && !c.Ended.After(at) })
 	if settles {
 		open := q.openCrashes(part)
-		q.clear(part, at)
+		q.clear(part, at, servers)
 		if open > 1 {
 			q.spread(&rumor{success: part})
 		}
@@ -182,7 +187,7 @@
 	if !sentOK || !endedOK || ended.Before(sent) || entry.GetStage() >= uint32(stages) || entry.GetServer() == "" || len(entry.GetServer()) > maxServerBytes || len(entry.GetParts()) > MaxParts {
 		return nil
 	}
-	crash := &Crash{Server: entry.GetServer(), Sent: sent, Ended: ended, Stage: Stage(entry.GetStage())}
+	crash := &Crash{Server: entry.GetServer(), Sent: sent, Ended: ended, Stage: Stage(entry.GetStage()), Proven: entry.GetProven()}
 	for _, part := range entry.GetParts() {
 		crash.Parts = append(crash.Parts, Part(part))
 	}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,21 +9,30 @@
 // judgeServer judges the parts of all requests under which a server ended, since those of
 // a higher stage explain the others. The caller holds the lock.
 func (q *Quarantine) judgeServer(server string) {
+	for part := range q.partsLostAt(server) {
+		q.judge(part)
+	}
+}
+
+// partsLostAt returns the parts of all requests under which a server ended. The caller
+// holds the lock.
+func (q *Quarantine) partsLostAt(server string) map[Part]struct{} {
+	parts := make(map[Part]struct{})
 	for _, crash := range q.crashes {
-		if crash.Server != server {
-			continue
-		}
-		for _, part := range crash.Parts {
-			q.judge(part)
+		if crash.Server == server {
+			for _, part := range crash.Parts {
+				parts[part] = struct{}{}
+			}
 		}
 	}
+	return parts
 }
 
 // judge decides whether a part is blamed. The caller holds the lock.
 func (q *Quarantine) judge(part Part) {
 	before := q.blamed[part]
 	open, counted := q.evidence(part)
-	if len(counted) < minCrashes {
+	if len(counted) < minCrashes || q.isExplained(part, open, counted) {
 		if before != nil {
 			delete(q.blamed, part)
 			logCleared(part)
@@ -38,9 +48,50 @@
 	q.blames.Store(len(q.blamed) > 0)
 }
 
+// isExplained reports whether another part explains all the crashes against a part: requests
+// with it were lost at the same servers, and it has more crashes, or fewer requests that
+// were lost, so that holding it back costs less. A crashing part is then not blamed together
+// with sound ones that it took with it. If it is the wrong one, the next crash tells. The
+// caller holds the lock.
+func (q *Quarantine) isExplained(part Part, open, counted []*Crash) bool {
+	common := q.common(part, counted)
+	for other := range q.partsLostAt(counted[0].Server) {
+		if len(q.byPart[other]) < minCrashes || slices.Contains(common, other) {
+			continue
+		}
+		otherOpen, otherCounted := q.evidence(other)
+		if len(otherCounted) < minCrashes || !allAtServersOf(counted, otherOpen) {
+			continue
+		}
+		order := cmp.Or(
+			cmp.Compare(countServers(otherOpen), countServers(open)),
+			cmp.Compare(len(open), len(otherOpen)),
+			cmp.Compare(part, other),
+		)
+		if order > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// allAtServersOf reports whether each of the crashes is of a server of the others.
+func allAtServersOf(crashes, others []*Crash) bool {
+	return !slices.ContainsFunc(crashes, func(c *Crash) bool { return !ofServer(others, c.Server) })
+}
+
+func countServers(crashes []*Crash) int {
+	servers := make(map[string]struct{})
+	for _, c := range crashes {
+		servers[c.Server] = struct{}{}
+	}
+	return len(servers)
+}
+
 // evidence returns the crashes against a part since its last success, ordered by time, and
 // those of them that count: of different servers, and under requests sent after the one
-// counted before had ended. A request without a response does not count if the server had begun
+// counted before had ended. Repeats of a request that has not succeeded lately may have been
+// sent together: a sound one that is at several servers when they end together has. A request without a response does not count if the server had begun
 // one to another request. The caller holds the lock.
 func (q *Quarantine) evidence(part Part) (open, counted []*Crash) {
 	success := q.success[part]
@@ -50,11 +101,13 @@
 		}
 	}
 	slices.SortFunc(open, func(a, b *Crash) int { return a.Ended.Compare(b.Ended) })
+	together := part.IsRequest() && !slices.ContainsFunc(open, func(c *Crash) bool { return c.Proven })
 	for _, crash := range open {
 		if len(counted) == maxCounted {
 			break
 		}
-		if len(counted) == 0 || !crash.Sent.Before(counted[len(counted)-1].Ended) && !ofServer(counted, crash.Server) {
+		follows := len(counted) == 0 || together || !crash.Sent.Before(counted[len(counted)-1].Ended)
+		if follows && !ofServer(counted, crash.Server) {
 			counted = append(counted, crash)
 		}
 	}
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -57,13 +57,29 @@
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
 func logBlamed(part Part, b *blame) {
-	logger.Warn(logging.Fields{logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.newest, "parts_in_common": len(b.common)}, "part of a prompt blamed for crashes")
+	logger.Warn(logging.Fields{logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.newest, "parts_in_common": len(b.common)}, part.describe()+" blamed for crashes")
+}
+
+// Describe returns what the part is, for a client's error.
+func (p Part) Describe() string {
+	if p.IsRequest() {
+		return "this request"
+	}
+	return "part " + p.String() + " of the prompt"
+}
+
+// describe returns what the part is, for log lines.
+func (p Part) describe() string {
+	if p.IsRequest() {
+		return "request"
+	}
+	return "part of a prompt"
 }
 
 func logCleared(part Part) {
-	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, "part of a prompt no longer blamed")
+	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, part.describe()+" no longer blamed")
 }
 
 func logProbe(part Part) {
-	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, "probe of a blamed part")
+	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, "probe of a blamed "+part.describe())
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,18 +1,21 @@
-// Package quarantine finds parts of prompts that crash the backend servers that answer
-// them, and decides which requests are held back because of them.
+// Package quarantine finds requests, and parts of prompts, that crash the backend servers
+// that answer them, and decides which requests are held back because of them. A request
+// that is sent again and again, unchanged, is a part of itself.
 //
 // When a server's process ends, each request that waited for its first event there is a
 // possible cause, and so is each of the shared parts of its prompt. A part is blamed once
 // several servers have ended under requests with it, each sent after the end of the server
 // before, and no request with it has succeeded since. Servers that end together therefore
 // count once, and the parts of successful requests are never blamed. A blamed part holds
-// back only the requests that have all parts in common with those that crashed servers.
+// back only the requests that have all parts in common with those that crashed servers. Of
+// two parts that were lost at the same servers, one explains the other; see isExplained.
 //
 // From time to time one gateway sends one of the held requests as a probe. Its success
 // ends the blame; another crash doubles the time until the next probe.
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,9 +47,15 @@
 	MaxParts     = 32
 )
 
-// Part identifies a shared part of a prompt within its service.
+// Part identifies a shared part of a prompt within its service, or a whole request.
 type Part uint64
 
+// wholeRequest is the bit that tells whole requests from parts of prompts.
+const wholeRequest = 1
+
+// IsRequest reports whether the part is a whole request.
+func (p Part) IsRequest() bool { return p&wholeRequest != 0 }
+
 // PartOf returns the Part with the given id in the prompts to a service.
 func PartOf(service, id string) Part {
 	var digest xxhash.Digest
@@ -54,7 +63,7 @@
 	_, _ = digest.WriteString(service) // never fails
 	_, _ = digest.Write([]byte{0})
 	_, _ = digest.WriteString(id)
-	return Part(digest.Sum64())
+	return Part(digest.Sum64() &^ wholeRequest)
 }
 
 // RequestOf returns the Part that stands for whole requests: those to a service with the same
@@ -67,7 +76,7 @@
 		_, _ = digest.Write([]byte{0})
 	}
 	_, _ = digest.Write(body)
-	return Part(digest.Sum64())
+	return Part(digest.Sum64() | wholeRequest)
 }
 
 // Stage is how far a server was with a request when its process ended. Of the requests at a
@@ -106,7 +115,8 @@
 	Sent   time.Time // when the request was sent to the server
 	Ended  time.Time
 	Stage  Stage
-	Parts  []Part // shared parts of the request's prompt
+	Parts  []Part // shared parts of the request's prompt, and the request itself
+	Proven bool   // the request has succeeded lately, as far as the reporting process knows
 }
 
 // Elect reports whether this process may send the probe of a part in the given turn.
@@ -148,6 +158,7 @@
 
 	remembers atomic.Bool // any crash is known
 	blames    atomic.Bool // any part is blamed
+	proven    recentParts // requests that have succeeded lately
 
 	mu      sync.Mutex
 	crashes []*Crash // in the order in which they were learned
@@ -244,6 +255,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	crash.Parts = slices.Clone(limitParts(crash.Parts))
+	crash.Proven = slices.ContainsFunc(crash.Parts, func(p Part) bool { return p.IsRequest() && q.proven.has(p, now) })
 	if q.add(&crash, now) {
 		q.meters.count(q.meters.crashes)
 		q.spread(&rumor{crash: &crash})
@@ -252,19 +264,28 @@
 
 // RecordSuccess records that a server has answered a request with the given parts whole.
 func (q *Quarantine) RecordSuccess(parts []Part, now time.Time) {
+	for _, part := range parts {
+		if part.IsRequest() {
+			q.proven.add(part, now)
+		}
+	}
 	if !q.Remembers() {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	settled := make(map[string]struct{})
 	for _, part := range limitParts(parts) {
 		if open := q.openCrashes(part); open > 0 {
-			q.clear(part, now)
+			q.clear(part, now, settled)
 			if open > 1 {
 				q.spread(&rumor{success: part})
 			}
 		}
 	}
+	for server := range settled {
+		q.judgeServer(server)
+	}
 }
 
 // limitParts returns the parts that are considered: the last ones, since requests share
@@ -298,6 +319,9 @@
 	}
 	q.remembers.Store(true)
 	q.judgeServer(crash.Server)
+	for _, part := range slices.Collect(maps.Keys(q.blamed)) {
+		q.judge(part) // the new crash may be of a part that explains it
+	}
 	return true
 }
 
@@ -349,14 +373,12 @@
 	return open
 }
 
-// clear records the success of a part, and judges again each part that was in the same
-// request when a server ended. The caller holds the lock.
-func (q *Quarantine) clear(part Part, at time.Time) {
+// clear records the success of a part, and adds to servers those whose ends must be judged
+// again. The caller holds the lock.
+func (q *Quarantine) clear(part Part, at time.Time, servers map[string]struct{}) {
 	q.success[part] = at
 	delete(q.probes, part)
 	for _, crash := range q.byPart[part] {
-		for _, other := range crash.Parts {
-			q.judge(other)
-		}
+		servers[crash.Server] = struct{}{}
 	}
 }
