Hold back calls that crash plain services, behind sidecars too

A repeat with a new idempotency key is another call to the record of calls.

Change: routers hold back calls, and generations as a whole, like gateways do. A sidecar tells the end of its plain service's process from a broken connection by a refused dial, and names the process in the failure.

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/wasabigate/wasabigate/internal/backend"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/engine"
@@ -40,23 +42,32 @@
 	}
 	observe := func(header http.Header) { s.sidecar.ObserveResponse(header) }
 	if settings.Kind == config.GroupEngines {
-		backend := client.NewEngine(settings.BackendURL)
-		backend.OnResponse = observe
-		s.engine = backend
+		modelEngine := client.NewEngine(settings.BackendURL)
+		modelEngine.OnResponse = observe
+		s.engine = modelEngine
 		s.index = cacheindex.New()
-		options.Engine = backend
+		options.Engine = modelEngine
 		options.Blocks = s.index
 		options.PieceStore = newPieceStore(&b.settings.Platform)
-		options.Executor = execute.New(backend, nil)
+		options.Executor = execute.New(modelEngine, nil)
 	} else {
-		backend := client.NewService(settings.BackendURL)
-		backend.OnResponse = observe
-		options.Executor = execute.New(nil, backend)
+		service := client.NewService(settings.BackendURL)
+		service.OnResponse = observe
+		options.Executor = execute.NewForService(service, processEnded(settings.BackendURL))
 	}
 	s.sidecar = sidecar.New(options)
 	return s, errors.Wrap(wire.DRPCRegisterBackend(b.mux, s.sidecar), "backend service")
 }
 
+// processEnded returns a function that reports whether no process serves a base URL.
+func processEnded(baseURL string) func(context.Context) bool {
+	parsed, err := url.Parse(baseURL)
+	if err != nil {
+		return nil // calls fail as well
+	}
+	return func(ctx context.Context) bool { return backend.ProcessEnded(ctx, parsed.Host) }
+}
+
 // newPieceStore returns nil if no store for KV cache is configured.
 func newPieceStore(settings *config.PlatformSettings) platform.PieceStore {
 	if settings.PieceStore == "" {
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -1,10 +1,12 @@
-// Package hold provides the filter that holds back attempts of generations whose prompt
-// crashes engines. It reports crashes and successes of attempts to the quarantine.
+// Package hold provides the filter that holds back attempts of requests that crash backend
+// servers, and of generations whose prompt does. It reports crashes and successes of
+// attempts to the quarantine.
 package hold
 
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/dispatch"
@@ -31,16 +33,13 @@
 // Handle implements pipeline.Filter.
 func (f *Filter) Handle(ctx context.Context, req *request.Request, next request.Handler) (request.Stream, error) {
 	parts := partsOf(req)
-	if len(parts) == 0 {
-		return next.Handle(ctx, req)
-	}
 	a := &attempt{quarantine: f.quarantine, server: req.Target.Name, parts: parts, sent: time.Now()}
 	decision := f.quarantine.Check(parts, a.sent)
 	if decision.Held {
 		logger.Info(logging.Fields{
 			logging.FieldRequest: req.ID, logging.FieldQuarantined: decision.Part.String(), "retry_after_ms": decision.RetryAfter.Milliseconds(),
 		}, "request held back")
-		return nil, verdict.New(verdict.NotRun, verdict.CodeQuarantined, "engines crash when they answer part %s of the prompt", decision.Part).
+		return nil, verdict.New(verdict.NotRun, verdict.CodeQuarantined, "backend servers crash when they answer %s", decision.Part.Describe()).
 			WithRetryAfter(decision.RetryAfter)
 	}
 	if decision.Probe {
@@ -54,19 +53,30 @@
 	return &stream{Stream: inner, attempt: a}, nil
 }
 
-// partsOf returns the parts of a request's prompt that other requests may share.
+// partsOf returns the parts of a request's prompt that other requests may share, and the
+// request itself.
 func partsOf(req *request.Request) []quarantine.Part {
-	if req.Generation == nil {
-		return nil
+	if g := req.Generation; g != nil {
+		parts := make([]quarantine.Part, 0, len(g.SharedTexts)+1)
+		for _, text := range g.SharedTexts {
+			parts = append(parts, quarantine.PartOf(g.ModelName, text))
+		}
+		return append(parts, quarantine.RequestOf(g.ModelName, "", "", req.Workspace, []byte(g.Prompt)))
+	}
+	if call := req.Call; call != nil {
+		return []quarantine.Part{quarantine.RequestOf(routeName(req), call.Method, call.Path, req.Workspace, call.Body)}
 	}
-	parts := make([]quarantine.Part, len(req.Generation.SharedTexts))
-	for i, text := range req.Generation.SharedTexts {
-		parts[i] = quarantine.PartOf(req.Generation.ModelName, text)
+	return nil
+}
+
+func routeName(req *request.Request) string {
+	if req.Route == nil {
+		return ""
 	}
-	return parts
+	return req.Route.Name
 }
 
-// attempt is an attempt at an engine.
+// attempt is an attempt at a backend server.
 type attempt struct {
 	quarantine *quarantine.Quarantine
 	server     string
@@ -85,7 +95,7 @@
 		a.began = true
 	case frame.GetTokens() != nil && a.firstToken.IsZero():
 		a.firstToken = time.Now()
-	case frame.GetTail() != nil:
+	case frame.GetTail() != nil, frame.GetReply() != nil && frame.GetReply().Status < http.StatusInternalServerError:
 		a.end()
 		a.quarantine.RecordSuccess(a.parts, time.Now())
 	case frame.GetFailure() != nil:
--- a/internal/sidecar/execute/call.go
+++ b/internal/sidecar/execute/call.go
@@ -7,6 +7,7 @@
 	"net/textproto"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/wasabigate/wasabigate/internal/credential"
 	"github.com/wasabigate/wasabigate/internal/engine"
@@ -33,9 +34,12 @@
 		defer cancel()
 		ctx = callCtx
 	}
+	sent := time.Now()
 	reply, err := x.service.Call(ctx, callRequest(req))
 	if err != nil {
-		return nil, backendError(ctx, err, "call failed")
+		failure := backendError(ctx, err, "call failed")
+		failure.Crashed = x.ends.observe(ctx, sent, err)
+		return nil, failure
 	}
 	if reply.RequestID != "" && reply.RequestID != req.RequestId {
 		countMismatched(ctx)
--- a/internal/sidecar/execute/execute.go
+++ b/internal/sidecar/execute/execute.go
@@ -20,6 +20,7 @@
 type executor struct {
 	engine  engine.Engine  // nil for a plain service
 	service engine.Service // nil for a model engine
+	ends    serviceEnds
 }
 
 // New returns the Executor for a model engine or a plain service; the other
@@ -28,6 +29,12 @@
 	return &executor{engine: e, service: s}
 }
 
+// NewForService returns the Executor for a plain service. ended reports whether no
+// process of the service runs.
+func NewForService(s engine.Service, ended func(ctx context.Context) bool) job.Executor {
+	return &executor{service: s, ends: serviceEnds{ended: ended}}
+}
+
 // Handle implements job.Executor.
 func (x *executor) Handle(ctx context.Context, j *job.Job) (job.Outcome, error) {
 	outcome, err := x.run(ctx, j)
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -46,6 +46,8 @@
 	document string
 	// sidecar is appended to the sidecars' settings.
 	sidecar string
+	// deadlyBody is the body of calls that end the process of a plain service; empty: none.
+	deadlyBody string
 	// certificates is the directory of the daemons' certificates; empty: plain
 	// text.
 	certificates string
@@ -291,7 +293,7 @@
 	t.Helper()
 	address := freeAddress()
 	v := server{captured: &capture{}, link: newLink(t, address)}
-	backendURL := serveHTTP(t, v.captured.wrap(handler))
+	backendURL := serveHTTPUntil(t, p.deadlyBody, v.captured.wrap(handler))
 	text := fmt.Sprintf(settings(name, "sidecar", address), "admin_address = "+freeAddress())
 	text += fmt.Sprintf("[sidecar]\nkind = %s\ngroup = %s\nbackend_url = %s\n%s\n", kind, group, backendURL, p.sidecar)
 	v.sidecar = newProcess(t, name, text)
