--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -108,3 +108,21 @@
 		t.Errorf("causes of another refusal %+v", causes)
 	}
 }
+
+// A request that was held back as a whole leads to what was said of it.
+func TestCauseOfAHeldRequest(t *testing.T) {
+	log, err := Read(strings.NewReader(`
+{"fields":{"process":"g1","request_id":"r1","parts":["ab1"],"code":"backend_failed"},"level":"info","timestamp":"2026-01-01T00:00:01Z","message":"relay: attempt failed"}
+{"fields":{"process":"g2","quarantined_part":"ab1","servers":3},"level":"warn","timestamp":"2026-01-01T00:00:02Z","message":"quarantine: request blamed for crashes"}
+{"fields":{"process":"g1","request_id":"r2","quarantined_part":"ab1"},"level":"info","timestamp":"2026-01-01T00:00:04Z","message":"relay: request held back"}
+{"fields":{"process":"g1","request_id":"r3","parts":["ab1"],"code":"backend_failed"},"level":"info","timestamp":"2026-01-01T00:00:05Z","message":"relay: attempt failed"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, want := range map[string]int{"r1": 0, "r2": 1, "r3": 1} {
+		if causes := log.CauseLines(log.RequestLines(id)); len(causes) != want {
+			t.Errorf("%s: causes %+v, want %d", id, causes, want)
+		}
+	}
+}
