Ignore malformed eras of the key-value service

An era that is no number, does not fit, or is far ahead of the last one would make a gateway take all that the store says later for old. Such a value, and a missing header, now counts as the latest era, and is counted.

--- a/internal/platform/client/kv.go
+++ b/internal/platform/client/kv.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"net/url"
-	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,7 +15,7 @@
 // KV calls the key-value service. It implements platform.KV.
 type KV struct {
 	caller
-	era              atomic.Uint64 // latest in a response
+	eras             platform.EraTracker
 	watchIdleTimeout time.Duration
 }
 
@@ -29,35 +27,21 @@
 		caller:           newCaller(baseURL, timeout),
 		watchIdleTimeout: defaultWatchIdleTimeout,
 	}
-	k.onResponse = func(header http.Header) { k.observeEra(headerEra(header)) }
+	k.onResponse = func(header http.Header) { k.eraOf(header) }
 	return k
 }
 
 // Era implements platform.KV.
-func (k *KV) Era() platform.Era { return platform.Era(k.era.Load()) }
-
-// observeEra records the era of a response.
-func (k *KV) observeEra(era platform.Era) {
-	for {
-		last := k.era.Load()
-		if uint64(era) <= last || k.era.CompareAndSwap(last, uint64(era)) {
-			return
-		}
-	}
-}
+func (k *KV) Era() platform.Era { return k.eras.Latest() }
 
-// headerEra returns the era in the header of a response; 0 if there is none.
-func headerEra(header http.Header) platform.Era {
-	era, err := strconv.ParseUint(header.Get(httpapi.HeaderEra), 10, 16)
-	if err != nil {
-		return 0
-	}
-	return platform.Era(era)
+// eraOf returns the era of the response with the given header.
+func (k *KV) eraOf(header http.Header) platform.Era {
+	return k.eras.Observe(header.Get(httpapi.HeaderEra))
 }
 
 // withEra returns an entry of a response with the version in its era.
-func withEra(entry httpapi.Entry, header http.Header) platform.Entry {
-	entry.Version = platform.NewVersion(headerEra(header), uint64(entry.Version))
+func withEra(entry httpapi.Entry, era platform.Era) platform.Entry {
+	entry.Version = platform.NewVersion(era, uint64(entry.Version))
 	return platform.Entry(entry)
 }
 
@@ -77,7 +61,7 @@
 	if err != nil {
 		return platform.Entry{}, err
 	}
-	return withEra(entry, header), nil
+	return withEra(entry, k.eraOf(header)), nil
 }
 
 // List implements platform.KV.
@@ -90,7 +74,7 @@
 	}
 	entries := make([]platform.Entry, len(response.Entries))
 	for i, entry := range response.Entries {
-		entries[i] = withEra(entry, header)
+		entries[i] = withEra(entry, k.eraOf(header))
 	}
 	return entries, nil
 }
@@ -109,10 +93,11 @@
 	if err != nil {
 		return 0, err
 	}
-	if era := headerEra(header); expected != 0 && expected.Era() != era {
+	era := k.eraOf(header)
+	if expected != 0 && expected.Era() != era {
 		return 0, errors.Wrapf(platform.ErrOutcomeUnknown, "key %q: restored before the write", key)
 	}
-	return platform.NewVersion(headerEra(header), uint64(response.Version)), nil
+	return platform.NewVersion(era, uint64(response.Version)), nil
 }
 
 // Delete implements platform.KV.
--- a/internal/platform/client/watch.go
+++ b/internal/platform/client/watch.go
@@ -47,7 +47,7 @@
 	}
 	opened := &watch{
 		body:        response.Body,
-		era:         headerEra(response.Header),
+		era:         k.eraOf(response.Header),
 		timer:       timer,
 		idleTimeout: k.watchIdleTimeout,
 		events:      make(chan platform.Event),
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if era := headerEra(response.Header); after != 0 && after.Era() != era {
+	if era := k.eraOf(response.Header); after != 0 && after.Era() != era {
 		_ = response.Body.Close()
 		return nil, errors.Wrapf(platform.ErrCompacted, "%s: version of era %d, now %d", httpapi.PathWatch, after.Era(), era)
 	}
