lease: wait again if the service is restored during an acquisition

Found while reading the change: a restore between the wait and the write of the key let a process acquire a lease that a holder lost in the restore may still rely on. The acquisition now gives the key back and waits anew.

Measured: TestRestoreWhileAcquiring passes; not run on the code before.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -84,6 +84,7 @@
 	case !errors.Is(err, platform.ErrNotFound):
 		return nil, err
 	}
+	era := c.kv.Era()
 	if err := c.restored.done(ctx, c.duration.TTL, time.Now()); err != nil {
 		return nil, err
 	}
@@ -98,6 +99,10 @@
 		t.Release(ctx)
 		return nil, err
 	}
+	if t.era != era { // restored meanwhile, so that another wait is due
+		t.Release(ctx)
+		return nil, ErrRestored
+	}
 	return t, nil
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -107,3 +107,44 @@
 		acquireWithin(t, newCandidate(store, "b"), 2*testTTL)
 	})
 }
+
+// restoringKV restores the service just before a lease is granted.
+type restoringKV struct {
+	*kv.Store
+	restore bool
+}
+
+func (k *restoringKV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if k.restore {
+		k.restore = false
+		k.Restore(time.Second)
+	}
+	return k.Store.GrantLease(ctx, ttl)
+}
+
+// A restore while a process acquires the lease makes it wait for the holder that the
+// restore lost, which renewed its lease until then.
+func TestRestoreWhileAcquiring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &restoringKV{Store: kv.New(1)}
+		time.Sleep(time.Minute)
+		candidate := NewCandidate(store, testKey, "a", Duration{TTL: testTTL, Margin: testTTL / 6})
+		store.restore = true
+		if _, err := candidate.Acquire(context.Background()); !errors.Is(err, ErrRestored) {
+			t.Errorf("acquired in the middle of a restore: %v, want ErrRestored", err)
+		}
+		if _, err := store.Get(context.Background(), testKey); !errors.Is(err, platform.ErrNotFound) {
+			t.Errorf("the key of the attempt: %v, want ErrNotFound", err)
+		}
+		start := time.Now()
+		for {
+			if _, err := candidate.Acquire(context.Background()); err == nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if waited := time.Since(start); waited < testTTL {
+			t.Errorf("acquired %v after a restore, want at least %v", waited, testTTL)
+		}
+	})
+}
