forward: keep tests of servers that do not exist from dialling them

These tests say that their servers have not ended, as the tests of the watchdog's fixture do; nothing else in them changes.

--- a/internal/forward/instruct_test.go
+++ b/internal/forward/instruct_test.go
@@ -30,7 +30,7 @@
 	f := &fakeBackend{steps: []step{{silent: true}}}
 	req := requestWithPrompt()
 	cache := kvcache.NewDirectory()
-	relay := NewRelay(Relay{
+	relay := NewRelay(Relay{ProcessEnded: neverEnded,
 		Source: func() *deployment.Snapshot { return req.Snapshot },
 		Fleet:  fleet.New(), Cache: cache, Backend: f, Budget: &fakeBudget{left: ampleRetries},
 	})
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -117,6 +117,9 @@
 	return (&deployment.Snapshot{Config: config.Index(), Servers: servers}).Index()
 }
 
+// neverEnded is the check of servers' processes for servers that exist in tests only.
+func neverEnded(context.Context, string) bool { return false }
+
 func testRequest(route deployment.Route) *Request {
 	return &Request{
 		Metadata: Metadata{ID: "r1"}, Arrived: time.Now(), Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Host: "h",
@@ -126,7 +129,7 @@
 
 func testRelay(steps []step, retries int) (Handler, *fakeBackend) {
 	f := &fakeBackend{steps: steps}
-	relay := NewRelay(Relay{Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries}})
+	relay := NewRelay(Relay{ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries}})
 	withSource := func(req *Request) *Relay {
 		relay.Source = func() *deployment.Snapshot { return req.Snapshot }
 		return relay
@@ -261,7 +264,7 @@
 	route := testRoute(deployment.Stream, true)
 	current := testSnapshot(route)
 	f := &fakeBackend{steps: []step{{status: 200, body: first, cut: io.ErrUnexpectedEOF}, {status: 200, body: second}}}
-	relay := NewRelay(Relay{
+	relay := NewRelay(Relay{ProcessEnded: neverEnded,
 		Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: ampleRetries},
 		Source: func() *deployment.Snapshot { return current },
 	})
@@ -307,7 +310,7 @@
 	route := testRoute(deployment.Idempotent, false)
 	f := &fakeBackend{steps: steps}
 	snapshot := testSnapshot(route)
-	relay := NewRelay(Relay{
+	relay := NewRelay(Relay{ProcessEnded: neverEnded,
 		Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: 1000},
 		Source: func() *deployment.Snapshot { return snapshot },
 	})
--- a/internal/forward/serverlimit_test.go
+++ b/internal/forward/serverlimit_test.go
@@ -21,7 +21,7 @@
 	snapshot := testSnapshot(route)
 	limits := serverlimit.New("g")
 	f := &fakeBackend{steps: []step{{status: http.StatusOK, body: "whole"}}}
-	relay := NewRelay(Relay{Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{}, Limits: limits})
+	relay := NewRelay(Relay{ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{}, Limits: limits})
 	relay.Source = func() *deployment.Snapshot { return snapshot }
 	for id, server := range snapshot.Servers {
 		if id != "a" {
@@ -65,7 +65,7 @@
 		route := testRoute(deployment.Idempotent, false)
 		snapshot := testSnapshot(route)
 		limits := serverlimit.New("g")
-		relay := NewRelay(Relay{
+		relay := NewRelay(Relay{ProcessEnded: neverEnded,
 			Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Budget: &fakeBudget{}, Limits: limits,
 			Backend: backendFunc(func(context.Context, *backend.Call) (*backend.Response, error) {
 				return &backend.Response{Status: http.StatusOK, Header: http.Header{}, Description: c.resp, Body: http.NoBody}, nil
--- a/internal/forward/watchdog_test.go
+++ b/internal/forward/watchdog_test.go
@@ -18,7 +18,7 @@
 // another request shortly after this one is sent.
 func relayTo(f *fakeBackend, req *Request, retries int, serversRespond bool) *Relay {
 	relay := NewRelay(Relay{
-		ProcessEnded: func(context.Context, string) bool { return false },
+		ProcessEnded: neverEnded,
 		Fleet:        fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries},
 		Source: func() *deployment.Snapshot { return req.Snapshot },
 	})
