follower: apply operators' entries in one place

The entries that another gateway passes on took the same steps as those of the store, written twice. The first now calls the second. Behaviour stays as it is.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -320,13 +320,8 @@
 	changed := false
 	for i := range events {
 		event := &events[i]
-		if !f.layout.FromOperator(event.Key) || event.Deleted {
-			continue
-		}
-		item, err := f.decode(event, now)
-		if err == nil && f.state.applyItem(&item, now) {
+		if f.layout.FromOperator(event.Key) && f.applyOperatorEvent(event, now) {
 			logger.Info(fields{"key": event.Key}, "operators' entry restored from another gateway")
-			f.state.record(event)
 			changed = true
 		}
 	}
