--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
@@ -20,7 +19,6 @@
 	"github.com/wasabigate/wasabigate/internal/guard"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
 	"github.com/wasabigate/wasabigate/internal/logging"
-	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/rpc"
@@ -255,60 +253,6 @@
 	return x.report(report.Sender), nil
 }
 
-// OperatorEntries implements wire.DRPCGatewaysServer. It returns the known changes of the
-// store after the requested position.
-func (x *Exchange) OperatorEntries(_ context.Context, req *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
-	if req.OperatorsOnly {
-		return &wire.OperatorEntriesReply{Entries: encodeEvents(x.opts.Follower.OperatorEvents())}, nil
-	}
-	after := platform.NewVersion(platform.Era(req.StoreEra), req.After)
-	events, position := x.opts.Follower.EventsAfter(after)
-	if after != 0 && sizeOf(events) > maxReplyBytes {
-		return nil, errTooLarge
-	}
-	return &wire.OperatorEntriesReply{
-		Entries: encodeEvents(events), Position: position.Revision(), StoreEra: uint64(position.Era()),
-		StoreSilenceMs: x.staleness().Milliseconds(), Complete: after.Era() < position.Era(),
-	}, nil
-}
-
-func encodeEvents(events []platform.Event) []*wire.StoredEntry {
-	entries := make([]*wire.StoredEntry, 0, len(events))
-	for i := range events {
-		e := &events[i]
-		entries = append(entries, &wire.StoredEntry{
-			Key: e.Key, Value: e.Value, Revision: e.Version.Revision(), Era: uint64(e.Version.Era()), Deleted: e.Deleted,
-		})
-	}
-	return entries
-}
-
-func decodeEvents(entries []*wire.StoredEntry) []platform.Event {
-	events := make([]platform.Event, 0, len(entries))
-	for _, e := range entries {
-		version := platform.NewVersion(platform.Era(e.Era), e.Revision)
-		events = append(events, platform.Event{Entry: platform.Entry{Key: e.Key, Value: e.Value, Version: version}, Deleted: e.Deleted})
-	}
-	return events
-}
-
-// sizeOf returns the size of the events' keys and values in bytes.
-func sizeOf(events []platform.Event) int {
-	size := 0
-	for i := range events {
-		size += len(events[i].Key) + len(events[i].Value)
-	}
-	return size
-}
-
-// maxReplyBytes bounds the entries in a reply: about 30 ms of a link of 10 Mbit/s. If there
-// are more, the caller reads the store, whose link is fast. A request for position 0 is
-// not bounded: its sender can't reach the store.
-const maxReplyBytes = 40 << 10
-
-// errTooLarge makes the caller read from the store.
-var errTooLarge = errors.New("too large to pass on")
-
 // staleness returns the time since the store last confirmed this gateway's state.
 func (x *Exchange) staleness() time.Duration { return x.opts.Follower.Staleness(time.Now()) }
 
@@ -429,81 +373,3 @@
 	}
 	x.opts.Follower.MergeReports(ctx, reports)
 }
-
-// updateFromPeer takes the state of the store from a peer if the peer's is fresher and
-// this gateway's is stale: the store is unreachable, or other gateways watch it for this
-// one.
-func (x *Exchange) updateFromPeer(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) {
-	mine, theirs := x.staleness(), time.Duration(report.StoreSilenceMs)*time.Millisecond
-	position := x.opts.Follower.Snapshot().Position
-	reported := platform.NewVersion(platform.Era(report.StoreEra), report.Position)
-	after := position
-	if mine > storeLostAfter && reported.Era() == position.Era() {
-		after = 0
-	}
-	switch {
-	case mine <= staleAfter || theirs >= mine:
-	case reported > position || position == 0:
-		x.catchUp(ctx, client, address, after)
-	case reported == position:
-		x.opts.Follower.Confirm(theirs)
-	}
-	if x.lagsBehind(address, report, time.Now()) {
-		x.catchUpOperators(ctx, client, address)
-	}
-}
-
-// operatorLag is how long a peer may have a newer configuration before its operators'
-// entries are read. It is longer than a change regularly takes to reach all gateways.
-const operatorLag = 600 * time.Millisecond
-
-// lagsBehind reports whether a peer has had a newer configuration, or target version of
-// weights, for operatorLag. The store may have lost it in a restore.
-func (x *Exchange) lagsBehind(address string, report *wire.GatewayReport, now time.Time) bool {
-	ahead := isAhead(report, x.opts.Follower.Snapshot())
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	p := x.peer(address)
-	switch {
-	case !ahead:
-		p.aheadSince = time.Time{}
-	case p.aheadSince.IsZero():
-		p.aheadSince = now
-	}
-	if !ahead || now.Sub(p.aheadSince) < operatorLag {
-		return false
-	}
-	p.aheadSince = now
-	return true
-}
-
-// isAhead reports whether a peer has a newer configuration or target version of weights.
-func isAhead(report *wire.GatewayReport, snapshot *deployment.Snapshot) bool {
-	if report.ConfigVersion > configVersion(snapshot) {
-		return true
-	}
-	return slices.ContainsFunc(report.Named, func(n *wire.NamedWeights) bool { return n.Version > snapshot.Weights[n.Model].Version })
-}
-
-// catchUpOperators reads from a peer the operators' entries that are in force there.
-func (x *Exchange) catchUpOperators(ctx context.Context, client wire.DRPCGatewaysClient, address string) {
-	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{OperatorsOnly: true})
-	if err != nil {
-		logger.Warn(fields{"peer": address, "error": err.Error()}, "operators' entries not read from a gateway")
-		return
-	}
-	x.opts.Follower.MergeOperatorEvents(ctx, decodeEvents(reply.Entries))
-}
-
-// catchUp reads from a peer the changes of the store after a position.
-func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after platform.Version) {
-	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era())})
-	if err != nil {
-		logger.Warn(fields{"peer": address, "error": err.Error()}, "entries not read from a gateway")
-		x.opts.Follower.ForceRead()
-		return
-	}
-	position := platform.NewVersion(platform.Era(reply.StoreEra), reply.Position)
-	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
-	x.opts.Follower.Merge(ctx, decodeEvents(reply.Entries), position, reply.Complete, time.Duration(reply.StoreSilenceMs)*time.Millisecond)
-}
