follower: do not take a silent store for a lost one (DRAIN)

Cause: a removal that arrived more than 2.5 s after the store's last response counted as seen in an outage, and the server was kept for another 2.5 s. A cut watch alone makes the silence that long. Ruled out: a late event (the store sends it at once) and kept channels (each late request was placed after the removal).

Change: the store counts as lost only if two calls in a row failed as well. A 429 or a compacted history is the answer of a store that works. After a failed watch the next one waits for 10 ms in the store only, so its response confirms the state. The result of a watch is applied before the pause between two watches, no longer after it. A gateway that takes changes from another one, and has no failed call of its own, gets its judgement with them. The first reading of a process is covered too: without failed calls it removes at once what the store doesn't list.

Conclusion: silence is no evidence.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -40,11 +40,6 @@
 	// maxIdleStaleness is the staleness at which an idle gateway reads the store itself:
 	// the longest interval of a watch, plus two exchanges in a large fleet.
 	maxIdleStaleness = MaxPollInterval + 500*time.Millisecond
-	// storeLostAfter is the staleness at which the store counts as lost.
-	storeLostAfter = 2500 * time.Millisecond
-	// relistGrace is how long servers that disappeared while the store was lost may take
-	// to be listed again before they are removed: two seconds, plus the delay of a watch.
-	relistGrace = 2500 * time.Millisecond
 )
 
 // MaxPollInterval is the longest interval between two answers of a healthy store.
@@ -96,6 +91,8 @@
 	idle         atomic.Bool                      // other gateways watch the store for this one
 	forceRead    atomic.Bool                      // read the store once although idle
 	latestEvents atomic.Pointer[[]platform.Event] // last event of each key, for other gateways
+	graceUntil   atomic.Pointer[time.Time]        // servers that disappeared in an outage may be kept until then
+	failures     failures                         // of calls to the store
 
 	state     state     // owned by the goroutine of Run
 	published time.Time // owned by the goroutine of Run
@@ -108,7 +105,9 @@
 	complete  bool           // events are the whole content of the store at the position
 	operators bool           // events are operators' entries of any position
 	reports   []TargetReport // another gateway's reports of target versions
-	staleness time.Duration  // before the batch
+	// grace is how long servers that disappeared are kept, since the store may have lost
+	// their entries in an outage; 0: they are removed at once.
+	grace time.Duration
 }
 
 // New returns a Follower. Run calls onChange with each new snapshot; onChange must not
@@ -155,18 +154,35 @@
 	return events
 }
 
-// Merge merges another gateway's events after this one's position. age is the time
-// since the store confirmed them. If complete, the events are the whole content of the
-// store.
-func (f *Follower) Merge(ctx context.Context, events []platform.Event, position platform.Version, complete bool, age time.Duration) {
-	staleness := f.Staleness(time.Now())
+// Changes are changes of the store that a gateway passes on to another one.
+type Changes struct {
+	Events   []platform.Event
+	Position platform.Version // up to which they are known
+	Complete bool             // Events are the whole content of the store
+	Age      time.Duration    // since the store confirmed them
+	Grace    time.Duration    // how much longer servers that disappeared in an outage are kept
+}
+
+// Merge merges another gateway's changes after this one's position.
+func (f *Follower) Merge(ctx context.Context, c Changes) {
+	grace := max(f.failures.graceAfter(f.Staleness(time.Now())), min(c.Grace, relistGrace))
 	select {
-	case f.batches <- batch{events: events, position: position, complete: complete, staleness: staleness}:
-		f.Confirm(age)
+	case f.batches <- batch{events: c.Events, position: c.Position, complete: c.Complete, grace: grace}:
+		f.Confirm(c.Age)
 	case <-ctx.Done():
 	}
 }
 
+// Grace returns how much longer servers that disappeared in an outage of the store may be
+// kept; 0 if there was none.
+func (f *Follower) Grace(now time.Time) time.Duration {
+	until := f.graceUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(0, until.Sub(now))
+}
+
 // MergeOperatorEvents merges the operators' entries that are in force at another gateway,
 // whatever the store has now: a restored store may have lost them.
 func (f *Follower) MergeOperatorEvents(ctx context.Context, events []platform.Event) {
@@ -297,19 +313,23 @@
 // applyStoreBatch applies what the store returned, directly or through another gateway. It
 // reports whether the state changed.
 func (f *Follower) applyStoreBatch(b *batch, now time.Time) bool {
-	lost := b.staleness >= storeLostAfter
+	grace := b.grace
 	if era := b.position.Era(); f.state.position != 0 && era != f.state.position.Era() {
 		f.state.startEra(b.position)
 		defer func() { f.state.restored = false }()
-		lost = true
+		grace = relistGrace
+	}
+	if grace > 0 {
+		until := now.Add(grace)
+		f.graceUntil.Store(&until)
 	}
 	if b.complete {
 		keys, servers := f.keysOf(b.events)
-		f.state.removeMissing(keys, servers, f.layout.FromOperator, lost, now)
+		f.state.removeMissing(keys, servers, f.layout.FromOperator, grace, now)
 	}
 	changed := b.complete
 	for i := range b.events {
-		changed = f.applyEvent(&b.events[i], lost, now) || changed
+		changed = f.applyEvent(&b.events[i], grace, now) || changed
 	}
 	f.state.position = max(f.state.position, b.position)
 	return changed
@@ -343,7 +363,7 @@
 
 // applyEvent applies an event if it is newer than the last one of its key, and reports
 // whether the state changed. A backend server whose entry cannot be decoded is removed.
-func (f *Follower) applyEvent(event *platform.Event, storeLost bool, now time.Time) bool {
+func (f *Follower) applyEvent(event *platform.Event, grace time.Duration, now time.Time) bool {
 	if !f.state.isNewer(event) {
 		return false
 	}
@@ -357,11 +377,11 @@
 	f.state.record(event)
 	id, isServer := f.layout.ServerID(event.Key)
 	if event.Deleted {
-		return isServer && f.state.removeServer(id, storeLost, now)
+		return isServer && f.state.removeServer(id, grace, now)
 	}
 	item, err := f.decode(event, now)
 	if err != nil {
-		return isServer && f.state.removeServer(id, false, now)
+		return isServer && f.state.removeServer(id, 0, now)
 	}
 	if item.Server != nil && f.state.restored {
 		return f.state.applyRestoredServer(item.Server, now)
@@ -425,6 +445,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.failures.record(err)
 		if !lost && !errors.Is(err, platform.ErrCompacted) {
 			logger.Warn(fields{"error": err.Error()}, "store lost")
 			lost = true
@@ -463,17 +484,17 @@
 	return position, f.send(ctx, batch{events: eventsOf(entries), position: position, complete: true})
 }
 
-// watch waits for changes after a position. A failed call is retried from the same
-// position until the store counts as lost, since reading all entries costs more.
+// watch waits for changes after a position, and then for batchInterval. A failed call is
+// retried from the same position until the store counts as lost, since reading all entries
+// costs more.
 func (f *Follower) watch(ctx context.Context, after platform.Version) (platform.Version, error) {
-	var err error
+	wait := watchWait
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
-		var events []platform.Event
-		var position platform.Version
-		events, position, err = f.feed.Changes(ctx, "", after, watchWait)
+		events, position, err := f.feed.Changes(ctx, "", after, wait)
 		if err == nil {
-			clock.Sleep(ctx, batchInterval)
-			return position, f.send(ctx, batch{events: events, position: position})
+			err = f.send(ctx, batch{events: events, position: position})
+			_ = clock.Sleep(ctx, batchInterval) // the caller checks ctx
+			return position, err
 		}
 		if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrNotFound) || ctx.Err() != nil {
 			return 0, err
@@ -481,7 +502,9 @@
 		if f.Staleness(time.Now()) > storeLostAfter {
 			return 0, err
 		}
-		clock.Sleep(ctx, backoff)
+		f.failures.record(err)
+		wait = recheckWait
+		_ = clock.Sleep(ctx, backoff) // the next call fails if ctx has ended
 	}
 }
 
@@ -489,7 +512,8 @@
 // confirmed the state.
 func (f *Follower) send(ctx context.Context, b batch) error {
 	now := time.Now()
-	b.staleness = f.Staleness(now)
+	b.grace = f.failures.graceAfter(f.Staleness(now))
+	f.failures.reset()
 	f.setConfirmed(now)
 	select {
 	case f.batches <- b:
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -24,6 +24,7 @@
 	history  []platform.Event
 	oldest   platform.Version
 	down     bool
+	cuts     int // waiting watches that are still to be cut, one each
 	reads    int
 	watches  int
 }
@@ -72,6 +73,10 @@
 	for deadline := time.Now().Add(wait); ; {
 		f.mu.Lock()
 		down, oldest, position := f.down, f.oldest, f.revision
+		cut := f.cuts > 0
+		if cut {
+			f.cuts--
+		}
 		var events []platform.Event
 		for _, event := range f.history {
 			if event.Version > after {
@@ -82,7 +87,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return nil, after, ctx.Err()
-		case down:
+		case down, cut:
 			return nil, after, platform.ErrUnavailable
 		case after < oldest:
 			return nil, after, platform.ErrCompacted
@@ -255,10 +260,10 @@
 		f.put("op/version/m", "weights m 3")
 		time.Sleep(inForceWithin)
 		f.set(func() { f.down = true })
-		follower.Merge(context.Background(), []platform.Event{
+		follower.Merge(context.Background(), Changes{Position: 50, Events: []platform.Event{
 			{Entry: platform.Entry{Key: "op/config", Value: []byte("config 5"), Version: 50}},
 			{Entry: platform.Entry{Key: "servers/a", Value: []byte("server old 10.9.9.9:80"), Version: 1}},
-		}, 50, false, 0)
+		}})
 		now := time.Now()
 		follower.MergeReports(context.Background(), []TargetReport{
 			{Model: "m", WeightsVersion: deployment.WeightsVersion{Version: 2, Since: now.Add(-20 * time.Second)}},
@@ -315,7 +320,7 @@
 			if position%2 == 0 {
 				events[0] = platform.Event{Entry: platform.Entry{Key: "servers/a", Value: []byte("server lm 10.0.0.1:80"), Version: position}}
 			}
-			follower.Merge(context.Background(), events, position, false, 100*time.Millisecond)
+			follower.Merge(context.Background(), Changes{Events: events, Position: position, Age: 100 * time.Millisecond})
 			time.Sleep(200 * time.Millisecond)
 			if listed := follower.Snapshot().Servers["a"] != nil; listed != (position%2 == 0) {
 				t.Fatalf("at position %d the server is listed: %v", position, listed)
--- a/internal/follower/restore_test.go
+++ b/internal/follower/restore_test.go
@@ -43,7 +43,7 @@
 			st := newState()
 			st.applyServer(test.known)
 			if test.gone {
-				st.removeServer(test.known.ID, false, now)
+				st.removeServer(test.known.ID, 0, now)
 			}
 			st.applyRestoredServer(test.restored, now.Add(test.after))
 			got := st.servers["s"]
@@ -62,13 +62,13 @@
 		st := newState()
 		server := &deployment.Server{ID: "s", Incarnation: 1, Sequence: 5}
 		st.applyServer(server)
-		st.removeServer("s", false, now)
+		st.removeServer("s", 0, now)
 		st.applyRestoredServer(server, now)
 		if st.removeExpired(now.Add(heldTime-time.Second)) || st.servers["s"] != nil {
 			t.Error("listed before the store has removed the entries of servers that ended")
 		}
 		if removedAgain {
-			st.removeServer("s", false, now)
+			st.removeServer("s", 0, now)
 		}
 		if listed := st.removeExpired(now.Add(heldTime)); listed == removedAgain {
 			t.Errorf("listed: %v, entry removed again: %v", listed, removedAgain)
@@ -147,7 +147,7 @@
 			t.Errorf("configuration %d after another restore, want 9", got)
 		}
 		// What was read from the store before the restore arrives late.
-		follower.Merge(context.Background(), nil, 50, true, 0)
+		follower.Merge(context.Background(), Changes{Position: 50, Complete: true})
 		synctest.Wait()
 		if follower.Snapshot().Config.Version != 9 || follower.Snapshot().Position.Era() != 2 {
 			t.Errorf("state of the era before applied: %+v", follower.Snapshot())
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -41,10 +41,10 @@
 	}
 }
 
-// removeMissing removes the entries and servers that are missing in a full read of the
-// store. keys and servers are the keys and server IDs that it returned. Operators' entries
+// removeMissing removes the entries that are missing in a full read of the store, and after
+// grace the servers. keys and servers are the keys and server IDs that it returned. Operators' entries
 // are never removed.
-func (st *state) removeMissing(keys, servers map[string]struct{}, fromOperator func(key string) bool, storeLost bool, now time.Time) {
+func (st *state) removeMissing(keys, servers map[string]struct{}, fromOperator func(key string) bool, grace time.Duration, now time.Time) {
 	maps.DeleteFunc(st.applied, func(key string, _ platform.Version) bool { return !contains(keys, key) })
 	maps.DeleteFunc(st.latest, func(key string, event platform.Event) bool {
 		return !event.Deleted && !contains(keys, key) && !fromOperator(key)
@@ -52,7 +52,7 @@
 	maps.DeleteFunc(st.gateways, func(key string, _ platform.Version) bool { return !contains(keys, key) })
 	for id := range st.servers {
 		if !contains(servers, id) {
-			st.removeServer(id, storeLost, now)
+			st.removeServer(id, grace, now)
 		}
 	}
 	maps.DeleteFunc(st.held, func(id string, _ heldServer) bool { return !contains(servers, id) })
@@ -145,16 +145,17 @@
 	return true
 }
 
-// removeServer removes a server: at once, or after relistGrace if it disappeared while
-// the store was lost. It reports whether the server was removed.
-func (st *state) removeServer(id string, storeLost bool, now time.Time) bool {
+// removeServer removes a server after grace, unless it is listed again until then. It
+// reports whether the server was removed at once.
+func (st *state) removeServer(id string, grace time.Duration, now time.Time) bool {
 	delete(st.held, id)
 	if st.servers[id] == nil {
 		return false
 	}
-	if storeLost {
+	if grace > 0 {
 		if _, ok := st.removeAt[id]; !ok {
-			st.removeAt[id] = now.Add(relistGrace)
+			st.removeAt[id] = now.Add(grace)
+			logger.Info(fields{"server": id, "grace_ms": grace.Milliseconds()}, "backend server disappeared in an outage of the store")
 		}
 		return false
 	}
@@ -165,13 +166,13 @@
 	return true
 }
 
-// removeExpired removes the servers that were not listed again within relistGrace, and
+// removeExpired removes the servers that were not listed again within their grace, and
 // lists those that were held long enough. It reports whether the state changed.
 func (st *state) removeExpired(now time.Time) bool {
 	changed := st.listHeld(now)
 	for id, deadline := range st.removeAt {
 		if !now.Before(deadline) {
-			changed = st.removeServer(id, false, now) || changed
+			changed = st.removeServer(id, 0, now) || changed
 			delete(st.removeAt, id)
 		}
 	}
--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/follower"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
@@ -26,6 +27,7 @@
 	return &wire.OperatorEntriesReply{
 		Entries: encodeEvents(events), Position: position.Revision(), StoreEra: uint64(position.Era()),
 		StoreSilenceMs: x.staleness().Milliseconds(), Complete: after.Era() < position.Era(),
+		GraceMs: x.opts.Follower.Grace(time.Now()).Milliseconds(),
 	}, nil
 }
 
@@ -49,6 +51,8 @@
 	return events
 }
 
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // sizeOf returns the size of the events' keys and values in bytes.
 func sizeOf(events []platform.Event) int {
 	size := 0
@@ -70,7 +74,7 @@
 // this gateway's is stale: the store is unreachable, or other gateways watch it for this
 // one.
 func (x *Exchange) updateFromPeer(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) {
-	mine, theirs := x.staleness(), time.Duration(report.StoreSilenceMs)*time.Millisecond
+	mine, theirs := x.staleness(), milliseconds(report.StoreSilenceMs)
 	position := x.opts.Follower.Snapshot().Position
 	reported := platform.NewVersion(platform.Era(report.StoreEra), report.Position)
 	after := position
@@ -141,5 +145,8 @@
 	}
 	position := platform.NewVersion(platform.Era(reply.StoreEra), reply.Position)
 	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
-	x.opts.Follower.Merge(ctx, decodeEvents(reply.Entries), position, reply.Complete, time.Duration(reply.StoreSilenceMs)*time.Millisecond)
+	x.opts.Follower.Merge(ctx, follower.Changes{
+		Events: decodeEvents(reply.Entries), Position: position, Complete: reply.Complete,
+		Age: milliseconds(reply.StoreSilenceMs), Grace: milliseconds(reply.GraceMs),
+	})
 }
