--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -81,18 +81,17 @@
 
 // Follower keeps the cached state of the deployment up to date.
 type Follower struct {
-	feed         platform.Feed
-	layout       Layout
-	onChange     func(*deployment.Snapshot)
-	batches      chan batch
-	current      atomic.Pointer[deployment.Snapshot]
-	started      time.Time
-	confirmed    atomic.Int64                     // when the state was last confirmed by the store or a peer; see setConfirmed
-	idle         atomic.Bool                      // other gateways watch the store for this one
-	forceRead    atomic.Bool                      // read the store once although idle
-	latestEvents atomic.Pointer[[]platform.Event] // last event of each key, for other gateways
-	graceUntil   atomic.Pointer[time.Time]        // servers that disappeared in an outage may be kept until then
-	failures     failures                         // of calls to the store
+	feed      platform.Feed
+	layout    Layout
+	onChange  func(*deployment.Snapshot)
+	batches   chan batch
+	current   atomic.Pointer[deployment.Snapshot]
+	started   time.Time
+	confirmed atomic.Int64          // when the state was last confirmed by the store or a peer; see setConfirmed
+	idle      atomic.Bool           // other gateways watch the store for this one
+	forceRead atomic.Bool           // read the store once although idle
+	known     atomic.Pointer[known] // for other gateways
+	failures  failures              // of calls to the store
 
 	state     state     // owned by the goroutine of Run
 	published time.Time // owned by the goroutine of Run
@@ -121,32 +120,34 @@
 // Snapshot returns the current snapshot, which is never nil.
 func (f *Follower) Snapshot() *deployment.Snapshot { return f.current.Load() }
 
-// EventsAfter returns the entries that were written or deleted after a position, and the
-// position up to which the state is current. For a position of an earlier era it returns
-// all entries.
-func (f *Follower) EventsAfter(after platform.Version) ([]platform.Event, platform.Version) {
-	latestEvents := f.latestEvents.Load()
-	if latestEvents == nil {
-		return nil, 0
+// ChangesAfter returns the changes after a position for another gateway. If this one may not
+// know of a removal after the position, they are the whole content of the store.
+func (f *Follower) ChangesAfter(after platform.Version) Changes {
+	now := time.Now()
+	known := f.known.Load()
+	if known == nil {
+		return Changes{}
 	}
-	position := f.Snapshot().Position
-	var events []platform.Event
-	for _, event := range *latestEvents {
-		if event.Version > after || after.Era() < position.Era() {
-			events = append(events, event)
+	changes := Changes{
+		Position: known.position, Complete: after < known.since,
+		Age: f.Staleness(now), Grace: max(0, known.graceUntil.Sub(now)),
+	}
+	for _, event := range known.events {
+		if event.Version > after || changes.Complete {
+			changes.Events = append(changes.Events, event)
 		}
 	}
-	return events, position
+	return changes
 }
 
 // OperatorEvents returns the operators' entries that are in force.
 func (f *Follower) OperatorEvents() []platform.Event {
-	latestEvents := f.latestEvents.Load()
-	if latestEvents == nil {
+	known := f.known.Load()
+	if known == nil {
 		return nil
 	}
 	var events []platform.Event
-	for _, event := range *latestEvents {
+	for _, event := range known.events {
 		if f.layout.FromOperator(event.Key) {
 			events = append(events, event)
 		}
@@ -173,16 +174,6 @@
 	}
 }
 
-// Grace returns how much longer servers that disappeared in an outage of the store may be
-// kept; 0 if there was none.
-func (f *Follower) Grace(now time.Time) time.Duration {
-	until := f.graceUntil.Load()
-	if until == nil {
-		return 0
-	}
-	return max(0, until.Sub(now))
-}
-
 // MergeOperatorEvents merges the operators' entries that are in force at another gateway,
 // whatever the store has now: a restored store may have lost them.
 func (f *Follower) MergeOperatorEvents(ctx context.Context, events []platform.Event) {
@@ -302,6 +293,8 @@
 		}
 	case b.position.Era() < f.state.position.Era():
 		// Read before a restore of the store that this state already includes.
+	case b.complete && b.position < f.state.position:
+		// Read before newer changes came from another gateway.
 	default:
 		changed = f.applyStoreBatch(&b, now)
 	}
@@ -320,8 +313,7 @@
 		grace = relistGrace
 	}
 	if grace > 0 {
-		until := now.Add(grace)
-		f.graceUntil.Store(&until)
+		f.state.graceUntil = now.Add(grace)
 	}
 	if b.complete {
 		keys, servers := f.keysOf(b.events)
@@ -329,9 +321,16 @@
 	}
 	changed := b.complete
 	for i := range b.events {
-		changed = f.applyEvent(&b.events[i], grace, now) || changed
+		event := &b.events[i]
+		if !b.complete && event.Version <= f.state.position {
+			continue // the state includes it, or a later one of its key
+		}
+		changed = f.applyEvent(event, grace, now) || changed
 	}
 	f.state.position = max(f.state.position, b.position)
+	if b.complete {
+		f.state.since = max(f.state.since, b.position)
+	}
 	return changed
 }
 
@@ -418,8 +417,7 @@
 
 func (f *Follower) publish() {
 	f.published = time.Now()
-	latestEvents := f.state.latestEvents()
-	f.latestEvents.Store(&latestEvents)
+	f.known.Store(f.state.known())
 	snapshot := f.state.snapshot()
 	f.onChange(snapshot)
 	f.current.Store(snapshot)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -279,11 +279,11 @@
 		if target.Version != 3 || target.ReplacedFor(1, now) != 20*time.Second || target.ReplacedFor(2, now) != 8*time.Second || target.ReplacedFor(3, now) != 0 {
 			t.Errorf("weights %+v", target)
 		}
-		if events, position := follower.EventsAfter(0); len(events) != 3 || position != 50 {
-			t.Errorf("%d entries at position %d for other gateways, want 3 at 50", len(events), position)
+		if changes := follower.ChangesAfter(0); len(changes.Events) != 3 || changes.Position != 50 {
+			t.Errorf("%d entries at position %d for other gateways, want 3 at 50", len(changes.Events), changes.Position)
 		}
-		if events, _ := follower.EventsAfter(49); len(events) != 1 || events[0].Key != "op/config" {
-			t.Errorf("entries after position 49: %+v, want op/config only", events)
+		if changes := follower.ChangesAfter(49); len(changes.Events) != 1 || changes.Events[0].Key != "op/config" {
+			t.Errorf("entries after position 49: %+v, want op/config only", changes.Events)
 		}
 	})
 }
--- a/internal/follower/outage_test.go
+++ b/internal/follower/outage_test.go
@@ -65,12 +65,12 @@
 		removal := platform.Event{Entry: platform.Entry{Key: "servers/a", Version: 20}, Deleted: true}
 		follower.Merge(context.Background(), Changes{Events: []platform.Event{removal}, Position: 20, Grace: time.Second})
 		time.Sleep(700 * time.Millisecond)
-		if follower.Snapshot().Servers["a"] == nil || follower.Grace(time.Now()) != 300*time.Millisecond {
-			t.Errorf("servers %v, grace %v", follower.Snapshot().Servers, follower.Grace(time.Now()))
+		if follower.Snapshot().Servers["a"] == nil || follower.ChangesAfter(0).Grace != 300*time.Millisecond {
+			t.Errorf("servers %v, grace %v", follower.Snapshot().Servers, follower.ChangesAfter(0).Grace)
 		}
 		time.Sleep(inForceWithin)
-		if follower.Snapshot().Servers["a"] != nil || follower.Grace(time.Now()) != 0 {
-			t.Errorf("after the grace: servers %v, grace %v", follower.Snapshot().Servers, follower.Grace(time.Now()))
+		if follower.Snapshot().Servers["a"] != nil || follower.ChangesAfter(0).Grace != 0 {
+			t.Errorf("after the grace: servers %v, grace %v", follower.Snapshot().Servers, follower.ChangesAfter(0).Grace)
 		}
 	})
 }
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -14,7 +14,8 @@
 // state is the cached state of the deployment, built from the store's entries. It is
 // owned by one goroutine.
 type state struct {
-	position platform.Version
+	position platform.Version            // the state includes all changes up to it
+	since    platform.Version            // latest has all removals after it
 	restored bool                        // the batch that is applied is the first of a new era
 	applied  map[string]platform.Version // by key, the version applied last
 	latest   map[string]platform.Event   // by key, including deletions
@@ -23,9 +24,11 @@
 	removeAt map[string]time.Time // when to remove servers that are not listed again
 	departed map[string]departure // servers that were removed
 	held     map[string]heldServer
-	weights  map[string]deployment.WeightsTarget
-	gateways map[string]platform.Version // by key, the version of the registration
-	leader   string
+	// graceUntil is until when servers that disappeared in an outage may be kept.
+	graceUntil time.Time
+	weights    map[string]deployment.WeightsTarget
+	gateways   map[string]platform.Version // by key, the version of the registration
+	leader     string
 }
 
 func newState() state {
@@ -102,12 +105,20 @@
 	}
 	slices.Sort(deleted)
 	oldest := deleted[len(deleted)/2]
+	st.since = max(st.since, oldest)
 	maps.DeleteFunc(st.latest, func(_ string, event platform.Event) bool { return event.Deleted && event.Version < oldest })
 }
 
-// latestEvents returns the last event of each key, which may be a deletion.
-func (st *state) latestEvents() []platform.Event {
-	return slices.Collect(maps.Values(st.latest))
+// known is what a gateway can pass on of the store's content. It is immutable.
+type known struct {
+	events     []platform.Event // the last one of each key, which may be a deletion
+	position   platform.Version // events include all changes up to it
+	since      platform.Version // events include all removals after it
+	graceUntil time.Time        // servers that disappeared in an outage may be kept until then
+}
+
+func (st *state) known() *known {
+	return &known{events: slices.Collect(maps.Values(st.latest)), position: st.position, since: st.since, graceUntil: st.graceUntil}
 }
 
 // applyItem applies an entry that the operators or a backend server wrote. It reports
--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -20,14 +20,13 @@
 		return &wire.OperatorEntriesReply{Entries: encodeEvents(x.opts.Follower.OperatorEvents())}, nil
 	}
 	after := platform.NewVersion(platform.Era(req.StoreEra), req.After)
-	events, position := x.opts.Follower.EventsAfter(after)
-	if after != 0 && sizeOf(events) > maxReplyBytes {
+	changes := x.opts.Follower.ChangesAfter(after)
+	if after != 0 && sizeOf(changes.Events) > maxReplyBytes {
 		return nil, errTooLarge
 	}
 	return &wire.OperatorEntriesReply{
-		Entries: encodeEvents(events), Position: position.Revision(), StoreEra: uint64(position.Era()),
-		StoreSilenceMs: x.staleness().Milliseconds(), Complete: after.Era() < position.Era(),
-		GraceMs: x.opts.Follower.Grace(time.Now()).Milliseconds(),
+		Entries: encodeEvents(changes.Events), Position: changes.Position.Revision(), StoreEra: uint64(changes.Position.Era()),
+		StoreSilenceMs: changes.Age.Milliseconds(), Complete: changes.Complete, HasRemovals: true, GraceMs: changes.Grace.Milliseconds(),
 	}, nil
 }
 
@@ -143,6 +142,10 @@
 		x.opts.Follower.ForceRead()
 		return
 	}
+	if !reply.Complete && !reply.HasRemovals {
+		x.opts.Follower.ForceRead() // an earlier version of the program leaves out removals before its start
+		return
+	}
 	position := platform.NewVersion(platform.Era(reply.StoreEra), reply.Position)
 	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
 	x.opts.Follower.Merge(ctx, follower.Changes{
