forward: choose a server by what is known when the request is complete (DRAIN)

Cause: a decision before a wait, used after it. Ruled out: the store's entry came in time, as the log shows.

Conclusion: fixed; whether the users' DRAIN had this cause is not shown.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -262,12 +262,9 @@
 	return shortest
 }
 
-// refreshSnapshot takes the current snapshot for an attempt after the first, unless the
-// service has been removed from the configuration.
+// refreshSnapshot takes the current snapshot for an attempt, unless the service has been
+// removed from the configuration. The filters before may have waited.
 func (r *activeRequest) refreshSnapshot() {
-	if r.req.Log.Attempts == 0 {
-		return
-	}
 	if current := r.relay.Source(); current.Ready() && current.Config.Service(r.service) != nil {
 		r.req.Snapshot = current
 	}
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -274,6 +274,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	current = testSnapshot(route) // a published snapshot is immutable
 	for id, server := range current.Servers {
 		draining := *server
 		draining.Draining = id != "e"
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -130,7 +130,7 @@
 	}
 	req := in.newRequest(r, arrived)
 	if !in.accept() {
-		return in.writeError(w, req, verdict.New(verdict.NotRun, verdict.CodeDraining, "the gateway is stopping").WithRetryAfter(stoppingRetryAfter))
+		return in.writeError(w, req, errStopping())
 	}
 	defer in.running.Add(-1)
 	var err error
@@ -138,6 +138,8 @@
 	if err != nil {
 		return in.writeError(w, req, err)
 	}
+	// The body may have come slowly: what was known at the head of the request is out of date.
+	req.Snapshot = in.follower.Snapshot()
 	response, err := in.handler.Handle(r.Context(), req)
 	if err != nil {
 		return in.writeError(w, req, err)
@@ -146,6 +148,11 @@
 	return nil
 }
 
+// errStopping is the error of a request that a stopping gateway refuses.
+func errStopping() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeDraining, "the gateway is stopping").WithRetryAfter(stoppingRetryAfter)
+}
+
 func (in *ingress) newRequest(r *http.Request, arrived time.Time) *forward.Request {
 	header := r.Header
 	metadata := in.headers.ReadRequest(header)
