gateway: refuse requests whose bodies end after it stopped taking any (LOST)

Callers saw channels end without an answer in a planned stop: a stopping gateway judged by the head of a request whether it still takes it. A body that was complete seconds later was passed on and cut as the process ended.

Change: it asks once more when the body is complete and answers that the request has not run, with the time to come back.

The users' one case of LOST may be this; not shown.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -139,6 +139,9 @@
 		return in.writeError(w, req, err)
 	}
 	// The body may have come slowly: what was known at the head of the request is out of date.
+	if in.refusing.Load() {
+		return in.writeError(w, req, errStopping())
+	}
 	req.Snapshot = in.follower.Snapshot()
 	response, err := in.handler.Handle(r.Context(), req)
 	if err != nil {
--- a/internal/gateway/slowbody_test.go
+++ b/internal/gateway/slowbody_test.go
@@ -71,3 +71,19 @@
 		t.Errorf("status %d, %d requests at the draining server, %d at its successor", response.StatusCode, atLeaving.Load(), atSuccessor.Load())
 	}
 }
+
+// A request whose body is complete only after the gateway has stopped taking requests is
+// refused as not run. Passed on, it would be cut as the process ends.
+func TestGatewayStopsWhileABodyIsRead(t *testing.T) {
+	address, count := countingServer(t)
+	s := startSystem(t)
+	s.store.set(testConfig(1, deployment.AtMostOnce), serverAt("a", address))
+	s.waitReady(t)
+	request := s.beginSlowRequest(t)
+	s.gateway.ingress.setDraining()
+	s.gateway.ingress.setRefusing()
+	response := request.end(t)
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || count.Load() != 0 {
+		t.Errorf("status %d, headers %v, %d requests at the server", response.StatusCode, response.Header, count.Load())
+	}
+}
