--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,10 +238,17 @@
 func (g *Gateway) shareBounds(snapshot *deployment.Snapshot) {
 	gateways := g.runningGateways(snapshot)
 	others := slices.DeleteFunc(gateways, func(address string) bool { return address == g.settings.Daemon.RPCAddress })
-	g.budget.SetGateways(1 + len(others))
+	g.budget.SetGateways(max(1+len(others), g.seeds()), time.Now())
 	g.serverLimits.SetGateways(others)
 }
 
+// seeds returns the number of gateways in the settings, this one included.
+func (g *Gateway) seeds() int {
+	addresses := append(slices.Clone(g.settings.Daemon.Peers), g.settings.Daemon.RPCAddress)
+	slices.Sort(addresses)
+	return len(slices.Compact(addresses))
+}
+
 // shareBoundsRegularly divides them again as gateways fall silent.
 func (g *Gateway) shareBoundsRegularly(ctx context.Context) {
 	for clock.Sleep(ctx, unlistedPeerTTL/2) == nil {
@@ -344,7 +351,7 @@
 	if err := logging.SetLevel(settings.Log.Level); err != nil {
 		logger.Error(fields{"error": err.Error()}, "log level not changed")
 	}
-	g.budget.SetBound(retryBound(settings))
+	g.budget.SetBound(retryBound(settings), time.Now())
 	logger.Info(fields{"level": settings.Log.Level}, "settings reloaded")
 }
 
--- /dev/null
+++ b/internal/retrybudget/restart_test.go
@@ -0,0 +1,115 @@
+package retrybudget
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleet replays gateways that want as many retries as they get.
+type fleet struct {
+	bound    Bound
+	budgets  []*Budget
+	now      time.Time
+	requests []time.Time
+	retries  []time.Time
+}
+
+func newFleet(gateways int) *fleet {
+	f := &fleet{bound: Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}, budgets: make([]*Budget, gateways), now: start}
+	for i := range f.budgets {
+		f.restart(i, gateways)
+	}
+	return f
+}
+
+// restart replaces a gateway's process by one that knows of some gateways, itself included.
+func (f *fleet) restart(i, known int) {
+	f.budgets[i] = New(f.bound, f.now)
+	f.budgets[i].SetGateways(known, f.now)
+}
+
+// run lets every gateway take a request now and then, and all retries that it may.
+func (f *fleet) run(length time.Duration, random *rand.Rand) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(20 * time.Millisecond) {
+		b := f.budgets[random.IntN(len(f.budgets))]
+		b.RecordRequest("s", f.now)
+		f.requests = append(f.requests, f.now)
+		for _, b := range f.budgets {
+			if b.AllowRetry("s", f.now) {
+				f.retries = append(f.retries, f.now)
+			}
+		}
+	}
+}
+
+// check checks the operators' bound in every window.
+func (f *fleet) check(t *testing.T, name string) {
+	t.Helper()
+	for _, from := range f.retries {
+		in := within(f.retries, from, from.Add(f.bound.Window))
+		requests := max(within(f.requests, from, from.Add(f.bound.Window)), within(f.requests, from.Add(-f.bound.Window), from),
+			within(f.requests, from.Add(-f.bound.Window/2), from.Add(f.bound.Window/2)))
+		if allowed := f.bound.Ratio*requests + f.bound.Slack; in > allowed {
+			t.Errorf("%s: %v retries in a window, %v allowed", name, in, allowed)
+			return
+		}
+	}
+}
+
+// Gateways that are killed in series, together or again and again start with no share that
+// their former processes may have spent, and a gateway that knows no other one yet does
+// not spend the whole allowance.
+func TestBoundHoldsOverRestarts(t *testing.T) {
+	for name, killed := range map[string][]int{"together": {0, 1, 2, 3}, "again and again": {0, 0, 0, 0, 0, 0}, "in series": {0, 1, 2, 3, 0, 1}} {
+		for _, known := range []int{1, 4} {
+			f, random := newFleet(4), rand.New(rand.NewPCG(1, uint64(known)))
+			f.run(20*time.Second, random)
+			for n, i := range killed {
+				f.restart(i, known)
+				if name == "together" && n < len(killed)-1 {
+					continue
+				}
+				f.run(time.Second, random)
+				for _, b := range f.budgets {
+					b.SetGateways(4, f.now)
+				}
+			}
+			f.run(20*time.Second, random)
+			f.check(t, name)
+		}
+	}
+}
+
+// Gateways that lose sight of each other, one after the other, do not each take the shares
+// of those that they no longer see.
+func TestBoundHoldsOverPartitions(t *testing.T) {
+	f, random := newFleet(4), rand.New(rand.NewPCG(2, 2))
+	f.run(20*time.Second, random)
+	for seen := 3; seen > 0; seen-- {
+		for _, b := range f.budgets {
+			b.SetGateways(seen, f.now)
+		}
+		f.run(8*time.Second, random)
+	}
+	f.check(t, "partitions")
+}
+
+// The share of a gateway that is gone for good is used again after a while.
+func TestShareOfAGoneGatewayReturns(t *testing.T) {
+	b := New(Bound{Window: 10 * time.Second, Slack: 10}, start)
+	b.SetGateways(4, start)
+	b.SetGateways(1, start.Add(time.Minute))
+	spend := func(now time.Time) (n int) {
+		for b.AllowRetry("s", now) {
+			n++
+		}
+		return n
+	}
+	if n := spend(start.Add(2 * time.Minute)); n != 2 {
+		t.Errorf("%d retries while another gateway may still serve, want 2", n)
+	}
+	if n := spend(start.Add(time.Hour)); n != 8 {
+		t.Errorf("%d retries later, want 8", n)
+	}
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -8,6 +8,7 @@
 package retrybudget
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,14 +28,27 @@
 // retries when they are sent, and the operators' window may span one bucket more.
 const usableShare = 0.8
 
+// absenceTime is how long a gateway that is no longer known keeps its share. It may still
+// serve beyond a partition.
+const absenceTime = 10 * time.Minute
+
 // Budget is one gateway's share of the bound. It is safe for concurrent use.
 type Budget struct {
 	bound Bound
 	start time.Time
 
-	mu       sync.Mutex
-	gateways int
-	services map[string]*window
+	mu sync.Mutex
+	// slackFrom is when the share of the slack may be used. A former process at this
+	// gateway's address may have spent it within the window before.
+	slackFrom time.Time
+	gateways  []gatewayCount // falling in number, rising in time; not empty
+	services  map[string]*window
+}
+
+// gatewayCount is a number of gateways that were known at a time.
+type gatewayCount struct {
+	number int
+	at     time.Time
 }
 
 // window is a ring of counters by bucket.
@@ -44,26 +58,46 @@
 	retries  [buckets]float64
 }
 
-// New returns the Budget of a gateway that is the only one until SetGateways is called.
+// New returns the Budget of a process that has just started. It is the only gateway until
+// SetGateways is called.
 func New(bound Bound, now time.Time) *Budget {
-	return &Budget{bound: bound, start: now, gateways: 1, services: make(map[string]*window)}
+	return &Budget{
+		bound: bound, start: now, slackFrom: now.Add(bound.Window),
+		gateways: []gatewayCount{{1, now}}, services: make(map[string]*window),
+	}
 }
 
-// SetBound changes the bound. It resets the counts if the length of the window changes.
-func (b *Budget) SetBound(bound Bound) {
+// SetBound changes the bound. If the length of the window changes, the counts start anew,
+// as after a start of the process.
+func (b *Budget) SetBound(bound Bound, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if bound.Window != b.bound.Window {
 		clear(b.services)
+		b.slackFrom = now.Add(max(bound.Window, b.bound.Window))
 	}
 	b.bound = bound
 }
 
-// SetGateways sets the number of gateways that share the fixed allowance.
-func (b *Budget) SetGateways(n int) {
+// SetGateways sets the number of gateways that share the slack. If it falls, the shares
+// grow only after absenceTime.
+func (b *Budget) SetGateways(n int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.gateways = max(1, n)
+	n = max(1, n)
+	b.gateways = slices.DeleteFunc(b.gateways, func(c gatewayCount) bool { return c.number <= n || now.Sub(c.at) > absenceTime })
+	b.gateways = append(b.gateways, gatewayCount{n, now})
+}
+
+// slack returns this gateway's share of the slack. The caller holds the lock.
+func (b *Budget) slack(now time.Time) float64 {
+	if now.Before(b.slackFrom) {
+		return 0
+	}
+	for len(b.gateways) > 1 && now.Sub(b.gateways[0].at) > absenceTime {
+		b.gateways = b.gateways[1:]
+	}
+	return b.bound.Slack / float64(b.gateways[0].number)
 }
 
 // RecordRequest counts a client's request to a service.
@@ -82,7 +116,7 @@
 		return true
 	}
 	w := b.window(service, now)
-	allowed := usableShare * (b.bound.Ratio*sum(&w.requests) + b.bound.Slack/float64(b.gateways))
+	allowed := usableShare * (b.bound.Ratio*sum(&w.requests) + b.slack(now))
 	if sum(&w.retries)+1 > allowed {
 		return false
 	}
