platform: odd entries of servers do not stop a gateway or router (LOST)

Another writer's odd entry among those of the servers stopped gateways from following the list: a watch that returned over 4 MiB of changes was cut, could not be decoded and was asked for again, until the store counted as lost. Some odd entries named servers: port 0, the unspecified address, a number that can't be true, an ID that no header may carry. On the path of routers one VM with a field of another type made the whole list unreadable.

Ruled out: deep nesting and large numbers end no process (the decoder returns an error, and panics are caught), base64 keeps them apart from the page.

Fields are checked for their range. Of an entry that can't be decoded, other gateways get no value. VMs are decoded one by one.

Without a bound on nesting beyond the decoder's, a VM list nested over 10,000 levels deep is still unreadable; the last one stays in use.

Conclusion: fixed for the store; the VM list has no other writer.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -373,15 +373,19 @@
 	if f.layout.FromOperator(event.Key) {
 		return f.applyOperatorEvent(event, now)
 	}
-	f.state.record(event)
 	id, isServer := f.layout.ServerID(event.Key)
 	if event.Deleted {
+		f.state.record(event)
 		return isServer && f.state.removeServer(id, grace, now)
 	}
 	item, err := f.decode(event, now)
 	if err != nil {
+		unusable := *event
+		unusable.Value = nil // other gateways can't decode it either, and it may be large
+		f.state.record(&unusable)
 		return isServer && f.state.removeServer(id, 0, now)
 	}
+	f.state.record(event)
 	if item.Server != nil && f.state.restored {
 		return f.state.applyRestoredServer(item.Server, now)
 	}
--- a/internal/platform/client/stores.go
+++ b/internal/platform/client/stores.go
@@ -2,13 +2,21 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net"
 	"net/url"
+	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/platform/httpapi"
 )
 
+var logger = logging.For("platform")
+
 // VMList calls the VM list. It implements platform.VMList.
 type VMList struct {
 	caller
@@ -45,13 +53,42 @@
 	return &PieceStore{newCaller(baseURL, timeout)}
 }
 
-// VMs implements platform.VMList.
+// VMs implements platform.VMList. An entry that describes no VM is left out.
 func (l *VMList) VMs(ctx context.Context) ([]platform.VM, error) {
-	var response httpapi.VMs
+	var response struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
 	if _, err := l.read(ctx, httpapi.PathVMs, nil, &response); err != nil {
 		return nil, err
 	}
-	return response.VMs, nil
+	vms := make([]platform.VM, 0, len(response.VMs))
+	for _, entry := range response.VMs {
+		vm, err := decodeVM(entry)
+		if err != nil {
+			logger.Warn(logging.Fields{"error": err.Error()}, "entry of the VM list left out")
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms, nil
+}
+
+func decodeVM(entry json.RawMessage) (platform.VM, error) {
+	var vm platform.VM
+	if err := json.Unmarshal(entry, &vm); err != nil {
+		return vm, errors.Wrap(err, "decode VM")
+	}
+	_, port, err := net.SplitHostPort(vm.Address)
+	if err != nil {
+		return vm, errors.Wrapf(err, "VM %q", vm.Name)
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return vm, errors.Errorf("VM %q: unusable port %q", vm.Name, port)
+	}
+	if vm.Name == "" || vm.Group == "" || vm.State != platform.VMLive && vm.State != platform.VMLeaving {
+		return vm, errors.Errorf("VM %q of group %q: unknown state %q, or no name or group", vm.Name, vm.Group, vm.State)
+	}
+	return vm, nil
 }
 
 // Versions implements platform.WeightStore.
