retrybudget: let a process that has just started retry a little

Callers got failures that another server would have served, and tests of resumed streams showed it.

Change: in its first window a process uses a tenth of its share of the slack, which the margin of the bound covers for some restarts of all gateways.

Measured: retrybudget.TestBoundHoldsOverRestarts and TestBoundHoldsOverPartitions hold; gateway.TestStreamResumesOnAnotherServer passes again.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -28,6 +28,10 @@
 // retries when they are sent, and the operators' window may span one bucket more.
 const usableShare = 0.8
 
+// startFraction is the fraction of its share of the slack that a process uses in its first
+// window. It is taken from the margin, which bears some restarts of all gateways in a window.
+const startFraction = 0.1
+
 // absenceTime is how long a gateway that is no longer known keeps its share. It may still
 // serve beyond a partition.
 const absenceTime = 10 * time.Minute
@@ -38,7 +42,7 @@
 	start time.Time
 
 	mu sync.Mutex
-	// slackFrom is when the share of the slack may be used. A former process at this
+	// slackFrom is when the whole share of the slack may be used. A former process at this
 	// gateway's address may have spent it within the window before.
 	slackFrom time.Time
 	gateways  []gatewayCount // falling in number, rising in time; not empty
@@ -91,13 +95,14 @@
 
 // slack returns this gateway's share of the slack. The caller holds the lock.
 func (b *Budget) slack(now time.Time) float64 {
-	if now.Before(b.slackFrom) {
-		return 0
-	}
 	for len(b.gateways) > 1 && now.Sub(b.gateways[0].at) > absenceTime {
 		b.gateways = b.gateways[1:]
 	}
-	return b.bound.Slack / float64(b.gateways[0].number)
+	share := b.bound.Slack / float64(b.gateways[0].number)
+	if now.Before(b.slackFrom) {
+		return startFraction * share
+	}
+	return share
 }
 
 // RecordRequest counts a client's request to a service.
