--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -116,6 +116,7 @@
 	mayHaveRun  bool
 	serverError *Response   // a server's 5xx response, passed on if no attempt succeeds
 	lastID      string      // id of the last event that the client has received
+	delivered   bool        // the client has received events
 	reserved    atomic.Bool // the watchdog has taken a retry from the budget
 	begun       bool        // the server of the last attempt has begun a response
 	parts       []quarantine.Part
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -153,10 +152,10 @@
 // still be retried.
 func (r *activeRequest) startStream(ctx context.Context, attempt *fleet.Attempt, call *backend.Call, resp *backend.Response, wd *watchdog) (*Response, *verdict.Error) {
 	s := &stream{active: r, attempt: attempt, call: call, watchdog: wd, body: resp.Body, reader: eventstream.NewReader(resp.Body)}
-	first, err := s.reader.Next()
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF // a stream without events is incomplete
+	if r.delivered {
+		s.follows = eventstream.NewContinuation(r.lastID)
 	}
+	first, err := s.read()
 	if err != nil {
 		r.checkCrash(ctx, time.Time{})
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -22,8 +22,9 @@
 	watchdog *watchdog
 	body     io.Closer
 	reader   *eventstream.Reader
-	first    *eventstream.Batch // read ahead
-	started  time.Time          // when the server sent the first event
+	first    *eventstream.Batch        // read ahead
+	follows  *eventstream.Continuation // nil: this is the first server whose events the client gets
+	started  time.Time                 // when the server sent the first event
 	ended    bool
 }
 
@@ -33,6 +34,7 @@
 		batch, err := s.next()
 		if err == nil {
 			s.recordProgress(&batch)
+			s.active.delivered = true
 			if batch.LastID != "" {
 				s.active.lastID = batch.LastID
 			}
@@ -75,7 +77,24 @@
 		s.first = nil
 		return *first, nil
 	}
-	return s.reader.Next()
+	return s.read()
+}
+
+// read reads from the server. A stream that ends without an event is incomplete. Of a server
+// that continues a stream, only events are passed on.
+func (s *stream) read() (eventstream.Batch, error) {
+	for {
+		batch, err := s.reader.Next()
+		if err == io.EOF && s.started.IsZero() {
+			return batch, io.ErrUnexpectedEOF
+		}
+		if err == nil && s.follows != nil {
+			err = s.follows.Check(&batch)
+		}
+		if err != nil || batch.Count > 0 || s.follows == nil {
+			return batch, err
+		}
+	}
 }
 
 // resume continues the stream at another server after the last event that the client
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -138,7 +138,7 @@
 }
 
 func (testHeaders) Describe(_ int, header http.Header) backend.Description {
-	return backend.Description{Signed: header.Get("Signed") != "", NotRun: header.Get("Not-Run") != ""}
+	return backend.Description{RequestID: header.Get("Request"), Signed: header.Get("Signed") != "", NotRun: header.Get("Not-Run") != ""}
 }
 
 func (testHeaders) SetRetryAfter(header http.Header, after time.Duration) {
