engine/client: do not take an earlier refusal for that of a generation (REFUSED)

An engine that writes a refusal once more on a kept connection made the next generation count as not run, while the engine ran it. Its caller was told to come back, or another engine ran it too.

Cause: an error response names no request, and was taken for the answer to the one that waited. Ruled out: calls to plain services (one connection each) and successes (each chunk names its request).

Change: a generation carries its id in a header that engines repeat. A refusal with another id, or without one on a used connection, counts as a lost answer, and the connection is closed.

--- a/internal/engine/client/engine.go
+++ b/internal/engine/client/engine.go
@@ -30,7 +30,7 @@
 // Generate implements engine.Engine. The stream breaks when ctx ends.
 func (e *Engine) Generate(ctx context.Context, req engine.GenerateRequest) (engine.ChunkStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := e.post(ctx, httpapi.PathCompletions, req)
+	resp, err := e.post(ctx, httpapi.PathCompletions, req.RequestID, req)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -40,7 +40,7 @@
 
 // Cancel implements engine.Engine.
 func (e *Engine) Cancel(ctx context.Context, requestID string) error {
-	resp, err := e.post(ctx, httpapi.PathCancel, httpapi.CancelBody{RequestID: requestID})
+	resp, err := e.post(ctx, httpapi.PathCancel, "", httpapi.CancelBody{RequestID: requestID})
 	if err != nil {
 		return err
 	}
@@ -85,7 +85,7 @@
 
 // Apply implements engine.Engine.
 func (e *Engine) Apply(ctx context.Context, order engine.Order) error {
-	resp, err := e.post(ctx, httpapi.PathOrders, order)
+	resp, err := e.post(ctx, httpapi.PathOrders, "", order)
 	if err != nil {
 		return err
 	}
@@ -96,7 +96,7 @@
 // ExportPiece implements engine.Engine. A response with another salt or other blocks
 // is an error.
 func (e *Engine) ExportPiece(ctx context.Context, salt string, blocks []uint64) ([]byte, error) {
-	resp, err := e.post(ctx, httpapi.PathExport, httpapi.PieceBody{Salt: salt, Blocks: blocks})
+	resp, err := e.post(ctx, httpapi.PathExport, "", httpapi.PieceBody{Salt: salt, Blocks: blocks})
 	if err != nil {
 		return nil, err
 	}
@@ -112,7 +112,7 @@
 
 // ImportPiece implements engine.Engine.
 func (e *Engine) ImportPiece(ctx context.Context, salt string, blocks []uint64, data []byte) error {
-	resp, err := e.post(ctx, httpapi.PathImport, httpapi.PieceBody{Salt: salt, Blocks: blocks, Data: data})
+	resp, err := e.post(ctx, httpapi.PathImport, "", httpapi.PieceBody{Salt: salt, Blocks: blocks, Data: data})
 	if err != nil {
 		return err
 	}
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -54,6 +54,11 @@
 func send(client *http.Client, req *http.Request) (*http.Response, error) {
 	traced, trace := conntrace.Attach(req.Context())
 	resp, err := client.Do(req.WithContext(traced))
+	if err == nil && !answers(resp, req, trace.Reused()) {
+		trace.CloseConn()
+		_ = resp.Body.Close() // discarded
+		return nil, errors.Wrap(engine.ErrBroken, "the answer of another request")
+	}
 	if err == nil {
 		return resp, nil
 	}
@@ -63,13 +68,26 @@
 	return nil, errors.Wrap(engine.ErrBroken, err.Error())
 }
 
+// answers reports whether a refusal is that of the request. An engine may write an earlier one
+// once more, which arrives when the next request waits on the connection. The chunks of a
+// stream name their request themselves.
+func answers(resp *http.Response, req *http.Request, reused bool) bool {
+	id := req.Header.Get(engine.HeaderRequestID)
+	if id == "" || resp.StatusCode/100 == 2 {
+		return true
+	}
+	answered := resp.Header.Get(engine.HeaderRequestID)
+	return answered == id || answered == "" && !reused
+}
+
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// post sends body as JSON. Any response other than a success is an error.
-func (e *Engine) post(ctx context.Context, path string, body any) (*http.Response, error) {
+// post sends body as JSON, for the request with an id unless that is empty. Any response other
+// than a success is an error.
+func (e *Engine) post(ctx context.Context, path, requestID string, body any) (*http.Response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, errors.Wrapf(engine.ErrRefused, "encode request: %v", err)
@@ -79,6 +97,9 @@
 		return nil, errors.Wrapf(engine.ErrRefused, "make request: %v", err)
 	}
 	req.Header.Set(contentType, applicationJSON)
+	if requestID != "" {
+		req.Header.Set(engine.HeaderRequestID, requestID)
+	}
 	return e.do(req)
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -168,8 +168,8 @@
 	Body      []byte
 }
 
-// HeaderRequestID is the header with the request id, in requests to plain services
-// and in their responses.
+// HeaderRequestID is the header with the request id, in calls to plain services, in
+// generations, and in their responses.
 const HeaderRequestID = "X-Request-Id"
 
 // HeaderLimit is the header in which a backend server names the requests a second that it
--- a/internal/standin/model/http.go
+++ b/internal/standin/model/http.go
@@ -70,6 +70,9 @@
 }
 
 func (h handler) completions(c echo.Context) error {
+	if id := c.Request().Header.Get(engine.HeaderRequestID); id != "" {
+		c.Response().Header().Set(engine.HeaderRequestID, id)
+	}
 	var req engine.GenerateRequest
 	if err := c.Bind(&req); err != nil {
 		return malformed(c, err)
