--- a/cmd/wasabigated/main.go
+++ b/cmd/wasabigated/main.go
@@ -25,7 +25,12 @@
 	flagSet    = "set"
 )
 
+// hangups gets the SIGHUPs, also those that come before anybody reads it: without a channel
+// they would end the process. Roles that reload no settings ignore them.
+var hangups = make(chan os.Signal, 1)
+
 func main() {
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := command().Run(ctx, os.Args); err != nil {
@@ -59,6 +64,7 @@
 	}
 	if settings.Daemon.Role == config.RoleGateway {
 		return gateway.Run(ctx, settings, gateway.Platform{
+			Hangups: hangups,
 			Reload:  func() (*config.Settings, error) { return loadSettings(c) },
 			Store:   func(baseURL string) service.Store { return platform.NewStore(baseURL) },
 			Layout:  platform.Layout{},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,10 +7,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,6 +67,7 @@
 // Platform adapts the gateway to the users' platform.
 type Platform struct {
 	Reload  func() (*config.Settings, error) // reads the settings again
+	Hangups <-chan os.Signal                 // asks for a reload
 	Store   func(baseURL string) platform.Store
 	Layout  follower.Layout
 	Headers Headers
@@ -325,16 +324,13 @@
 	return mux
 }
 
-// reloadOnSignal reloads the settings on each SIGHUP.
+// reloadOnSignal reloads the settings on each signal of the platform.
 func (g *Gateway) reloadOnSignal(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-g.platform.Hangups:
 			g.reload()
 		}
 	}
