follower: keep that a server has said that it leaves (DRAIN)

Servers that leave say so in all their answers, and the gateways read none of that: requests reached such a server until the store told of it.

Change: the state of the deployment has a set of processes of servers, by id and incarnation, that have said so. They count as draining for as long as they live, whatever the store lists, after an outage, a restore or a new listing. The set is bounded and forgets a server ten minutes after its last listing. The log and explain name the answer in which it was said.

--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -16,7 +16,8 @@
 	Address          string // host:port
 	AvailabilityZone string
 	Slots            int
-	Draining         bool
+	Draining         bool              // gets no new requests
+	LeavingSince     time.Time         // when it became known that the server itself says that it leaves; zero: it does not
 	ColdUntil        time.Time         // slow after its start until then
 	Incarnation      int64             // start of the process, Unix milliseconds; 0: unknown
 	Sequence         int64             // grows with the entries of an incarnation
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -106,9 +106,9 @@
 
 // CauseLines returns the lines that tell why a request with the given lines was held back, or
 // why servers took no request: what all processes say of the parts of its prompt that crash
-// servers, and what its process said last of the limits of servers. Of a request that no
-// route or key allowed, they are the configuration of its process and the last restore of
-// the store.
+// servers, what its process said last of the limits of servers, and which servers left or
+// wanted nothing when it came. Of a request that no route or key allowed, they are the
+// configuration of its process and the last restore of the store.
 func (log *Log) CauseLines(lines []Line) []Line {
 	if len(lines) == 0 {
 		return nil
@@ -116,6 +116,7 @@
 	parts := partsIn(lines)
 	limits := make(map[string]Line) // by server
 	config := make(map[string]Line) // by message
+	said := make(map[string]Line)   // by message and server
 	var causes []Line
 	for i := range log.Lines {
 		l := &log.Lines[i]
@@ -123,6 +124,8 @@
 		case l.RequestID() != "" || l.Time.After(lines[len(lines)-1].Time):
 		case parts[l.text(logging.FieldQuarantined)]:
 			causes = append(causes, *l)
+		case l.Process() == lines[0].Process() && l.holdsAt(lines[0].Time):
+			said[l.Message+l.text("server")] = *l
 		case l.Fields[logging.FieldLimit] != nil && l.Process() == lines[0].Process():
 			limits[l.text("server")] = *l
 		case l.Fields[logging.FieldConfigVersion] != nil && l.Process() == lines[0].Process():
@@ -135,10 +138,23 @@
 	if refusedByServers(lines) {
 		causes = slices.AppendSeq(causes, maps.Values(limits))
 	}
+	causes = slices.AppendSeq(causes, maps.Values(said))
 	slices.SortStableFunc(causes, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return causes
 }
 
+// leavingTime is how long a server that has said that it leaves may still be listed.
+const leavingTime = 10 * time.Minute
+
+// holdsAt reports whether the line says that a server leaves, or wants nothing, at a time.
+func (l *Line) holdsAt(at time.Time) bool {
+	if until, err := time.Parse(time.RFC3339Nano, l.text(logging.FieldWaitUntil)); err == nil {
+		return until.After(at)
+	}
+	since, err := time.Parse(time.RFC3339Nano, l.text(logging.FieldLeavingSince))
+	return err == nil && at.Sub(since) < leavingTime
+}
+
 // partsIn returns the hashes of the parts of prompts in the lines.
 func partsIn(lines []Line) map[string]bool {
 	parts := make(map[string]bool)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -126,3 +126,28 @@
 		}
 	}
 }
+
+// A request leads to what its process knew of servers that left or wanted nothing when it came.
+func TestCauseLinesOfServersNotSentTo(t *testing.T) {
+	log, err := Read(strings.NewReader(`
+{"fields":{"process":"g1","server":"i1","said_in":"r0","leaving_since":"2026-01-01T00:00:01.5Z"},"level":"info","timestamp":"2026-01-01T00:00:01.5Z","message":"follower: backend server says that it leaves"}
+{"fields":{"process":"g1","server":"i2","said_in":"r0","wants_nothing_until":"2026-01-01T00:00:03Z"},"level":"info","timestamp":"2026-01-01T00:00:02Z","message":"serveraccess: backend server wants nothing"}
+{"fields":{"process":"g1","server":"i2","said_in":"r1","wants_nothing_until":"2026-01-01T00:00:09Z"},"level":"info","timestamp":"2026-01-01T00:00:04Z","message":"serveraccess: backend server wants nothing"}
+{"fields":{"process":"g2","server":"i3","said_in":"r1","wants_nothing_until":"2026-01-01T00:00:09Z"},"level":"info","timestamp":"2026-01-01T00:00:04Z","message":"serveraccess: backend server wants nothing"}
+{"fields":{"process":"g1","request_id":"r2","server":"i4"},"level":"info","timestamp":"2026-01-01T00:00:05Z","message":"relay: placed"}
+{"fields":{"process":"g1","request_id":"r3","server":"i2"},"level":"info","timestamp":"2026-01-01T00:00:10Z","message":"relay: placed"}
+{"fields":{"process":"g1","request_id":"r4","server":"i1"},"level":"info","timestamp":"2026-01-01T01:00:00Z","message":"relay: placed"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, want := range map[string][]string{"r2": {"i1", "i2"}, "r3": {"i1"}, "r4": nil} {
+		var servers []string
+		for _, l := range log.CauseLines(log.RequestLines(id)) {
+			servers = append(servers, l.text("server"))
+		}
+		if !slices.Equal(servers, want) {
+			t.Errorf("%s: lines of servers %v, want %v", id, servers, want)
+		}
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -273,6 +273,10 @@
 			return
 		case b := <-f.batches:
 			f.apply(b, time.Now())
+		case <-f.state.leaving.changed:
+			if f.state.markLeaving() {
+				f.publish()
+			}
 		case <-ticker.C:
 			if f.state.removeExpired(time.Now()) || time.Since(f.published) >= publishInterval {
 				f.publish()
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -24,6 +24,7 @@
 	removeAt map[string]time.Time // when to remove servers that are not listed again
 	departed map[string]departure // servers that were removed
 	held     map[string]heldServer
+	leaving  *leavingServers
 	// graceUntil is until when servers that disappeared in an outage may be kept.
 	graceUntil time.Time
 	weights    map[string]deployment.WeightsTarget
@@ -39,6 +40,7 @@
 		removeAt: make(map[string]time.Time),
 		departed: make(map[string]departure),
 		held:     make(map[string]heldServer),
+		leaving:  newLeavingServers(),
 		weights:  make(map[string]deployment.WeightsTarget),
 		gateways: make(map[string]platform.Version),
 	}
@@ -149,6 +151,7 @@
 	previous := st.servers[server.ID]
 	delete(st.removeAt, server.ID)
 	delete(st.held, server.ID)
+	server = st.leaving.mark(server)
 	st.servers[server.ID] = server
 	if previous == nil || previous.Draining != server.Draining || !previous.SameProcess(server) {
 		logger.Info(fields{"server": server.ID, "address": server.Address, "incarnation": server.Incarnation, "draining": server.Draining}, "backend server listed")
@@ -181,6 +184,7 @@
 // lists those that were held long enough. It reports whether the state changed.
 func (st *state) removeExpired(now time.Time) bool {
 	changed := st.listHeld(now)
+	st.leaving.prune(st.servers, now)
 	for id, deadline := range st.removeAt {
 		if !now.Before(deadline) {
 			changed = st.removeServer(id, 0, now) || changed
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -39,6 +39,13 @@
 // FieldConfigVersion is the field with the version of the configuration in force.
 const FieldConfigVersion = "config_version"
 
+// FieldWaitUntil is the field with the time until which a backend server wants no request.
+const FieldWaitUntil = "wants_nothing_until"
+
+// FieldLeavingSince is the field with the time at which it became known that a backend server
+// leaves.
+const FieldLeavingSince = "leaving_since"
+
 // FieldLimit is the field with the limit of a backend server, in requests a second; 0 after its
 // end.
 const FieldLimit = "limit_per_s"
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -281,6 +281,9 @@
 			report.Named = append(report.Named, &wire.NamedWeights{Model: model, Version: n.Version, AgeMs: now.Sub(n.Since).Milliseconds()})
 		}
 	}
+	for _, server := range x.opts.Follower.LeavingServers() {
+		report.Leaving = append(report.Leaving, &wire.LeavingServer{Server: server.ID, Incarnation: server.Incarnation})
+	}
 	for _, use := range x.newUses(address) {
 		report.Uses = append(report.Uses, &wire.CacheUse{
 			Salt: use.Salt, Parts: use.Parts, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
@@ -339,6 +342,9 @@
 	x.recordReport(report, now)
 	x.opts.Quarantine.Merge(report.Quarantine, now)
 	x.opts.Limits.Merge(report.Limits, x.opts.Follower.Snapshot().Incarnation, now)
+	for _, server := range report.Leaving {
+		x.opts.Follower.ReportLeaving(follower.Leaving{ID: server.Server, Incarnation: server.Incarnation}, report.Sender)
+	}
 	for _, note := range report.Notes {
 		x.opts.Fleet.MergeObservation(fleet.Observation{
 			Server: note.Server, Incarnation: note.Incarnation, Model: note.Model, Weights: note.Weights,
