--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -40,7 +40,8 @@
 		Environment: b.settings.Daemon.Environment,
 		OnRevisions: b.loop.PullNewer,
 	}
-	observe := func(header http.Header) { s.sidecar.ObserveResponse(header) }
+	observe := func(answer engine.Answer) { s.sidecar.ObserveResponse(answer) }
+	options.Ended = processEnded(settings.BackendURL)
 	if settings.Kind == config.GroupEngines {
 		modelEngine := client.NewEngine(settings.BackendURL)
 		modelEngine.OnResponse = observe
@@ -53,7 +54,7 @@
 	} else {
 		service := client.NewService(settings.BackendURL)
 		service.OnResponse = observe
-		options.Executor = execute.NewForService(service, processEnded(settings.BackendURL))
+		options.Executor = execute.NewForService(service, options.Ended)
 	}
 	s.sidecar = sidecar.New(options)
 	return s, errors.Wrap(wire.DRPCRegisterBackend(b.mux, s.sidecar), "backend service")
--- a/internal/engine/client/engine.go
+++ b/internal/engine/client/engine.go
@@ -18,8 +18,8 @@
 type Engine struct {
 	base string
 	http *http.Client
-	// OnResponse is called with the header of each response to a generation, if set.
-	OnResponse func(header http.Header)
+	// OnResponse is called with the head of each response, if set.
+	OnResponse func(engine.Answer)
 }
 
 // NewEngine returns a client of the model engine at baseURL.
--- a/internal/engine/client/service.go
+++ b/internal/engine/client/service.go
@@ -20,8 +20,8 @@
 type Service struct {
 	base string
 	http *http.Client
-	// OnResponse is called with the header of each response, if set.
-	OnResponse func(header http.Header)
+	// OnResponse is called with the head of each response, if set.
+	OnResponse func(engine.Answer)
 }
 
 // NewService returns a client of the plain service at baseURL.
@@ -35,14 +35,15 @@
 	if err != nil {
 		return engine.CallReply{}, err
 	}
-	resp, err := send(s.http, req)
+	resp, err := send(s.http, req, func(resp *http.Response) {
+		if s.OnResponse != nil {
+			s.OnResponse(engine.Answer{Status: resp.StatusCode, Header: resp.Header, Request: true})
+		}
+	})
 	if err != nil {
 		return engine.CallReply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if s.OnResponse != nil {
-		s.OnResponse(resp.Header)
-	}
 	body, err := readReply(resp.Body)
 	if err != nil {
 		return engine.CallReply{}, err
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -50,10 +50,14 @@
 }
 
 // send sends the request. Its errors wrap engine.ErrUnreachable if no connection
-// was made, and engine.ErrBroken otherwise.
-func send(client *http.Client, req *http.Request) (*http.Response, error) {
+// was made, and engine.ErrBroken otherwise. observe gets each response, also one that is
+// discarded.
+func send(client *http.Client, req *http.Request, observe func(*http.Response)) (*http.Response, error) {
 	traced, trace := conntrace.Attach(req.Context())
 	resp, err := client.Do(req.WithContext(traced))
+	if err == nil {
+		observe(resp)
+	}
 	if err == nil && !answers(resp, req, trace.Reused()) {
 		trace.CloseConn()
 		_ = resp.Body.Close() // discarded
@@ -112,13 +116,15 @@
 }
 
 func (e *Engine) do(req *http.Request) (*http.Response, error) {
-	resp, err := send(e.http, req)
+	resp, err := send(e.http, req, func(resp *http.Response) {
+		if e.OnResponse != nil {
+			isRequest := strings.HasSuffix(req.URL.Path, httpapi.PathCompletions)
+			e.OnResponse(engine.Answer{Status: resp.StatusCode, Header: resp.Header, Request: isRequest})
+		}
+	})
 	if err != nil {
 		return nil, err
 	}
-	if e.OnResponse != nil && strings.HasSuffix(req.URL.Path, httpapi.PathCompletions) {
-		e.OnResponse(resp.Header)
-	}
 	if resp.StatusCode/100 == 2 {
 		return resp, nil
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -176,6 +176,21 @@
 // takes, a decimal number, for as long as it does so.
 const HeaderLimit = "X-Request-Limit"
 
+// HeaderLeaving is the header in which a backend server says, in all its answers, that it
+// leaves. HeaderInstance names its process, which is another one after a restart.
+const (
+	HeaderLeaving  = "X-Server-Leaving"
+	HeaderInstance = "X-Server-Instance"
+)
+
+// Answer is the head of a backend server's response, which says something of the server
+// itself, whatever becomes of the response.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Request bool // it answers a generation or a call, not a question or an order of the sidecar
+}
+
 // Service is a plain service.
 type Service interface {
 	// Call sends the request once. Errors wrap ErrUnreachable (not run) or
--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -32,6 +32,15 @@
 	// affinity.
 	affinityDepth int
 	candidates    []Candidate
+	// shortestPause is the shortest time until a backend server that wants no request now
+	// wants some again; 0: all take requests.
+	shortestPause time.Duration
+}
+
+func (d *decision) notePause(pause time.Duration) {
+	if d.shortestPause == 0 || pause < d.shortestPause {
+		d.shortestPause = pause
+	}
 }
 
 // filter excludes candidates.
@@ -41,13 +50,17 @@
 	keep(d *decision, c *Candidate) bool
 }
 
-// availabilityFilter drops backend servers that are leaving, are draining or
-// have already failed this request.
+// availabilityFilter drops backend servers that are leaving, are draining, want no
+// request for a time or have already failed this request.
 type availabilityFilter struct{}
 
 func (availabilityFilter) name() string { return "availability" }
 
 func (availabilityFilter) keep(d *decision, c *Candidate) bool {
+	if pause := c.load.pause(d.now); pause > 0 {
+		d.notePause(pause)
+		return false
+	}
 	return !c.Server.Leaving && !c.load.draining(d.now) && !d.req.HasFailed(c.Server.Address)
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -106,7 +107,7 @@
 	d := &s.decision
 	if len(d.candidates) == 0 {
 		return request.Target{}, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of group %q can take the request", group).
-			WithRetryAfter(time.Second)
+			WithRetryAfter(cmp.Or(d.shortestPause, time.Second))
 	}
 	f.score(d)
 	chosen, reason := f.policy.picker.pick(d)
--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 )
 
 // defaultPrefillRate, in tokens per second, is used for all engines until one has
@@ -184,6 +185,16 @@
 	return max(own, int64(last.load.GetQueued()+last.load.GetRunning()))
 }
 
+// pause returns how much longer the backend server wants no request, by the last report.
+func (s *serverLoad) pause(now time.Time) time.Duration {
+	last := s.report.Load()
+	if last == nil {
+		return 0
+	}
+	pause := time.Duration(last.load.GetPauseMs()) * time.Millisecond
+	return max(0, min(pause, serverbackoff.MaxWait)-now.Sub(last.receivedAt))
+}
+
 // draining reports whether the last report, if it is recent, has the sidecar as
 // draining.
 func (s *serverLoad) draining(now time.Time) bool {
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -17,7 +17,7 @@
 
 // isDraining reports whether new requests are refused.
 func (s *Sidecar) isDraining() bool {
-	return s.draining.Load() || s.source.Snapshot().Draining
+	return s.draining.Load() || s.source.Snapshot().Draining || s.leaving.is()
 }
 
 const (
--- a/internal/sidecar/enginestate.go
+++ b/internal/sidecar/enginestate.go
@@ -21,7 +21,9 @@
 // engineState caches the state that the engine reported last. Reads refresh it
 // when it is old, so that it needs no polling goroutine.
 type engineState struct {
-	engine engine.Engine // nil for plain services
+	engine    engine.Engine // nil for plain services
+	onRestart func()        // called after the engine has restarted; must not block
+	paused    func() bool   // whether the engine wants nothing now; nil: it never is
 
 	mu       sync.Mutex
 	state    engine.State
@@ -30,7 +32,9 @@
 	fetching bool
 }
 
-func newEngineState(e engine.Engine) *engineState { return &engineState{engine: e} }
+func newEngineState(e engine.Engine, onRestart func()) *engineState {
+	return &engineState{engine: e, onRestart: onRestart}
+}
 
 // loadedWeights returns the weights that the engine has loaded, nil if unknown.
 func (s *engineState) loadedWeights() []*wire.Weights {
@@ -79,18 +83,26 @@
 	if incarnation == 0 || incarnation == s.state.Incarnation {
 		return
 	}
+	s.noteIncarnation(incarnation)
 	s.state = engine.State{Incarnation: incarnation}
 	s.weights = nil
 	s.fetched = time.Time{}
 }
 
+// noteIncarnation calls onRestart if the incarnation is another one. The caller holds the lock.
+func (s *engineState) noteIncarnation(incarnation uint64) {
+	if s.state.Incarnation != 0 && incarnation != 0 && incarnation != s.state.Incarnation {
+		s.onRestart()
+	}
+}
+
 func (s *engineState) refreshIfStale() {
 	if s.engine == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fetching || time.Since(s.fetched) < stateRefreshAge {
+	if s.fetching || time.Since(s.fetched) < stateRefreshAge || s.paused != nil && s.paused() {
 		return
 	}
 	s.fetching = true
@@ -110,6 +122,7 @@
 	if err != nil {
 		return
 	}
+	s.noteIncarnation(state.Incarnation)
 	s.state = state
 	s.fetched = time.Now()
 	s.weights = make([]*wire.Weights, 0, len(state.Loaded))
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcerr"
@@ -26,13 +27,14 @@
 type orders struct {
 	engine    engine.Engine
 	usage     *weightsUsage
+	refused   func() error  // why the engine takes no order now; asked when one is sent
 	sem       chan struct{} // binary semaphore; guards fence and fenceRead
 	fence     uint64        // highest fencing token seen
 	fenceRead bool          // the engine's own fencing token was read
 }
 
-func newOrders(e engine.Engine, usage *weightsUsage) *orders {
-	o := &orders{engine: e, usage: usage, sem: make(chan struct{}, 1)}
+func newOrders(e engine.Engine, usage *weightsUsage, refused func() error) *orders {
+	o := &orders{engine: e, usage: usage, refused: refused, sem: make(chan struct{}, 1)}
 	o.sem <- struct{}{}
 	return o
 }
@@ -52,6 +54,17 @@
 	return &wire.OrderReply{Load: s.Load()}, nil
 }
 
+// orderRefusal returns why the engine takes no order now, or nil.
+func (s *Sidecar) orderRefusal() error {
+	if s.leaving.is() {
+		return errors.New("the engine is leaving")
+	}
+	if pause := s.queue.Pause(time.Now()); pause > 0 {
+		return errors.Errorf("the engine wants nothing for %v", pause)
+	}
+	return nil
+}
+
 func orderOf(req *wire.OrderRequest) engine.Order {
 	return engine.Order{
 		Fence:  req.Fence,
@@ -77,6 +90,9 @@
 		return context.Cause(ctx)
 	}
 	defer func() { o.sem <- struct{}{} }()
+	if err := o.refused(); err != nil {
+		return drpcerr.WithCode(err, OrderFailed)
+	}
 	if err := o.readFence(ctx); err != nil {
 		return drpcerr.WithCode(err, OrderUnreachable)
 	}
--- a/internal/sidecar/queue/limit.go
+++ b/internal/sidecar/queue/limit.go
@@ -14,11 +14,17 @@
 // tries another backend server instead.
 const maxLimitWait = time.Second
 
-// ObserveResponse records the limit that the backend server names in the header of a
-// response. Only this sidecar sends it requests, so the whole limit is the queue's.
-func (q *Queue) ObserveResponse(header http.Header) {
+// ObserveResponse records what the backend server says in an answer of the requests that it
+// takes. Only this sidecar sends it requests, so the whole limit is the queue's.
+func (q *Queue) ObserveResponse(answer engine.Answer) {
 	now := time.Now()
-	q.limits.Observe(limitedServer, 0, header.Values(engine.HeaderLimit), now)
+	if answer.Status == http.StatusServiceUnavailable {
+		q.observeRefusal(answer.Header, now)
+	}
+	if !answer.Request {
+		return
+	}
+	q.limits.Observe(limitedServer, 0, answer.Header.Values(engine.HeaderLimit), now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.dispatchLocked(now) // the limit may have ended
--- a/internal/sidecar/queue/limit_test.go
+++ b/internal/sidecar/queue/limit_test.go
@@ -16,8 +16,8 @@
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
-func limitHeader(values ...string) http.Header {
-	return http.Header{http.CanonicalHeaderKey(engine.HeaderLimit): values}
+func limitAnswer(values ...string) engine.Answer {
+	return engine.Answer{Status: http.StatusOK, Request: true, Header: http.Header{http.CanonicalHeaderKey(engine.HeaderLimit): values}}
 }
 
 // Requests start at the rate that the backend server named; those that would wait longer
@@ -34,9 +34,9 @@
 			return &wire.Frame{}, nil
 		})
 		for _, malformed := range []string{"", "-1", "NaN", "1e99"} {
-			q.ObserveResponse(limitHeader(malformed))
+			q.ObserveResponse(limitAnswer(malformed))
 		}
-		q.ObserveResponse(limitHeader("2"))
+		q.ObserveResponse(limitAnswer("2"))
 		begun := time.Now()
 		refused := 0
 		var group sync.WaitGroup
@@ -67,8 +67,8 @@
 		if late := time.Since(begun); late > 5*time.Second {
 			t.Errorf("requests waited for %v", late)
 		}
-		q.ObserveResponse(http.Header{})
-		q.ObserveResponse(http.Header{})
+		q.ObserveResponse(engine.Answer{Status: http.StatusOK, Request: true})
+		q.ObserveResponse(engine.Answer{Status: http.StatusOK, Request: true})
 		if wait := q.limits.Wait(limitedServer, time.Now()); wait != 0 {
 			t.Errorf("a wait of %v after the end of the limit", wait)
 		}
--- a/internal/sidecar/queue/queue.go
+++ b/internal/sidecar/queue/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/logging"
+	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 	"github.com/wasabigate/wasabigate/internal/serverlimit"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -30,6 +31,7 @@
 	reasonCancelled    = "cancelled"
 	reasonDraining     = "leaving"
 	reasonLimit        = "limit of the backend server"
+	reasonPause        = "the backend server wants none"
 )
 
 // Queue is a job.Filter that limits the number of running requests and orders
@@ -40,7 +42,8 @@
 	maxWaiting  int
 	ageingBound time.Duration // wait after which a deferrable request counts as aged
 	metrics     metrics
-	limits      *serverlimit.Limits // of the backend server
+	limits      *serverlimit.Limits     // of the backend server
+	backoffs    *serverbackoff.Backoffs // of the backend server
 
 	mu            sync.Mutex
 	lanes         [laneCount]lane
@@ -57,16 +60,28 @@
 // Handle implements job.Filter. It waits for a slot, in fair order. Its refusals
 // have verdict NotRun.
 func (q *Queue) Handle(ctx context.Context, j *job.Job, next job.Handler) (job.Outcome, error) {
+	if err := q.pauseError(j, time.Now()); err != nil {
+		return nil, err
+	}
 	slot, err := q.acquire(ctx, j)
 	if err != nil {
 		return nil, err
 	}
 	defer slot.release()
+	sent := time.Now()
+	trial, ok := q.backoffs.Begin(backendKey, sent)
+	if !ok {
+		return nil, q.pauseError(j, sent)
+	}
+	defer trial.End()
 	emit := j.Emit
 	j.Emit = slot.countingEmit(emit)
 	defer func() { j.Emit = emit }()
 	outcome, failure := next.Handle(ctx, j)
 	slot.recordOutcome(outcome, failure)
+	if failure == nil {
+		q.backoffs.RecordAccepted(backendKey, sent)
+	}
 	return outcome, failure
 }
 
@@ -156,13 +171,15 @@
 
 // RefuseWaiting refuses all waiting requests because the backend server is
 // draining, so that their routers send them to another one.
-func (q *Queue) RefuseWaiting() {
+func (q *Queue) RefuseWaiting() { q.refuseWaiting(reasonDraining) }
+
+func (q *Queue) refuseWaiting(reason string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for i := range q.lanes {
 		l := &q.lanes[i]
 		for l.waiting > 0 {
-			q.evictLocked(l, l.waitingFlows[0].head(), reasonDraining)
+			q.evictLocked(l, l.waitingFlows[0].head(), reason)
 		}
 	}
 }
@@ -255,6 +272,10 @@
 	case reasonCancelled:
 		q.recordRefusal(j, w.lane, 0, reason)
 		return verdict.Wrap(context.Cause(ctx), verdict.NotRun, verdict.CodeCancelled, "cancelled while waiting")
+	case reasonPause:
+		if err := q.pauseError(j, time.Now()); err != nil {
+			return err
+		}
 	case reasonDraining:
 		q.recordRefusal(j, w.lane, 0, reason)
 		return verdict.New(verdict.NotRun, verdict.CodeDraining, "the backend server is leaving")
--- a/internal/sidecar/queue/setup.go
+++ b/internal/sidecar/queue/setup.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 	"github.com/wasabigate/wasabigate/internal/serverlimit"
 )
 
@@ -29,6 +30,7 @@
 		maxWaiting:  positiveOr(settings.QueueLimit, defaultQueueLimit),
 		ageingBound: settings.AgeingBound,
 		limits:      serverlimit.New(""),
+		backoffs:    serverbackoff.New(),
 	}
 	if q.ageingBound <= 0 {
 		q.ageingBound = defaultAgeingBound
--- a/internal/sidecar/setup.go
+++ b/internal/sidecar/setup.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"context"
+	"time"
+
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/engine"
@@ -34,6 +37,8 @@
 	Blocks      BlockSource // nil for plain services
 	// PieceStore stores KV cache; nil for none. It needs Engine and Blocks.
 	PieceStore platform.PieceStore
+	// Ended reports whether no process serves the backend server's address; nil: unknown.
+	Ended func(context.Context) bool
 	// OnRevisions is called with revisions from messages that are newer than the
 	// snapshot's, so that the control loop fetches them. May be nil.
 	OnRevisions func(*wire.Revisions)
@@ -42,9 +47,11 @@
 // New returns a Sidecar and builds its filter chain.
 func New(opts Options) *Sidecar {
 	s := &Sidecar{source: opts.Source, executor: opts.Executor, blocks: opts.Blocks}
-	s.engine = newEngineState(opts.Engine)
+	s.leaving = &leaving{ended: opts.Ended, onChange: func() { s.queue.RefuseWaiting() }}
+	s.engine = newEngineState(opts.Engine, func() { s.leaving.end("the engine has restarted") })
+	s.engine.paused = func() bool { return s.queue.Pause(time.Now()) > 0 }
 	s.usage = newWeightsUsage(s.engine.incarnation)
-	s.orders = newOrders(opts.Engine, s.usage)
+	s.orders = newOrders(opts.Engine, s.usage, s.orderRefusal)
 	s.buffers = buffer.New(buffer.Options{Settings: opts.Settings, Revisions: s.revisions})
 	s.queue = queue.New(opts.Settings)
 	s.once = once.New(once.Options{KV: opts.KV, Environment: opts.Environment})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/control"
+	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar/buffer"
@@ -36,6 +36,7 @@
 	orders   *orders
 	usage    *weightsUsage
 	draining atomic.Bool
+	leaving  *leaving
 	arrivals atomic.Uint64 // Execute calls so far
 }
 
@@ -93,13 +94,16 @@
 	}
 }
 
-// execute is the last handler of the chain. It checks the key again, which may
-// have been withdrawn while the job was queued, and marks the job as started.
+// execute is the last handler of the chain. It checks again what may have changed while the job
+// was queued: the key, and whether the backend server leaves. Then it marks the job as started.
 func (s *Sidecar) execute(ctx context.Context, j *job.Job) (job.Outcome, error) {
 	revision := s.source.Snapshot().Config
 	if j.Request.KeyId != "" && revision != nil && revision.KeyWithdrawn(j.Request.KeyId) {
 		return nil, keyWithdrawnError(verdict.NotRun, j.Request.KeyId)
 	}
+	if s.leaving.is() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeDraining, "the backend server is leaving")
+	}
 	if !j.TryStart() {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "cancelled before execution")
 	}
@@ -159,8 +163,11 @@
 	return outcome
 }
 
-// ObserveResponse records what the backend server says of itself in the header of a response.
-func (s *Sidecar) ObserveResponse(header http.Header) { s.queue.ObserveResponse(header) }
+// ObserveResponse records what the backend server says of itself in an answer.
+func (s *Sidecar) ObserveResponse(answer engine.Answer) {
+	s.leaving.observe(answer.Header)
+	s.queue.ObserveResponse(answer)
+}
 
 func (s *Sidecar) failureFrame(err *verdict.Error) *wire.Frame {
 	return &wire.Frame{Revisions: s.revisions(), Failure: &wire.Failure{
@@ -246,6 +253,7 @@
 	load.Loaded = s.usage.withoutRetired(load.Loaded)
 	s.queue.FillLoad(load)
 	load.Draining = s.isDraining()
+	load.PauseMs = s.queue.Pause(time.Now()).Milliseconds()
 	return load
 }
 
--- a/internal/sidecar/usage_test.go
+++ b/internal/sidecar/usage_test.go
@@ -51,7 +51,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				backend := &fakeEngine{err: c.err}
 				usage := newWeightsUsage(func() uint64 { return 1 })
-				o := newOrders(backend, usage)
+				o := newOrders(backend, usage, func() error { return nil })
 				if c.running > 0 && usage.acquire(old) {
 					time.AfterFunc(c.running, func() { usage.release(old) })
 				}
@@ -79,7 +79,7 @@
 	for _, c := range []string{"loaded again", "engine restarted"} {
 		incarnation := uint64(1)
 		usage := newWeightsUsage(func() uint64 { return incarnation })
-		o := newOrders(&fakeEngine{}, usage)
+		o := newOrders(&fakeEngine{}, usage, func() error { return nil })
 		if err := o.apply(t.Context(), engine.Order{Fence: 1, Unload: &w}); err != nil || usage.acquire(w) {
 			t.Fatalf("not unloaded: %v", err)
 		}
--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -37,6 +37,7 @@
 }
 
 func (e *Engine) startLocked() {
+	e.faults.endLeaving()
 	e.current = newInstance(&e.opts, &e.faults, e.opts.FirstIncarnation+e.starts)
 	e.current.crashEngine = e.Crash
 	e.starts++
--- a/internal/standin/model/faults.go
+++ b/internal/standin/model/faults.go
@@ -13,6 +13,9 @@
 	CrossStreams   int           // number of next streams whose chunks carry another request's ID
 	AnswerDelay    time.Duration // wait before the first chunk
 	Limit          string        // named in responses as the requests a second that the engine takes; empty: none
+	Leaving        bool          // all responses say that the engine leaves, until it restarts
+	Refuse         bool          // generations are refused
+	RetryAfter     string        // named in refusals as the seconds until the engine wants requests; empty: none
 	CrashPrompt    string        // the engine crashes when it begins to answer a prompt with this text; empty: never
 	CrashDown      time.Duration // time until the restart after CrashPrompt
 }
@@ -63,6 +66,20 @@
 	return f.current.CrashPrompt != "" && strings.Contains(prompt, f.current.CrashPrompt), f.current.CrashDown
 }
 
+// sayings returns what responses say of the engine, and whether it refuses generations.
+func (f *faultState) sayings() (leaving, refuse bool, retryAfter string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.Leaving, f.current.Refuse, f.current.RetryAfter
+}
+
+// endLeaving ends the fault Leaving, since another process begins.
+func (f *faultState) endLeaving() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current.Leaving = false
+}
+
 // limit returns the limit to name in responses.
 func (f *faultState) limit() string {
 	f.mu.Lock()
--- a/internal/standin/model/http.go
+++ b/internal/standin/model/http.go
@@ -30,6 +30,9 @@
 	CrossStreams   int     `json:"cross_streams"`
 	AnswerDelayMs  int64   `json:"answer_delay_ms"`
 	Limit          string  `json:"limit"`        // requests a second that responses name; empty: none
+	Leaving        bool    `json:"leaving"`      // responses say that the engine leaves, until it restarts
+	Refuse         bool    `json:"refuse"`       // generations are refused
+	RetryAfter     string  `json:"retry_after"`  // seconds that refusals name; empty: none
 	CrashPrompt    string  `json:"crash_prompt"` // crashes for DownMs when it begins to answer a prompt with this text
 }
 
@@ -41,6 +44,7 @@
 func Handler(e *Engine) http.Handler {
 	h := handler{engine: e}
 	router := echo.New()
+	router.Use(h.sayLeaving)
 	router.POST(httpapi.PathCompletions, h.completions)
 	router.GET(httpapi.PathState, h.state)
 	router.GET(httpapi.PathEvents, h.events)
@@ -78,6 +82,12 @@
 		return malformed(c, err)
 	}
 	h.nameLimit(c)
+	if _, refuse, retryAfter := h.engine.faults.sayings(); refuse {
+		if retryAfter != "" {
+			c.Response().Header().Set("Retry-After", retryAfter)
+		}
+		return fail(c, errors.Wrap(engine.ErrRefused, "the engine takes no requests"))
+	}
 	chunks, err := h.engine.Generate(c.Request().Context(), req)
 	if err != nil {
 		return fail(c, err)
@@ -98,6 +108,16 @@
 	}
 }
 
+// sayLeaving sets the header with which an engine that leaves says so in all responses.
+func (h handler) sayLeaving(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if leaving, _, _ := h.engine.faults.sayings(); leaving {
+			c.Response().Header().Set(engine.HeaderLeaving, "1")
+		}
+		return next(c)
+	}
+}
+
 // nameLimit sets the header with the engine's limit, if it has one.
 func (h handler) nameLimit(c echo.Context) {
 	if limit := h.engine.faults.limit(); limit != "" {
@@ -207,6 +227,9 @@
 		CrossStreams:   body.CrossStreams,
 		AnswerDelay:    milliseconds(body.AnswerDelayMs),
 		Limit:          body.Limit,
+		Leaving:        body.Leaving,
+		Refuse:         body.Refuse,
+		RetryAfter:     body.RetryAfter,
 		CrashPrompt:    body.CrashPrompt,
 		CrashDown:      milliseconds(body.DownMs),
 	})
--- a/internal/standin/service/http.go
+++ b/internal/standin/service/http.go
@@ -29,13 +29,16 @@
 // milliseconds. It lacks Faults.Down, since a service that is down permanently
 // can't be reached over HTTP to start it again; use crash and down_ms.
 type FaultsBody struct {
-	DownMs      int64 `json:"down_ms"`
-	CrashBefore int   `json:"crash_before"`
-	CrashAfter  int   `json:"crash_after"`
-	CutAfter    int   `json:"cut_after"`
-	CrossIDs    int   `json:"cross_ids"`
-	DelayMs     int64 `json:"delay_ms"`
-	Crash       bool  `json:"crash"` // crash now, for down_ms
+	DownMs      int64  `json:"down_ms"`
+	CrashBefore int    `json:"crash_before"`
+	CrashAfter  int    `json:"crash_after"`
+	CutAfter    int    `json:"cut_after"`
+	CrossIDs    int    `json:"cross_ids"`
+	DelayMs     int64  `json:"delay_ms"`
+	Leaving     bool   `json:"leaving"`
+	Refuse      bool   `json:"refuse"`
+	RetryAfter  string `json:"retry_after"`
+	Crash       bool   `json:"crash"` // crash now, for down_ms
 }
 
 type handler struct {
@@ -95,6 +98,9 @@
 		CutAfter:    body.CutAfter,
 		CrossIDs:    body.CrossIDs,
 		Delay:       milliseconds(body.DelayMs),
+		Leaving:     body.Leaving,
+		Refuse:      body.Refuse,
+		RetryAfter:  body.RetryAfter,
 	})
 	if body.Crash {
 		defer h.service.crash()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	CutAfter    int           // break the connection after the effect
 	CrossIDs    int           // reply with another request's ID
 	Delay       time.Duration // wait between the effect and the reply
+	Leaving     bool          // replies say that the service leaves
+	Refuse      bool          // calls are refused without an effect
+	RetryAfter  string        // seconds that refusals name; empty: none
 }
 
 // Service implements engine.Service in process.
@@ -88,7 +92,7 @@
 func (s *Service) takeFaults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	taken := Faults{Delay: s.faults.Delay}
+	taken := Faults{Delay: s.faults.Delay, Leaving: s.faults.Leaving, Refuse: s.faults.Refuse, RetryAfter: s.faults.RetryAfter}
 	for _, count := range []struct{ left, taken *int }{
 		{&s.faults.CrashBefore, &taken.CrashBefore},
 		{&s.faults.CrashAfter, &taken.CrashAfter},
@@ -115,7 +119,13 @@
 		s.crash()
 		return engine.CallReply{}, errors.Wrap(engine.ErrBroken, "crashed before the effect")
 	}
+	if faults.Refuse {
+		return refusal(call, faults), nil
+	}
 	reply := s.execute(call)
+	if faults.Leaving {
+		reply.Header.Set(engine.HeaderLeaving, "1")
+	}
 	if faults.CrashAfter > 0 {
 		s.crash()
 	}
@@ -129,6 +139,18 @@
 	return reply, await(ctx, crashed, faults.Delay)
 }
 
+// refusal returns the reply to a call that has no effect.
+func refusal(call engine.CallRequest, faults Faults) engine.CallReply {
+	refused := reply(call, http.StatusServiceUnavailable, errorReply{Error: "takes no calls"})
+	if faults.RetryAfter != "" {
+		refused.Header.Set("Retry-After", faults.RetryAfter)
+	}
+	if faults.Leaving {
+		refused.Header.Set(engine.HeaderLeaving, "1")
+	}
+	return refused
+}
+
 // await waits for d and returns an error if the connection breaks before.
 func await(ctx context.Context, crashed <-chan struct{}, d time.Duration) error {
 	timer := time.NewTimer(d)
