--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/shard"
+	"github.com/wasabigate/wasabigate/internal/tcplisten"
 	"github.com/wasabigate/wasabigate/internal/tlsconf"
 	"github.com/wasabigate/wasabigate/internal/version"
 )
@@ -144,7 +145,7 @@
 // serve runs all listeners and the background work until ctx ends or one of them
 // fails, then drains.
 func (b *base) serve(ctx context.Context, r role) error {
-	rpcListener, err := net.Listen("tcp", b.settings.Daemon.RPCAddress)
+	rpcListener, err := tcplisten.Listen(b.settings.Daemon.RPCAddress)
 	if err != nil {
 		return errors.Wrap(err, "RPC listener")
 	}
@@ -195,7 +196,7 @@
 	if address == "" {
 		return nil, nil
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := tcplisten.Listen(address)
 	return listener, errors.Wrap(err, "HTTP listener")
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/wasabigate/wasabigate/internal/serveraccess"
 	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 	"github.com/wasabigate/wasabigate/internal/serverlimit"
+	"github.com/wasabigate/wasabigate/internal/tcplisten"
 )
 
 var logger = logging.For("gateway")
@@ -141,7 +142,7 @@
 		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := tcplisten.Listen(l.address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for %s", l.name)
 		}
