follower: hear of removals in time when watchers fall silent (DRAIN)

A gateway that doesn't watch the store read it 2.15 s after its last news if the two watchers that it asks were killed, paused or cut off. The users' bound for a removal is 2 s.

Cause: silence was acted on later than news must be. Ruled out: slow exchanges (0.1 to 0.25 s while watchers answer).

Change: a watch waits for 1.2 s in the store instead of 1.5 s; a gateway that doesn't watch reads the store after 1.7 s without news; it asks other watchers when the chosen ones don't answer.

Conclusion: fixed; that it was the users' cause is only suspected.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -26,7 +26,7 @@
 const (
 	// watchWait is how long a watch call waits in the store for a change. A dead
 	// connection is noticed after this time.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 1200 * time.Millisecond
 	// batchInterval is the pause between two watch calls, in which changes accumulate,
 	// since each call has a cost. It is a tenth of the shortest time in which a change
 	// must be in force.
@@ -37,9 +37,10 @@
 	// minBackoff and maxBackoff bound the back-off after a failed call.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
-	// maxIdleStaleness is the staleness at which an idle gateway reads the store itself:
-	// the longest interval of a watch, plus two exchanges in a large fleet.
-	maxIdleStaleness = MaxPollInterval + 500*time.Millisecond
+	// maxIdleStaleness is the staleness at which an idle gateway reads the store itself: the
+	// longest interval of a watch, plus an exchange. A removal must be in force within two
+	// seconds also if the gateways that watch for it fall silent.
+	maxIdleStaleness = MaxPollInterval + 350*time.Millisecond
 )
 
 // MaxPollInterval is the longest interval between two answers of a healthy store.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -181,11 +181,20 @@
 const maxWatcherCalls = 2
 
 // chooseWatchers returns at most maxWatcherCalls of the gateways that watch the store,
-// chosen by a hash so that different callers choose different ones.
+// chosen by a hash so that different callers choose different ones. Those whose last call
+// failed come last.
 func (x *Exchange) chooseWatchers(listed []deployment.Gateway) []string {
 	watchers := roster.Watchers(listed)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	failing := func(address string) int {
+		if p := x.peers[address]; p != nil && p.failing {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(watchers, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(a+x.opts.Self), xxhash.Sum64String(b+x.opts.Self))
+		return cmp.Or(cmp.Compare(failing(a), failing(b)), cmp.Compare(xxhash.Sum64String(a+x.opts.Self), xxhash.Sum64String(b+x.opts.Self)))
 	})
 	return watchers[:min(len(watchers), maxWatcherCalls)]
 }
