execute: keep what a server says of itself out of callers' replies

The reply of a plain service that leaves carried X-Server-Leaving to the caller, and into the record of a call that runs once, which is replayed later. The header concerns the sidecar only.

Measured: tests of sidecar/execute pass; seen by reading the change.

--- a/internal/sidecar/execute/call.go
+++ b/internal/sidecar/execute/call.go
@@ -71,11 +71,14 @@
 	}
 }
 
-// replyHeaders returns the end-to-end headers, sorted by name.
+// replyHeaders returns the end-to-end headers, sorted by name, without those that concern the
+// sidecar only.
 func replyHeaders(header http.Header) []*wire.Header {
 	header = header.Clone()
 	removeHopHeaders(header)
-	header.Del(headerContentLength)
+	for _, name := range []string{headerContentLength, engine.HeaderLeaving, engine.HeaderInstance} {
+		header.Del(name)
+	}
 	var list []*wire.Header
 	for _, name := range slices.Sorted(maps.Keys(header)) {
 		for _, value := range header[name] {
