--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -188,11 +188,11 @@
 // pause returns how much longer the backend server wants no request, by the last report.
 func (s *serverLoad) pause(now time.Time) time.Duration {
 	last := s.report.Load()
-	if last == nil {
+	if last == nil || last.load.GetPauseMs() <= 0 {
 		return 0
 	}
-	pause := time.Duration(last.load.GetPauseMs()) * time.Millisecond
-	return max(0, min(pause, serverbackoff.MaxWait)-now.Sub(last.receivedAt))
+	pause := min(time.Duration(last.load.GetPauseMs())*time.Millisecond, serverbackoff.MaxWait)
+	return max(0, last.receivedAt.Add(pause).Sub(now))
 }
 
 // draining reports whether the last report, if it is recent, has the sidecar as
