--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -17,30 +16,14 @@
 // connection: by a close, or by a reset.
 func rawAnswers(t *testing.T, answer string, reset bool) string {
 	t.Helper()
-	listener := listenLoopback(t)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, answer)
-				if tcp, ok := conn.(*net.TCPConn); ok && reset {
-					_ = clock.Sleep(context.Background(), resetDelay)
-					_ = tcp.SetLinger(0)
-				}
-			}()
+	return rawServer(t, func(_ int, conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, answer)
+		if tcp, ok := conn.(*net.TCPConn); ok && reset {
+			_ = clock.Sleep(context.Background(), resetDelay)
+			_ = tcp.SetLinger(0)
 		}
-	}()
-	return listener.Addr().String()
+		_ = conn.Close() // the answer ends with it
+	})
 }
 
 // resetDelay lets the answer's bytes arrive before the reset, which discards others.
