follower: let a watch wait for 1.4 s

Change: a watch waits for 1.4 s, and a gateway that doesn't watch reads the store after 1.85 s without news, at that moment and no longer up to 150 ms later. The test's bound is the users' 2 s less 100 ms for the way to a server.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -26,7 +26,7 @@
 const (
 	// watchWait is how long a watch call waits in the store for a change. A dead
 	// connection is noticed after this time.
-	watchWait = 1200 * time.Millisecond
+	watchWait = 1400 * time.Millisecond
 	// batchInterval is the pause between two watch calls, in which changes accumulate,
 	// since each call has a cost. It is a tenth of the shortest time in which a change
 	// must be in force.
@@ -40,7 +40,7 @@
 	// maxIdleStaleness is the staleness at which an idle gateway reads the store itself: the
 	// longest interval of a watch, plus an exchange. A removal must be in force within two
 	// seconds also if the gateways that watch for it fall silent.
-	maxIdleStaleness = MaxPollInterval + 350*time.Millisecond
+	maxIdleStaleness = MaxPollInterval + 300*time.Millisecond
 )
 
 // MaxPollInterval is the longest interval between two answers of a healthy store.
@@ -475,8 +475,12 @@
 // whether it waited.
 func (f *Follower) waitWhileIdle(ctx context.Context) bool {
 	waited := false
-	for ctx.Err() == nil && f.idle.Load() && !f.forceRead.Swap(false) && f.Staleness(time.Now()) < maxIdleStaleness {
-		clock.Sleep(ctx, batchInterval)
+	for ctx.Err() == nil && f.idle.Load() && !f.forceRead.Swap(false) {
+		left := maxIdleStaleness - f.Staleness(time.Now())
+		if left <= 0 {
+			break
+		}
+		_ = clock.Sleep(ctx, min(left, batchInterval)) // the loop checks ctx
 		waited = true
 	}
 	return waited
