--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -121,26 +121,6 @@
 // Snapshot returns the current snapshot, which is never nil.
 func (f *Follower) Snapshot() *deployment.Snapshot { return f.current.Load() }
 
-// ChangesAfter returns the changes after a position for another gateway. If this one may not
-// know of a removal after the position, they are the whole content of the store.
-func (f *Follower) ChangesAfter(after platform.Version) Changes {
-	now := time.Now()
-	known := f.known.Load()
-	if known == nil {
-		return Changes{}
-	}
-	changes := Changes{
-		Position: known.position, Complete: after < known.since,
-		Age: f.Staleness(now), Grace: max(0, known.graceUntil.Sub(now)),
-	}
-	for _, event := range known.events {
-		if event.Version > after || changes.Complete {
-			changes.Events = append(changes.Events, event)
-		}
-	}
-	return changes
-}
-
 // OperatorEvents returns the operators' entries that are in force.
 func (f *Follower) OperatorEvents() []platform.Event {
 	known := f.known.Load()
@@ -156,25 +136,6 @@
 	return events
 }
 
-// Changes are changes of the store that a gateway passes on to another one.
-type Changes struct {
-	Events   []platform.Event
-	Position platform.Version // up to which they are known
-	Complete bool             // Events are the whole content of the store
-	Age      time.Duration    // since the store confirmed them
-	Grace    time.Duration    // how much longer servers that disappeared in an outage are kept
-}
-
-// Merge merges another gateway's changes after this one's position.
-func (f *Follower) Merge(ctx context.Context, c Changes) {
-	grace := max(f.failures.graceAfter(f.Staleness(time.Now())), min(c.Grace, relistGrace))
-	select {
-	case f.batches <- batch{events: c.Events, position: c.Position, complete: c.Complete, grace: grace}:
-		f.Confirm(c.Age)
-	case <-ctx.Done():
-	}
-}
-
 // MergeOperatorEvents merges the operators' entries that are in force at another gateway,
 // whatever the store has now: a restored store may have lost them.
 func (f *Follower) MergeOperatorEvents(ctx context.Context, events []platform.Event) {
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -47,8 +47,8 @@
 }
 
 // removeMissing removes the entries that are missing in a full read of the store, and after
-// grace the servers. keys and servers are the keys and server IDs that it returned. Operators' entries
-// are never removed.
+// grace the servers. keys and servers are the keys and server IDs that it returned.
+// Operators' entries are never removed.
 func (st *state) removeMissing(keys, servers map[string]struct{}, fromOperator func(key string) bool, grace time.Duration, now time.Time) {
 	maps.DeleteFunc(st.applied, func(key string, _ platform.Version) bool { return !contains(keys, key) })
 	maps.DeleteFunc(st.latest, func(key string, event platform.Event) bool {
@@ -111,18 +111,6 @@
 	maps.DeleteFunc(st.latest, func(_ string, event platform.Event) bool { return event.Deleted && event.Version < oldest })
 }
 
-// known is what a gateway can pass on of the store's content. It is immutable.
-type known struct {
-	events     []platform.Event // the last one of each key, which may be a deletion
-	position   platform.Version // events include all changes up to it
-	since      platform.Version // events include all removals after it
-	graceUntil time.Time        // servers that disappeared in an outage may be kept until then
-}
-
-func (st *state) known() *known {
-	return &known{events: slices.Collect(maps.Values(st.latest)), position: st.position, since: st.since, graceUntil: st.graceUntil}
-}
-
 // applyItem applies an entry that the operators or a backend server wrote. It reports
 // whether the state changed.
 func (st *state) applyItem(item *Item, now time.Time) bool {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -254,8 +254,8 @@
 			return choice, nil
 		case serveraccess.Gone, serveraccess.Leaving:
 			choice.Server.Draining = true // since the snapshot was taken
-		case serveraccess.Waiting:
-			choice.Server.Waiting = true // a refusal came meanwhile, or another request is the trial
+		case serveraccess.Paused:
+			choice.Server.Paused = true // a refusal came meanwhile, or another request is the trial
 		case serveraccess.Limited:
 			choice.Server.Limited = true // another request took what was left
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -86,7 +86,7 @@
 	Cold          bool
 	Loading       bool    // loads weights and refuses requests meanwhile
 	Limited       bool    // named a limit that allows no request now
-	Waiting       bool    // named a time until which it wants no request
+	Paused        bool    // named a time until which it wants no request
 	Refusing      bool    // refused a request recently
 	Suspect       bool    // was unreachable or refused a request recently
 	Weights       uint64  // version of the weights of the query's model
@@ -151,12 +151,12 @@
 
 // Exclusions counts the servers that may not take a request, by reason.
 type Exclusions struct {
-	Draining, Loading, Tried, OldWeights, Limited, Waiting int
+	Draining, Loading, Tried, OldWeights, Limited, Paused int
 }
 
 // String returns the counts as text. Clients receive it in the message of an error.
 func (e Exclusions) String() string {
-	return fmt.Sprintf("%d leave, %d load weights, %d were tried, %d have old weights, %d limit their requests, %d want none now", e.Draining, e.Loading, e.Tried, e.OldWeights, e.Limited, e.Waiting)
+	return fmt.Sprintf("%d leave, %d load weights, %d were tried, %d have old weights, %d limit their requests, %d want none now", e.Draining, e.Loading, e.Tried, e.OldWeights, e.Limited, e.Paused)
 }
 
 // AtHome reports whether the chosen server is the home of the prompt.
@@ -221,8 +221,8 @@
 			excluded.Tried++
 		case d.weightsExpired(s):
 			excluded.OldWeights++
-		case s.Waiting:
-			excluded.Waiting++
+		case s.Paused:
+			excluded.Paused++
 		case s.Limited:
 			excluded.Limited++
 		case s.Suspect, s.Refusing:
--- a/internal/serveraccess/serveraccess.go
+++ b/internal/serveraccess/serveraccess.go
@@ -28,7 +28,7 @@
 	Allowed Reason = ""
 	Gone    Reason = "gone"          // not listed, or another process is
 	Leaving Reason = "leaving"       // by the store, its own answers or another gateway
-	Waiting Reason = "wants nothing" // it named a time in a refusal
+	Paused  Reason = "wants nothing" // it named a time in a refusal
 	Limited Reason = "limited"       // it named a limit, which is used up
 )
 
@@ -75,7 +75,7 @@
 			continue
 		}
 		if state := a.Backoffs.Check(keyOf(snapshot.Servers[s.ID]), now); state != (serverbackoff.State{}) {
-			s.Waiting, s.Refusing = state.Blocked, state.Avoided
+			s.Paused, s.Refusing = state.Blocked, state.Avoided
 			if state.Blocked {
 				shorten(state.Until.Sub(now))
 			}
@@ -99,7 +99,7 @@
 		return Decision{Reason: Leaving}
 	}
 	if state := a.Backoffs.Check(keyOf(server), now); state.Blocked {
-		return Decision{Reason: Waiting, Until: state.Until}
+		return Decision{Reason: Paused, Until: state.Until}
 	}
 	return Decision{}
 }
@@ -112,7 +112,7 @@
 	}
 	trial, ok := a.Backoffs.Begin(keyOf(server), now)
 	if !ok {
-		return nil, Decision{Reason: Waiting, Until: a.Backoffs.Check(keyOf(server), now).Until}
+		return nil, Decision{Reason: Paused, Until: a.Backoffs.Check(keyOf(server), now).Until}
 	}
 	if !a.Limits.Take(server.ID, now) {
 		trial.End()
--- a/internal/serveraccess/serveraccess_test.go
+++ b/internal/serveraccess/serveraccess_test.go
@@ -64,7 +64,7 @@
 		}, Leaving, Leaving},
 		{"wants nothing", func(f *fixture, s *deployment.Server) {
 			f.Observe(s, "r", &backend.Description{Refused: true, Asked: serverbackoff.Asked{Wait: time.Second}}, start, start)
-		}, Waiting, Waiting},
+		}, Paused, Paused},
 		{"refuses without a time", func(f *fixture, s *deployment.Server) {
 			f.Observe(s, "r", &backend.Description{Refused: true}, start, start)
 		}, Allowed, Allowed},
@@ -90,7 +90,7 @@
 	f.Observe(f.snapshot.Servers["a"], "r", &backend.Description{Refused: true, Asked: serverbackoff.Asked{Wait: 3 * time.Second}}, start, start)
 	f.Observe(f.snapshot.Servers["b"], "r", &backend.Description{Refused: true}, start, start)
 	view, wait := f.View(f.snapshot, "s", "", start.Add(100*time.Millisecond))
-	if !view[0].Waiting || view[1].Waiting || !view[1].Refusing || view[2].Waiting || view[2].Refusing || wait != 2900*time.Millisecond {
+	if !view[0].Paused || view[1].Paused || !view[1].Refusing || view[2].Paused || view[2].Refusing || wait != 2900*time.Millisecond {
 		t.Errorf("view %+v, wait %v", view, wait)
 	}
 }
--- a/internal/serverbackoff/metrics.go
+++ b/internal/serverbackoff/metrics.go
@@ -23,7 +23,7 @@
 	_, err = meter.Int64ObservableGauge("wasabigate.serverbackoff.servers", metric.WithUnit("{server}"),
 		metric.WithDescription("Servers that want no request now."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(int64(b.Waiting(time.Now())))
+			o.Observe(int64(b.Paused(time.Now())))
 			return nil
 		}))
 	if err != nil {
--- a/internal/serverbackoff/serverbackoff.go
+++ b/internal/serverbackoff/serverbackoff.go
@@ -229,8 +229,8 @@
 	}
 }
 
-// Waiting returns the number of servers that want no request now.
-func (b *Backoffs) Waiting(now time.Time) int {
+// Paused returns the number of servers that want no request now.
+func (b *Backoffs) Paused(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
