control: ask several peers for the document until one has it

It asks all its seeds at the start; if those have just started too, it asked one random daemon every half second, with luck one that has a document.

Change: until a document is known each round asks up to eight daemons.

--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -24,15 +24,17 @@
 	initialPeers = 8
 )
 
-// gossip exchanges revisions with one random peer at a time. At start-up it asks
-// several, so that a daemon that cannot reach the key-value service starts from the
+// gossip exchanges revisions with one random peer at a time. Until a document is known it
+// asks several, so that a daemon that cannot reach the key-value service starts from the
 // highest revision of all peers that respond.
 func (l *Loop) gossip(ctx context.Context) {
 	l.exchangeAll(ctx, l.randomPeers(initialPeers))
 	for clock.Sleep(ctx, jitter(gossipInterval)) == nil {
-		for _, address := range l.randomPeers(1) {
-			l.exchange(ctx, address, nil)
+		peers := 1
+		if !l.hasConfig() {
+			peers = initialPeers // those asked before may have started at the same moment
 		}
+		l.exchangeAll(ctx, l.randomPeers(peers))
 	}
 }
 
