retrybudget: count retries until the window is over (BUDGET)

What callers saw: nothing; servers got up to twice the retries that operators allow in a window.

Cause: the ring of ten buckets held the newest, unfinished bucket and nine others, so a retry was forgotten 9.0 to 10 s after it was made, in a window of 10 s. A second burst 9 to 10 s after the first got the whole allowance again.

Ruled out: the property test of continuous load, which holds, as the margin of a fifth covers what steady retries gain by a bucket.

Change: twenty buckets, and retries count in twenty-two, so between 10.5 and 11 s: the window, and the time that a retry takes to reach its server after it was counted. The requests count in twenty, as before at most the window.

Conclusion: a fault of the bound at any size; that the users' cases were this one is suspected only.

--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -113,3 +114,44 @@
 		t.Errorf("%d retries later, want 8", n)
 	}
 }
+
+// wish lets the gateways retry n requests at once, as when servers end with what they hold.
+func (f *fleet) wish(n int) {
+	for i := range n {
+		if f.budgets[i%len(f.budgets)].AllowRetry("s", f.now) {
+			f.retries = append(f.retries, f.now)
+		}
+	}
+}
+
+// serve lets the gateways take requests at a steady rate, and retry each of them as often
+// as they may, at most retries times.
+func (f *fleet) serve(length time.Duration, rate, retries int, random *rand.Rand) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(time.Second / time.Duration(rate)) {
+		b := f.budgets[random.IntN(len(f.budgets))]
+		b.RecordRequest("s", f.now)
+		f.requests = append(f.requests, f.now)
+		for range retries {
+			if b.AllowRetry("s", f.now) {
+				f.retries = append(f.retries, f.now)
+			}
+		}
+	}
+}
+
+// Retries are not forgotten before the window is over: of two bursts in one window, the
+// second one gets only what the first has left.
+func TestBoundHoldsOverTwoBursts(t *testing.T) {
+	for _, rate := range []int{20, 50, 110} {
+		for offset := time.Duration(0); offset < time.Second; offset += 150 * time.Millisecond {
+			for _, gap := range []time.Duration{8 * time.Second, 9 * time.Second, 9500 * time.Millisecond, 9900 * time.Millisecond} {
+				f, random := newFleet(4), rand.New(rand.NewPCG(1, 1))
+				f.serve(20*time.Second+offset, rate, 0, random)
+				f.wish(200)
+				f.serve(gap, rate, 0, random)
+				f.wish(200)
+				f.check(t, fmt.Sprintf("%v apart at %v, %d requests a second", gap, offset, rate))
+			}
+		}
+	}
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -20,12 +20,17 @@
 	Slack  float64       // additional retries in a window, over all gateways
 }
 
-// buckets is the number of buckets into which a window is divided.
-const buckets = 10
+const (
+	// buckets is the number of buckets into which a window is divided.
+	buckets = 20
+	// keptBuckets is the number of buckets in which retries count. The newest one is not
+	// complete, and a retry reaches its server later than it is counted, after a dial at
+	// worst, so these span more than a window.
+	keptBuckets = buckets + 2
+)
 
-// usableShare is the fraction of the bound that is used. The rest is a margin for two
-// differences from the operators' measurement: requests are counted when they arrive but
-// retries when they are sent, and the operators' window may span one bucket more.
+// usableShare is the fraction of the bound that is used. The rest is a margin: requests
+// are counted when they arrive but retries when they are sent.
 const usableShare = 0.8
 
 // startFraction is the fraction of its share of the slack that a process uses in its first
@@ -58,8 +63,8 @@
 // window is a ring of counters by bucket.
 type window struct {
 	bucket   int64 // number of the newest bucket since the start
-	requests [buckets]float64
-	retries  [buckets]float64
+	requests [keptBuckets]float64
+	retries  [keptBuckets]float64
 }
 
 // New returns the Budget of a process that has just started. It is the only gateway until
@@ -121,8 +126,8 @@
 		return true
 	}
 	w := b.window(service, now)
-	allowed := usableShare * (b.bound.Ratio*sum(&w.requests) + b.slack(now))
-	if sum(&w.retries)+1 > allowed {
+	allowed := usableShare * (b.bound.Ratio*w.sum(&w.requests, buckets) + b.slack(now))
+	if w.sum(&w.retries, keptBuckets)+1 > allowed {
 		return false
 	}
 	w.retries[w.index()]++
@@ -142,22 +147,23 @@
 	}
 	newest := int64(now.Sub(b.start) * buckets / b.bound.Window)
 	for ; w.bucket < newest; w.bucket++ {
-		next := (w.bucket + 1) % buckets
+		next := (w.bucket + 1) % keptBuckets
 		w.requests[next], w.retries[next] = 0, 0
-		if newest-w.bucket > 2*buckets {
-			w.bucket = newest - buckets - 1
+		if newest-w.bucket > 2*keptBuckets {
+			w.bucket = newest - keptBuckets - 1
 		}
 	}
 	return w
 }
 
 // index returns the position of the newest bucket in the ring.
-func (w *window) index() int64 { return w.bucket % buckets }
+func (w *window) index() int64 { return w.bucket % keptBuckets }
 
-func sum(counts *[buckets]float64) float64 {
+// sum returns the sum of the counts in the newest n buckets.
+func (w *window) sum(counts *[keptBuckets]float64, n int64) float64 {
 	total := 0.0
-	for _, n := range counts {
-		total += n
+	for age := range n {
+		total += counts[(w.bucket-age+keptBuckets)%keptBuckets]
 	}
 	return total
 }
