retrybudget: spend half of the ratio, as two gateways may spend for one window (BUDGET)

What callers saw: nothing; a service that fails got more retries than operators allow while gateways were killed or lost their clients to others.

Cause: each process holds its retries of a window to its own requests of the window. If a gateway retries a burst and is killed, its successor retries for the requests that follow; the same holds if its clients move to another gateway. The retries of one window then rest on the requests of two, but the bound counts those of one. Class of fault: a bound over all processes and any window, held by each process for itself.

Change: half of the ratio is used. Each request counts at one process, so all retries of a window rest on at most two windows of requests, each with half of the ratio, and the bound holds however processes end and clients move. A process that starts uses a twentieth of its share of the slack, so that the margin bears five restarts of all gateways in a window (a tenth bore two and a half).

The cost is that a service which goes on failing gets retries for one request in ten, not one in six.

--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 )
@@ -155,3 +156,47 @@
 		}
 	}
 }
+
+// Processes that are killed after a burst, and those that get the clients of others after
+// one, do not spend what has been spent in the same window.
+func TestBoundHoldsOverBurstsAndMoves(t *testing.T) {
+	const length = 10 * time.Second
+	for _, rate := range []int{20, 50, 110, 500} {
+		for burst := time.Second; burst <= 5*time.Second; burst += time.Second {
+			for name, play := range map[string]func(*fleet, []*Budget, *rand.Rand){
+				"all killed": func(f *fleet, all []*Budget, random *rand.Rand) {
+					for i := range all {
+						f.restart(i, 4)
+					}
+					f.serve(length-burst, rate, 3, random)
+				},
+				"killed in series": func(f *fleet, all []*Budget, random *rand.Rand) {
+					for i := range 24 {
+						f.restart(i%4, 4)
+						f.serve((length-burst)/24, rate, 3, random)
+					}
+				},
+				"clients move": func(f *fleet, all []*Budget, random *rand.Rand) {
+					f.budgets = all[3:]
+					f.serve(length-burst, rate, 3, random)
+				},
+				"clients move in series": func(f *fleet, all []*Budget, random *rand.Rand) {
+					for i := range 4 {
+						f.budgets = all[3-i : 4-i]
+						f.serve((length-burst)/4, rate, 3, random)
+					}
+				},
+			} {
+				f, random := newFleet(4), rand.New(rand.NewPCG(1, 1))
+				all := f.budgets
+				if strings.HasPrefix(name, "clients") {
+					f.budgets = all[:3]
+				}
+				f.serve(20*time.Second, rate, 0, random)
+				f.serve(burst, rate, 3, random)
+				play(f, all, random)
+				f.check(t, fmt.Sprintf("%s after %v, %d requests a second", name, burst, rate))
+			}
+		}
+	}
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -4,7 +4,7 @@
 // It prevents retries from keeping a service down that fails under load. In each
 // window, a gateway may retry a fraction of its own requests plus its share of a fixed
 // allowance. The shares add up to the operators' bound without communication between
-// gateways.
+// gateways, also while processes end and start and clients move between them.
 package retrybudget
 
 import (
@@ -29,13 +29,19 @@
 	keptBuckets = buckets + 2
 )
 
-// usableShare is the fraction of the bound that is used. The rest is a margin: requests
-// are counted when they arrive but retries when they are sent.
-const usableShare = 0.8
-
-// startFraction is the fraction of its share of the slack that a process uses in its first
-// window. It is taken from the margin, which bears some restarts of all gateways in a window.
-const startFraction = 0.1
+const (
+	// ratioShare is the fraction of the ratio that is used. A request counts at one process
+	// only, but the retries of a window may rest on the requests of two: a process spends for
+	// those before it, ends or loses its clients, and another one spends for those after it.
+	// The bound counts the requests of one.
+	ratioShare = 0.5
+	// slackShare is the fraction of the slack that is used. The rest is a margin for
+	// processes that start.
+	slackShare = 0.8
+	// startFraction is the fraction of its share of the slack that a process uses in its
+	// first window. The margin bears five restarts of all gateways in a window.
+	startFraction = 0.05
+)
 
 // absenceTime is how long a gateway that is no longer known keeps its share. It may still
 // serve beyond a partition.
@@ -126,7 +132,7 @@
 		return true
 	}
 	w := b.window(service, now)
-	allowed := usableShare * (b.bound.Ratio*w.sum(&w.requests, buckets) + b.slack(now))
+	allowed := ratioShare*b.bound.Ratio*w.sum(&w.requests, buckets) + slackShare*b.slack(now)
 	if w.sum(&w.retries, keptBuckets)+1 > allowed {
 		return false
 	}
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -44,14 +45,11 @@
 	})
 }
 
+// within returns the number of times, which rise, from one time up to another.
 func within(times []time.Time, from, to time.Time) float64 {
-	n := 0.0
-	for _, at := range times {
-		if !at.Before(from) && at.Before(to) {
-			n++
-		}
-	}
-	return n
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, to, time.Time.Compare)
+	return float64(end - first)
 }
 
 func TestBudgetRecovers(t *testing.T) {
