--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -130,21 +130,16 @@
 
 // transportFor returns the transport of a call.
 func (c *Client) transportFor(call *Call) *http.Transport {
-	if c.unidentified.Contains(call.Address) || isReplayable(call) {
+	if c.unidentified.Contains(call.Address) || isRewindable(call) {
 		return c.oneShot
 	}
 	return c.transport.Load()
 }
 
-// isReplayable reports whether net/http would send the call again by itself when a reused
-// connection breaks: it takes a POST without a body for idempotent if it has one of these
-// headers. On a new connection it sends nothing twice.
-func isReplayable(call *Call) bool {
-	if len(call.Body) > 0 || call.Method != http.MethodPost {
-		return false
-	}
-	return call.Header.Get("Idempotency-Key") != "" || call.Header.Get("X-Idempotency-Key") != ""
-}
+// isRewindable reports whether net/http can send the call again by itself when a reused
+// connection breaks. Whether it does depends on headers of the client. On a new connection
+// it sends nothing twice.
+func isRewindable(call *Call) bool { return len(call.Body) == 0 && call.Method == http.MethodPost }
 
 func newTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
@@ -253,11 +248,11 @@
 	return request.WithContext(ctx)
 }
 
-// requestBody returns a body that the HTTP client cannot rewind, so that it never
-// sends the request a second time by itself.
+// requestBody returns a body that the HTTP client cannot rewind, so that it never sends the
+// request a second time by itself. A POST without a body is the exception; see isRewindable.
 func requestBody(method string, content []byte) io.ReadCloser {
 	if len(content) == 0 && method == http.MethodPost {
-		return http.NoBody
+		return http.NoBody // any other body of unknown length would be sent in chunks
 	}
 	return nonRewindableReader{bytes.NewReader(content)}
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -94,14 +94,17 @@
 	return listener.Addr().String(), requests
 }
 
-// A request that may have been executed is not sent again, whatever its method: the
-// method does not show whether a retry is safe.
+// A request that may have been executed is not sent again, whatever its method and headers:
+// they do not show whether a retry is safe.
 func TestNothingIsSentTwice(t *testing.T) {
-	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodDelete} {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions} {
 		testSentOnce(t, method, nil)
+		for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+			for _, values := range [][]string{{"k"}, {""}, {" "}, {"", "k"}, {}} {
+				testSentOnce(t, method, http.Header{name: values})
+			}
+		}
 	}
-	testSentOnce(t, http.MethodPost, http.Header{"Idempotency-Key": {"k"}})
-	testSentOnce(t, http.MethodPost, http.Header{"X-Idempotency-Key": {"k"}})
 }
 
 // testSentOnce makes a call on a connection that breaks after a first call.
