relay: hold the retries of routers to a common bound (BUDGET)

What callers saw: nothing; backend servers behind routers got up to five attempts of each request, without a bound over all requests, when they failed together.

Cause: the budget of retries was built for gateways, and the routers' path sends again without asking. Class of fault: one of two paths that send a request again does not ask.

Ruled out as sending again: the sidecar (calls and generations go to the engine once), resuming a stream (the same attempt, from the sidecar's buffer), the connections between daemons, which send nothing again.

Change: the relay filter counts each request at its group and asks for each retry that follows an attempt which was sent to a backend server. A sidecar says so in its failure. Retries after the sidecar's own refusals (draining, queue, weights, document) or without a connection stay free, as no server has seen them. The settings retry_ratio, retry_window and retry_slack of [router] have the gateways' defaults. The budget speaks of daemons now. retrybudget and the settings are shared, not written again.

Conclusion: not on the path that the users ran. The cost is that a stream which breaks in the first ten seconds of a router goes on elsewhere only within a small allowance.

--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -71,9 +71,14 @@
 		Policy:        r.text("policy"),
 		LimitWait:     r.duration("limit_wait"),
 		PrefixEntries: int(r.integer("prefix_entries")),
+		Retries:       buildRetries(r),
 	}
 }
 
+func buildRetries(r *reader) RetrySettings {
+	return RetrySettings{Ratio: r.number("retry_ratio"), Window: r.duration("retry_window"), Slack: r.number("retry_slack")}
+}
+
 func buildSidecar(r *reader, role Role) SidecarSettings {
 	if role == RoleSidecar {
 		r.require("the role is sidecar", "kind", "group", "backend_url")
@@ -99,9 +104,7 @@
 		MemoryLimit:     r.size("memory_limit"),
 		WeightsDeadline: r.duration("weights_deadline"),
 		OrderLease:      r.duration("order_lease"),
-		RetryRatio:      r.number("retry_ratio"),
-		RetryWindow:     r.duration("retry_window"),
-		RetrySlack:      r.number("retry_slack"),
+		Retries:         buildRetries(r),
 		LimitWait:       r.duration("limit_wait"),
 		FailClosed:      r.boolean("fail_closed"),
 		MaxStaleness:    r.duration("belief_bound"),
--- a/internal/config/daemon_table.go
+++ b/internal/config/daemon_table.go
@@ -70,6 +70,12 @@
 		Doc: "Longest wait for tokens of a workspace before a refusal."},
 	{Section: sectionRouter, Key: "prefix_entries", Type: TypeInteger, Default: "200000", Min: "1", Max: "10000000",
 		Doc: "Entries of the index of learned prefixes."},
+	{Section: sectionRouter, Key: "retry_ratio", Type: TypeNumber, Default: "0.2", Min: "0", Max: "100",
+		Doc: "Retries for each request to a group of backend servers."},
+	{Section: sectionRouter, Key: "retry_window", Type: TypeDuration, Default: "10s", Min: "0s", Max: "1h",
+		Doc: "Window in which retries are limited; 0s: no limit."},
+	{Section: sectionRouter, Key: "retry_slack", Type: TypeNumber, Unit: "attempts", Default: "50", Min: "0", Max: "1000000",
+		Doc: "Retries in a window, over all routers, in addition to the ratio."},
 
 	{Section: sectionSidecar, Key: "kind", Type: TypeChoice, Choices: []string{string(GroupEngines), string(GroupService)},
 		Doc: "What the backend server is. Required for sidecars."},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -70,6 +70,14 @@
 	Policy        string // own, round-robin, least-loaded or prefix-hash
 	LimitWait     time.Duration
 	PrefixEntries int // maximum entries of the learned prefix index
+	Retries       RetrySettings
+}
+
+// RetrySettings bound the retries at each service or group, over all daemons of a role.
+type RetrySettings struct {
+	Ratio  float64       // retries allowed per request
+	Window time.Duration // window in which retries are counted; 0: no limit
+	Slack  float64       // additional retries in a window
 }
 
 // SidecarSettings is the section [sidecar].
@@ -90,9 +98,7 @@
 	MemoryLimit     int64         // bytes; 0: none
 	WeightsDeadline time.Duration // time after which replaced weights are no longer used; 0: none
 	OrderLease      time.Duration // time for which one gateway alone may send orders
-	RetryRatio      float64       // retries allowed per request to a service
-	RetryWindow     time.Duration // window in which retries are counted; 0: no limit
-	RetrySlack      float64       // additional retries in a window, over all gateways
+	Retries         RetrySettings
 	LimitWait       time.Duration
 	FailClosed      bool
 	MaxStaleness    time.Duration // with FailClosed: age of the configuration after which requests are rejected
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -23,6 +23,7 @@
 	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/relay"
 	"github.com/wasabigate/wasabigate/internal/request"
+	"github.com/wasabigate/wasabigate/internal/retrybudget"
 	"github.com/wasabigate/wasabigate/internal/route"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/shard"
@@ -38,6 +39,7 @@
 	base       *base
 	inflight   *inflight.Registry
 	limiter    *limit.Local
+	budget     *retrybudget.Budget
 	refresher  *route.Refresher
 	controller *controller.Controller
 	server     *httpapi.Server
@@ -88,6 +90,7 @@
 // newRouter builds a router with its filter chain.
 func newRouter(b *base, limiter *limit.Local, q *quarantine.Quarantine) (*router, error) {
 	r := &router{base: b, inflight: &inflight.Registry{}, limiter: limiter, controller: newController(b)}
+	r.budget = retrybudget.New(retrybudget.Bound(b.settings.Router.Retries), time.Now())
 	routing, err := route.New(b.settings, b.loop, route.NewTracker(), prefix.NewIndex(b.settings.Router.PrefixEntries))
 	if err != nil {
 		return nil, err
@@ -115,7 +118,7 @@
 		httpapi.KeyFilter{},
 		classify.New(),
 		limit.NewFilter(r.limiter, r.base.loop),
-		relay.New(r.base.loop, dispatcher),
+		relay.New(r.base.loop, dispatcher, r.budget),
 		routing,
 		hold.New(q),
 	)
@@ -134,8 +137,12 @@
 	return nil
 }
 
-// snapshotChanged ends the running requests of withdrawn keys.
+// snapshotChanged shares the bound on retries among the routers, and ends the running
+// requests of withdrawn keys.
 func (r *router) snapshotChanged(snapshot *control.Snapshot) {
+	if snapshot.View != nil {
+		r.budget.SetDaemons(len(snapshot.View.Routers), time.Now())
+	}
 	if snapshot.Config != nil {
 		r.inflight.CancelWithdrawn(snapshot.Config.KeyWithdrawn)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -131,7 +131,7 @@
 func FailureError(failure *wire.Failure) *verdict.Error {
 	err := verdict.New(verdict.Verdict(failure.GetVerdict()), verdict.Code(failure.GetCode()), "%s", failure.GetMessage()).
 		WithRetryAfter(time.Duration(failure.GetRetryAfterMs()) * time.Millisecond)
-	err.Crashed = failure.GetCrashed()
+	err.Crashed, err.Sent = failure.GetCrashed(), failure.GetSent()
 	return err
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -257,7 +257,7 @@
 func (g *Gateway) shareBounds(snapshot *deployment.Snapshot) {
 	gateways := g.runningGateways(snapshot)
 	others := slices.DeleteFunc(gateways, func(address string) bool { return address == g.settings.Daemon.RPCAddress })
-	g.budget.SetGateways(max(1+len(others), g.seeds()), time.Now())
+	g.budget.SetDaemons(max(1+len(others), g.seeds()), time.Now())
 	g.serverLimits.SetGateways(others)
 }
 
@@ -372,11 +372,7 @@
 }
 
 func retryBound(settings *config.Settings) retrybudget.Bound {
-	return retrybudget.Bound{
-		Ratio:  settings.Gateway.RetryRatio,
-		Window: settings.Gateway.RetryWindow,
-		Slack:  settings.Gateway.RetrySlack,
-	}
+	return retrybudget.Bound(settings.Gateway.Retries)
 }
 
 // serveRPC serves the RPC listener, for other gateways and the operators' tool.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,15 +32,22 @@
 	Resume(ctx context.Context, req *request.Request, after uint64) (request.Stream, error)
 }
 
+// Budget bounds the retries of all routers together.
+type Budget interface {
+	RecordRequest(group string, now time.Time)
+	AllowRetry(group string, now time.Time) bool
+}
+
 // Filter relays the responses of backend servers.
 type Filter struct {
 	source  control.Source
 	resumer Resumer
+	budget  Budget
 }
 
 // New returns a Filter.
-func New(source control.Source, resumer Resumer) *Filter {
-	return &Filter{source: source, resumer: resumer}
+func New(source control.Source, resumer Resumer, budget Budget) *Filter {
+	return &Filter{source: source, resumer: resumer, budget: budget}
 }
 
 // Name implements pipeline.Filter.
@@ -52,6 +59,7 @@
 	if req.ResumeToken != "" {
 		return f.reconnect(ctx, s)
 	}
+	f.budget.RecordRequest(req.Group(), time.Now())
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
@@ -162,7 +170,13 @@
 	if s.reconnected || s.req.Attempt >= maxAttempts || !retryable[failure.Code] {
 		return false
 	}
-	return failure.Verdict == verdict.NotRun || s.req.Generation != nil
+	if failure.Verdict != verdict.NotRun && s.req.Generation == nil {
+		return false
+	}
+	if failure.Verdict == verdict.NotRun && !failure.Sent {
+		return true // no backend server has seen it
+	}
+	return s.filter.budget.AllowRetry(s.req.Group(), time.Now())
 }
 
 // retryable holds the codes of failures after which another backend server may succeed.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -64,6 +64,14 @@
 	ResumeToken string
 }
 
+// Group returns the group of backend servers that the request goes to.
+func (r *Request) Group() string {
+	if r.Generation != nil {
+		return r.Generation.Model.Group
+	}
+	return r.Route.Group
+}
+
 // Generation is a request to a model.
 type Generation struct {
 	Model          *config.Model // set by classify
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -1,10 +1,10 @@
-// Package retrybudget bounds the number of retries that a service gets from all
-// gateways together.
+// Package retrybudget bounds the number of retries that a service gets from all daemons
+// together: from all gateways, or from all routers.
 //
 // It prevents retries from keeping a service down that fails under load. In each
-// window, a gateway may retry a fraction of its own requests plus its share of a fixed
+// window, a daemon may retry a fraction of its own requests plus its share of a fixed
 // allowance. The shares add up to the operators' bound without communication between
-// gateways, also while processes end and start and clients move between them.
+// daemons, also while processes end and start and clients move between them.
 package retrybudget
 
 import (
@@ -17,7 +17,7 @@
 type Bound struct {
 	Ratio  float64       // retries per request in a window
 	Window time.Duration // length of the sliding window; 0: no bound
-	Slack  float64       // additional retries in a window, over all gateways
+	Slack  float64       // additional retries in a window, over all daemons
 }
 
 const (
@@ -39,29 +39,29 @@
 	// processes that start.
 	slackShare = 0.8
 	// startFraction is the fraction of its share of the slack that a process uses in its
-	// first window. The margin bears five restarts of all gateways in a window.
+	// first window. The margin bears five restarts of all daemons in a window.
 	startFraction = 0.05
 )
 
-// absenceTime is how long a gateway that is no longer known keeps its share. It may still
+// absenceTime is how long a daemon that is no longer known keeps its share. It may still
 // serve beyond a partition.
 const absenceTime = 10 * time.Minute
 
-// Budget is one gateway's share of the bound. It is safe for concurrent use.
+// Budget is one daemon's share of the bound. It is safe for concurrent use.
 type Budget struct {
 	bound Bound
 	start time.Time
 
 	mu sync.Mutex
 	// slackFrom is when the whole share of the slack may be used. A former process at this
-	// gateway's address may have spent it within the window before.
+	// daemon's address may have spent it within the window before.
 	slackFrom time.Time
-	gateways  []gatewayCount // falling in number, rising in time; not empty
+	daemons   []daemonCount // falling in number, rising in time; not empty
 	services  map[string]*window
 }
 
-// gatewayCount is a number of gateways that were known at a time.
-type gatewayCount struct {
+// daemonCount is a number of daemons that were known at a time.
+type daemonCount struct {
 	number int
 	at     time.Time
 }
@@ -73,12 +73,12 @@
 	retries  [keptBuckets]float64
 }
 
-// New returns the Budget of a process that has just started. It is the only gateway until
-// SetGateways is called.
+// New returns the Budget of a process that has just started. It is the only daemon until
+// SetDaemons is called.
 func New(bound Bound, now time.Time) *Budget {
 	return &Budget{
 		bound: bound, start: now, slackFrom: now.Add(bound.Window),
-		gateways: []gatewayCount{{1, now}}, services: make(map[string]*window),
+		daemons: []daemonCount{{1, now}}, services: make(map[string]*window),
 	}
 }
 
@@ -94,22 +94,22 @@
 	b.bound = bound
 }
 
-// SetGateways sets the number of gateways that share the slack. If it falls, the shares
+// SetDaemons sets the number of daemons that share the slack. If it falls, the shares
 // grow only after absenceTime.
-func (b *Budget) SetGateways(n int, now time.Time) {
+func (b *Budget) SetDaemons(n int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n = max(1, n)
-	b.gateways = slices.DeleteFunc(b.gateways, func(c gatewayCount) bool { return c.number <= n || now.Sub(c.at) > absenceTime })
-	b.gateways = append(b.gateways, gatewayCount{n, now})
+	b.daemons = slices.DeleteFunc(b.daemons, func(c daemonCount) bool { return c.number <= n || now.Sub(c.at) > absenceTime })
+	b.daemons = append(b.daemons, daemonCount{n, now})
 }
 
-// slack returns this gateway's share of the slack. The caller holds the lock.
+// slack returns this daemon's share of the slack. The caller holds the lock.
 func (b *Budget) slack(now time.Time) float64 {
-	for len(b.gateways) > 1 && now.Sub(b.gateways[0].at) > absenceTime {
-		b.gateways = b.gateways[1:]
+	for len(b.daemons) > 1 && now.Sub(b.daemons[0].at) > absenceTime {
+		b.daemons = b.daemons[1:]
 	}
-	share := b.bound.Slack / float64(b.gateways[0].number)
+	share := b.bound.Slack / float64(b.daemons[0].number)
 	if now.Before(b.slackFrom) {
 		return startFraction * share
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -95,7 +95,7 @@
 
 // choose returns the backend server for the request's next attempt.
 func (f *Filter) choose(req *request.Request) (request.Target, error) {
-	group := groupOf(req)
+	group := req.Group()
 	view := f.source.Snapshot().View
 	servers := view.Group(group)
 	if len(servers) == 0 {
@@ -122,13 +122,6 @@
 	return request.Target{Name: c.Server.Name, Address: c.Server.Address}, nil
 }
 
-func groupOf(req *request.Request) string {
-	if req.Generation != nil {
-		return req.Generation.Model.Group
-	}
-	return req.Route.Group
-}
-
 // gatherCandidates gathers the candidates for the first eligible weights
 // version that has any.
 func (f *Filter) gatherCandidates(s *scratch, req *request.Request, servers []membership.Server, ring *membership.Ring) {
--- a/internal/sidecar/execute/execute.go
+++ b/internal/sidecar/execute/execute.go
@@ -69,5 +69,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		code = verdict.CodeCancelled
 	}
-	return verdict.Wrap(err, v, code, format, args...)
+	failure := verdict.Wrap(err, v, code, format, args...)
+	failure.Sent = !errors.Is(err, engine.ErrUnreachable)
+	return failure
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -177,6 +177,7 @@
 		RetryAfterMs: err.RetryAfter.Milliseconds(),
 		Load:         s.Load(),
 		Crashed:      err.Crashed,
+		Sent:         err.Sent,
 	}}
 }
 
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -115,6 +115,7 @@
 	Message    string
 	RetryAfter time.Duration // zero if unknown
 	Crashed    uint64        // incarnation of the engine that crashed under the request; 0: none did
+	Sent       bool          // the request was sent to a backend server, also if it was refused there
 	Cause      error
 }
 
