forward, relay: count the retries that the budget allows and denies

Cause: of repeats at servers, nothing told an operator whether the budget had allowed them, whether it denies what would help, or whether something else sends again; the users' case had no logs, and with these metrics it could have been read off.

Change: wasabigate.forward.retries by service and decision; wasabigate.relay.repairs has the kind denied. With the attempts that are there already, the hypotheses of docs/incidents/14-repeats.md can be told apart: allowed retries over the bound speak for the budget, arrivals without retries for a library.

Measured: tests of forward, relay and metrics pass. No decision changes.

--- a/internal/forward/meters.go
+++ b/internal/forward/meters.go
@@ -14,6 +14,7 @@
 type meters struct {
 	attempts metric.Int64Counter
 	resumed  metric.Int64Counter
+	retries  metric.Int64Counter
 }
 
 var outcomeLabels = map[fleet.Outcome]metric.MeasurementOption{
@@ -39,9 +40,18 @@
 	return meters{
 		attempts: counter("wasabigate.forward.attempts", "{attempt}", "Attempts at backend servers, by outcome."),
 		resumed:  counter("wasabigate.forward.resumed", "{stream}", "Streams that went on at another backend server."),
+		retries:  counter("wasabigate.forward.retries", "{retry}", "Retries that were asked for, by service and decision of the budget."),
 	}
 }
 
 func (m *meters) countAttempt(outcome fleet.Outcome) {
 	m.attempts.Add(context.Background(), 1, outcomeLabels[outcome])
 }
+
+func (m *meters) countRetry(service string, allowed bool) {
+	decision := "denied"
+	if allowed {
+		decision = "allowed"
+	}
+	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -197,7 +197,14 @@
 	if r.mayHaveRun && !r.req.MayRetry() {
 		return false
 	}
-	return r.reached == 0 || r.reserved.Swap(false) || r.relay.Budget.AllowRetry(r.service, time.Now())
+	return r.reached == 0 || r.reserved.Swap(false) || r.takeRetry()
+}
+
+// takeRetry takes a retry from the budget, if it has one.
+func (r *activeRequest) takeRetry() bool {
+	allowed := r.relay.Budget.AllowRetry(r.service, time.Now())
+	r.relay.meters.countRetry(r.service, allowed)
+	return allowed
 }
 
 // hasTime reports whether enough time is left before the deadline for a retry.
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -126,7 +126,7 @@
 
 // reserveRetry takes a retry of the request from the budget, for the watchdog.
 func (r *activeRequest) reserveRetry() bool {
-	if !r.relay.Budget.AllowRetry(r.service, time.Now()) {
+	if !r.takeRetry() {
 		return false
 	}
 	r.reserved.Store(true)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -11,12 +11,13 @@
 // repairs counts the resumed and retried attempts.
 var repairs, _ = otel.Meter("wasabigate/relay").Int64Counter("wasabigate.relay.repairs",
 	metric.WithUnit("{request}"),
-	metric.WithDescription("Attempts that were resumed, or followed by another attempt, by kind."))
+	metric.WithDescription("Attempts that were resumed, followed by another attempt, or not followed by one for lack of budget, by kind."))
 
 // Kinds of repairs.
 const (
 	repairResumed = "resumed"
 	repairRetried = "repeated"
+	repairDenied  = "denied"
 )
 
 func countRepair(kind string) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,7 +176,11 @@
 	if failure.Verdict == verdict.NotRun && !failure.Sent {
 		return true // no backend server has seen it
 	}
-	return s.filter.budget.AllowRetry(s.req.Group(), time.Now())
+	if !s.filter.budget.AllowRetry(s.req.Group(), time.Now()) {
+		countRepair(repairDenied)
+		return false
+	}
+	return true
 }
 
 // retryable holds the codes of failures after which another backend server may succeed.
