backend: test answers that stop in the middle of their head

It can't happen here: all 119 prefixes of a head, with both line ends, give an unknown outcome. The test passes on the code as it was.

--- a/internal/backend/hostile_test.go
+++ b/internal/backend/hostile_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
 // hostileServer sends begin and then repeat without end, until its client closes the
@@ -134,3 +136,24 @@
 		})
 	}
 }
+
+// An answer whose server stops in the middle of its head is no answer, wherever it stops.
+func TestAnswerThatStopsInItsHead(t *testing.T) {
+	for _, line := range []string{"\r\n", "\n"} {
+		head := strings.Join([]string{"HTTP/1.1 200 OK", "Request: r1", "Content-Length: 10", "Keep: 1s", "", ""}, line)
+		for end := range len(head) {
+			address, _ := rawServer(t, func(_ int64, conn net.Conn, _ *bufio.Reader) {
+				_, _ = io.WriteString(conn, head[:end])
+				_ = conn.Close()
+			})
+			response, err := NewClient(testCodec{}).Do(t.Context(), callTo(address, http.MethodPost, "x"))
+			if err == nil {
+				t.Errorf("head %q was taken for an answer with status %d", head[:end], response.Status)
+				closeBody(response.Body)
+			}
+			if failure := verdict.From(err); failure != nil && failure.Verdict != verdict.MayHaveRun {
+				t.Errorf("head %q: got %v, want an unknown outcome", head[:end], failure)
+			}
+		}
+	}
+}
