--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -6,8 +6,11 @@
 import (
 	"crypto/sha256"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind classifies the requests of a route by how they may be retried.
@@ -107,11 +110,15 @@
 
 // Workspace is a customer with its API keys and limits.
 type Workspace struct {
-	Name           string
-	Keys           []KeyDigest
-	HasPriority    bool
-	Priority       int   // overrides that of the route
-	Isolated       bool  // shares no KV cache with other workspaces
+	Name        string
+	Keys        []KeyDigest
+	HasPriority bool
+	Priority    int  // overrides that of the route
+	Isolated    bool // shares no KV cache with other workspaces
+	// SharingGroup is equal for workspaces that may share KV cache. It differs for each set of
+	// isolated workspaces: engines may hold what a workspace made before it was isolated. Set
+	// by Config.Index.
+	SharingGroup   string
 	CountsTokens   bool  // the rate limit is in tokens, else in requests
 	UncachedTokens int64 // counted for a request with an unknown number of tokens
 	Rate           int64 // per second; 0: no limit
@@ -146,7 +153,9 @@
 		}
 	}
 	c.keys = make(map[KeyDigest]*Workspace)
+	group := sharingGroup(c.Workspaces)
 	for i := range c.Workspaces {
+		c.Workspaces[i].SharingGroup = group
 		for _, key := range c.Workspaces[i].Keys {
 			c.keys[key] = &c.Workspaces[i]
 		}
@@ -154,6 +163,22 @@
 	return c
 }
 
+// sharingGroup returns the group of the workspaces that are not isolated, a hash of the names
+// of the others. It is empty if there are no others.
+func sharingGroup(workspaces []Workspace) string {
+	var isolated []string
+	for i := range workspaces {
+		if workspaces[i].Isolated {
+			isolated = append(isolated, strconv.Quote(workspaces[i].Name))
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	return "-" + strconv.FormatUint(xxhash.Sum64String(strings.Join(isolated, ",")), 36)
+}
+
 // Route returns the host's route with the longest matching prefix of the path, or nil.
 func (c *Config) Route(host, path string) *Route {
 	for _, route := range c.routesByHost[strings.ToLower(host)] {
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -44,10 +44,14 @@
 // isolated workspace has its own.
 func Salt(model string, weights uint64, workspace *deployment.Workspace) string {
 	salt := model + "/" + strconv.FormatUint(weights, 10)
-	if workspace != nil && workspace.Isolated {
-		salt += "/" + workspace.Name
+	switch {
+	case workspace == nil:
+		return salt
+	case workspace.Isolated:
+		return salt + "/" + workspace.Name
+	default:
+		return salt + workspace.SharingGroup
 	}
-	return salt
 }
 
 // Holder is an incarnation of an engine.
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,6 +69,37 @@
 	}
 }
 
+// What a workspace made before it was isolated is not used by others afterwards, and what
+// others made is not used by it.
+func TestSaltsOfAWorkspaceThatBecomesIsolated(t *testing.T) {
+	salts := func(isolated ...string) map[string]string {
+		config := &deployment.Config{}
+		for _, name := range []string{"a", "b", "c"} {
+			config.Workspaces = append(config.Workspaces, deployment.Workspace{Name: name, Isolated: slices.Contains(isolated, name)})
+		}
+		config.Index()
+		byName := make(map[string]string)
+		for i := range config.Workspaces {
+			byName[config.Workspaces[i].Name] = Salt("m", 1, &config.Workspaces[i])
+		}
+		return byName
+	}
+	for _, change := range []struct{ before, after []string }{{nil, []string{"a"}}, {[]string{"b"}, []string{"a", "b"}}, {[]string{"b"}, []string{"a"}}, {[]string{"a"}, nil}} {
+		before, after := salts(change.before...), salts(change.after...)
+		for _, maker := range []string{"a", "b", "c"} {
+			for _, user := range []string{"a", "b", "c"} {
+				isolated := slices.Contains(change.after, maker) || slices.Contains(change.after, user) || slices.Contains(change.before, maker)
+				if maker != user && isolated && before[maker] == after[user] {
+					t.Errorf("%v isolated, then %v: %s uses what %s made", change.before, change.after, user, maker)
+				}
+			}
+		}
+	}
+	if one, other := salts("a", "b"), salts("b", "a"); one["c"] != other["c"] || one["c"] == one["a"] {
+		t.Errorf("salts %v and %v of the same set", one, other)
+	}
+}
+
 func TestUsesAreReportedOnce(t *testing.T) {
 	d := NewDirectory()
 	for i := range 3 {
