--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,8 +62,8 @@
 	unlistedPeerTTL = 2 * time.Second
 	// readHeaderTimeout is how long a client may take to send a request's headers.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is how long an unused client connection stays open. It exceeds the
-	// longest idle time that operators allow.
+	// idleTimeout is how long an unused client connection stays open if the configuration
+	// does not limit that. It exceeds readHeaderTimeout; see idleConn.
 	idleTimeout = 5 * time.Minute
 )
 
@@ -287,7 +287,7 @@
 	clients := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	readiness := &http.Server{Handler: g.ingress.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	admin := &http.Server{Handler: adminHandler(metricsHandler), ReadHeaderTimeout: readHeaderTimeout}
-	serveHTTP(group, clients, open.clients)
+	serveHTTP(group, clients, idleListener{open.clients, g.idleLimit})
 	serveHTTP(group, readiness, open.readiness)
 	serveHTTP(group, admin, open.admin)
 	logger.Info(fields{"name": g.settings.Daemon.Name, "zone": g.settings.Daemon.AvailabilityZone, "clients": g.settings.Gateway.HTTPAddress}, "gateway started")
