--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -30,10 +30,10 @@
 )
 
 const (
-	// ratioShare is the fraction of the ratio that is used. A request counts at one process
-	// only, but the retries of a window may rest on the requests of two: a process spends for
-	// those before it, ends or loses its clients, and another one spends for those after it.
-	// The bound counts the requests of one.
+	// ratioShare is the fraction of the ratio that is used. The retries of one window may rest
+	// on the requests of two: one process retries a burst for requests that it had before, then
+	// ends or loses its clients, and another one retries for requests that come later. The
+	// bound counts the requests of one window.
 	ratioShare = 0.5
 	// slackShare is the fraction of the slack that is used. The rest is a margin for
 	// processes that start.
