--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -33,6 +33,8 @@
 	cause       error
 	delay       time.Duration // before the response
 	pings       bool          // comments after the body, until the attempt is cancelled
+	late        string        // the rest of the body, lateBy after the first part
+	lateBy      time.Duration
 }
 
 // fakeBackend performs steps in order, the last one repeatedly, and records the calls.
@@ -74,6 +76,20 @@
 			return 0, context.Cause(ctx)
 		}))
 	}
+	if s.late != "" {
+		rest := strings.NewReader(s.late)
+		body = io.MultiReader(body, readerFunc(func(p []byte) (int, error) {
+			if rest.Len() < len(s.late) {
+				return rest.Read(p)
+			}
+			select {
+			case <-time.After(s.lateBy):
+				return rest.Read(p)
+			case <-ctx.Done():
+				return 0, context.Cause(ctx)
+			}
+		}))
+	}
 	if s.pings {
 		body = io.MultiReader(body, readerFunc(func(p []byte) (int, error) {
 			select {
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -38,7 +38,8 @@
 
 // watchdog cancels an attempt when its server sends nothing for too long, if another may be
 // tried instead or the server responds to no request at all: then the client can go
-// elsewhere itself. Without a timer it never does.
+// elsewhere itself. A stream that has begun is cancelled only if it can go on at another
+// server. Without a timer it never cancels.
 type watchdog struct {
 	ctx      context.Context // of the attempt
 	cancel   context.CancelCauseFunc
@@ -53,6 +54,7 @@
 	mu    sync.Mutex
 	since time.Time // the server has sent nothing since
 	until time.Time // the server may be silent until then; zero: to the end
+	begun bool      // events of the stream have arrived
 }
 
 // startWatchdog returns the context and the watchdog of an attempt. The watchdog has a
@@ -94,7 +96,7 @@
 }
 
 // stalled cancels the attempt if a retry can be taken from the budget, or if the server
-// seems to be lost. Otherwise the server may still respond, and stalled asks again later.
+// seems to be lost and the client has nothing yet. Otherwise the server may still respond, and stalled asks again later.
 //
 // A server that still responds is busy rather than lost. Under load a retry of its
 // slow requests makes the next server prefill their prompts too, which slows that one
@@ -105,13 +107,19 @@
 	case !overdue:
 	case w.responds(since) && time.Since(since) < w.patience:
 		w.postpone()
-	case w.reserve(), !w.responds(since):
+	case w.reserve(), !w.responds(since) && !w.hasBegun():
 		w.cancel(errStalled)
 	default:
 		w.postpone()
 	}
 }
 
+func (w *watchdog) hasBegun() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begun
+}
+
 // postpone lets an overdue server be silent for another reserveInterval.
 func (w *watchdog) postpone() {
 	w.mu.Lock()
@@ -148,6 +156,9 @@
 
 // reset restarts the timer when events of a stream have arrived.
 func (w *watchdog) reset() {
+	w.mu.Lock()
+	w.begun = true
+	w.mu.Unlock()
 	switch {
 	case w.timer == nil:
 	case w.maxGap > 0:
--- a/internal/forward/watchdog_test.go
+++ b/internal/forward/watchdog_test.go
@@ -85,6 +85,38 @@
 	}
 }
 
+// A stream whose events the client gets is not broken off while its server is silent, unless it
+// can go on at another one.
+func TestSilentStreamIsNotCutWithoutBudget(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		retries int
+		calls   int
+	}{{"no retry left", 0, 1}, {"one retry left", 1, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := testRoute(deployment.Stream, true)
+				route.TargetLatency, route.TargetGap = 100*time.Millisecond, 100*time.Millisecond
+				handler, f := testRelay([]step{{status: 200, body: first, late: second, lateBy: 2 * time.Second}, {status: 200, body: second}}, c.retries)
+				resp, err := handler.Handle(context.Background(), testRequest(route))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer resp.Events.Close()
+				events := ""
+				for err == nil {
+					var raw []byte
+					raw, err = resp.Events.Next(context.Background())
+					events += string(raw)
+				}
+				if err != io.EOF || events != first+second || len(f.calls) != c.calls {
+					t.Errorf("got events %q, %v after %d attempts, want all after %d", events, err, len(f.calls), c.calls)
+				}
+			})
+		})
+	}
+}
+
 // Under load a server that responds to others is slow for a while, and its requests are not
 // sent to a second server, which would prefill their prompts again. A server that
 // responds to nobody is left at once.
