backend: send a request's id once on each connection (REFUSED, TWICE)

Callers were told that a request had not run (503), or it ran at a second server, although a server was running it.

A server may write a refusal a second time. The copy bears the id of the refused request, and the client tells answers apart by their ids. So when the same request went once more on the connection on which its copy lay, the copy was taken for its answer. A well-behaved client is enough: a request is sent to no server id twice, but connections belong to addresses. While a server that has started again and its former process are both listed, the request goes to the former id, is answered 421, and then goes to the next id on the same connection.

If the transport picks one that has carried the id, it is closed before anything is written, and the request goes out on another.

TestNothingIsSentTwice used one id for both of its calls, which would now get a connection each; its second call has another id, so that it still breaks on a reused connection.

Ruled out: requests whose connection was not made (net/http writes nothing before it reports the connection). That the users' case is this one is likely, not shown: there are no logs.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -143,7 +143,7 @@
 
 func newTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:            tcpdial.NewDialer(dialTimeout).DialContext,
+		DialContext:            conntrace.Remember(tcpdial.NewDialer(dialTimeout).DialContext),
 		DisableCompression:     true,
 		IdleConnTimeout:        idle,
 		MaxIdleConnsPerHost:    idleConnsPerServer,
@@ -168,9 +168,8 @@
 // Do sends the request and waits for the response header. An error is a
 // *verdict.Error. The HTTP client never retries the request by itself.
 func (c *Client) Do(ctx context.Context, call *Call) (*Response, error) {
-	traced, trace := conntrace.Attach(ctx)
 	transport := c.transportFor(call)
-	httpResponse, err := transport.RoundTrip(c.newRequest(traced, call))
+	httpResponse, trace, err := c.send(ctx, transport, call)
 	if err != nil {
 		return nil, callError(ctx, err, call.Address, trace.Connected())
 	}
@@ -203,7 +202,26 @@
 	return response, nil
 }
 
-// answers reports whether a response is the call's. A server may send a response twice,
+// send sends the request on a connection that has not carried its id before, and waits for the
+// response header.
+func (c *Client) send(ctx context.Context, transport *http.Transport, call *Call) (*http.Response, *conntrace.Trace, error) {
+	for {
+		traced, trace := conntrace.AttachOnce(ctx, call.RequestID)
+		response, err := transport.RoundTrip(c.newRequest(traced, call))
+		if !trace.Rejected() {
+			return response, trace, err
+		}
+		if err == nil {
+			closeBody(response.Body) // of an extra response that had been read already
+		}
+		if ctx.Err() != nil {
+			return nil, trace, ctx.Err()
+		}
+	}
+}
+
+// answers reports whether a response is the call's, whose id its connection has not carried
+// before. A server may send a response twice,
 // the second time when the next request waits on the connection. Without the id of its
 // request, only the first response on a connection can be trusted.
 func answers(response *Response, call *Call, reused bool) bool {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -129,6 +129,7 @@
 	if _, err := ReadBody(response); err != nil {
 		t.Fatal(err)
 	}
+	call.RequestID = "r2" // with the first id it would be sent on another connection
 	_, err = client.Do(context.Background(), call)
 	if failure := verdict.From(err); failure == nil || failure.Verdict != verdict.MayHaveRun {
 		t.Errorf("%s %v: got %v, want an unknown outcome", method, header, err)
--- a/internal/conntrace/conntrace.go
+++ b/internal/conntrace/conntrace.go
@@ -12,21 +12,41 @@
 
 // Trace is the connection of one request. It is safe for concurrent use.
 type Trace struct {
-	mu     sync.Mutex
-	conn   net.Conn // nil: none
-	reused bool
+	id string // of the request; empty: it may be sent on any connection
+
+	mu       sync.Mutex
+	conn     net.Conn // nil: none
+	reused   bool
+	rejected bool
 }
 
 // Attach returns a context for one request, and the trace that it fills.
-func Attach(ctx context.Context) (context.Context, *Trace) {
-	t := &Trace{}
+func Attach(ctx context.Context) (context.Context, *Trace) { return AttachOnce(ctx, "") }
+
+// AttachOnce is Attach for a request with an id that may be sent once on each connection of
+// Remember. If the HTTP client chooses one that has carried the id, the connection is closed
+// before anything is written to it, and Rejected tells so.
+func AttachOnce(ctx context.Context, id string) (context.Context, *Trace) {
+	t := &Trace{id: id}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn}), t
 }
 
 func (t *Trace) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.conn, t.reused = info.Conn, info.Reused
+	t.conn, t.reused, t.rejected = info.Conn, info.Reused, false
+	if c, ok := info.Conn.(*conn); ok && t.id != "" && !c.carry(t.id) {
+		_ = info.Conn.Close() // its state does not matter any more
+		t.conn, t.rejected = nil, true
+	}
+}
+
+// Rejected reports whether the request was not sent because its connection had carried its
+// id. Whatever the HTTP client returned is not the request's response.
+func (t *Trace) Rejected() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rejected
 }
 
 // Connected reports whether the request got a connection on which it may have been sent.
