verdict: decide in one place whether a status promises "not run" (REFUSED)

Callers of routers got 503, with the verdict may-have-run beside it, for a generation that may have run: an attempt broke off, the next one was refused, and the status followed the code of the last failure. For gateways no such case is known, but nothing kept one away: they too took the status from the code.

Error.Status now takes the verdict into account. What may have run never gets 408, 421, 429 or 503, and what has not run gets 503 in place of any 5xx, on routers as it was on gateways. The check of servers' own statuses uses the same list.

--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -119,7 +119,7 @@
 	})
 	relay.Source = func() *deployment.Snapshot { return testSnapshot(testRoute(deployment.Stream, true)) }
 	_, err := serve(relay, promptRequest("r", "system", "bad"))
-	if failure := verdict.From(err); calls != 1 || failure.Verdict != verdict.MayHaveRun || failure.Code.Status() != http.StatusBadGateway {
+	if failure := verdict.From(err); calls != 1 || failure.Verdict != verdict.MayHaveRun || failure.Status() != http.StatusBadGateway {
 		t.Errorf("%d calls, %v; want one call and an error that says it may have run", calls, err)
 	}
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -125,8 +125,7 @@
 // checkStatus returns the response, or an error if its status would tell the client that
 // the request has not run although it may have.
 func (r *activeRequest) checkStatus(resp *Response) (*Response, *verdict.Error) {
-	switch resp.Status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	if verdict.PromisesNotRun(resp.Status) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s answered with status %d", r.req.Log.Server, resp.Status)
 	}
 	return resp, nil
--- a/internal/forward/watchdog_test.go
+++ b/internal/forward/watchdog_test.go
@@ -147,8 +147,8 @@
 	req := testRequest(testRoute(deployment.Idempotent, false))
 	req.Timeout = 30 * time.Millisecond // too little is left for a second attempt
 	_, err := handler.Handle(context.Background(), req)
-	if failure := verdict.From(err); failure.Code.Status() < 500 || failure.Verdict != verdict.MayHaveRun {
-		t.Errorf("got %v with status %d, want a server error that may have run", failure, failure.Code.Status())
+	if failure := verdict.From(err); failure.Status() < 500 || failure.Verdict != verdict.MayHaveRun {
+		t.Errorf("got %v with status %d, want a server error that may have run", failure, failure.Status())
 	}
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -248,10 +248,7 @@
 // writeError writes the error response for a request that the chain did not serve.
 func (in *ingress) writeError(w http.ResponseWriter, req *forward.Request, err error) error {
 	failure := verdict.From(err)
-	status := failure.Code.Status()
-	if failure.Verdict == verdict.NotRun && status >= http.StatusInternalServerError {
-		status = http.StatusServiceUnavailable
-	}
+	status := failure.Status()
 	header := w.Header()
 	in.headers.SetRequestID(header, req.ID)
 	header.Set("Content-Type", "application/json")
--- a/internal/httpapi/errors.go
+++ b/internal/httpapi/errors.go
@@ -51,7 +51,7 @@
 func newErrorBody(e *verdict.Error, requestID string) errorBody {
 	return errorBody{Error: errorDetail{
 		Message:   e.Message,
-		Type:      errorType(e.Code.Status()),
+		Type:      errorType(e.Status()),
 		Code:      string(e.Code),
 		Verdict:   e.Verdict.String(),
 		RequestID: requestID,
@@ -74,7 +74,7 @@
 	s.metrics.errorCount.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("code", string(e.Code)), attribute.String("verdict", e.Verdict.String())))
 	setErrorHeaders(c.Response().Header(), e)
-	if err := c.JSON(e.Code.Status(), newErrorBody(e, requestID)); err != nil {
+	if err := c.JSON(e.Status(), newErrorBody(e, requestID)); err != nil {
 		logger.Debug(logging.Fields{"request_id": requestID, "error": err.Error()}, "error response not written")
 	}
 }
@@ -101,7 +101,7 @@
 	if e.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 		header.Set(headerRetryAfterMs, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
-	} else if e.Code.Status() == http.StatusTooManyRequests {
+	} else if e.Status() == http.StatusTooManyRequests {
 		header.Set("Retry-After", strconv.Itoa(int(defaultRetryAfter.Seconds())))
 	}
 }
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -98,7 +98,7 @@
 	if err := json.Unmarshal(recorder.Body.Bytes(), &body); err != nil {
 		t.Fatalf("%q: %v", recorder.Body, err)
 	}
-	if recorder.Code != code.Status() || body.Error.Code != string(code) {
+	if recorder.Code != verdict.New(verdict.NotRun, code, "").Status() || body.Error.Code != string(code) {
 		t.Errorf("status %d, code %q, want %q", recorder.Code, body.Error.Code, code)
 	}
 	if recorder.Header().Get(HeaderVerdict) != "not-run" || body.Error.Verdict != "not-run" {
--- a/internal/httpapi/metrics.go
+++ b/internal/httpapi/metrics.go
@@ -42,7 +42,7 @@
 		err := next(c)
 		status := c.Response().Status
 		if err != nil && !c.Response().Committed {
-			status = asVerdict(err).Code.Status()
+			status = asVerdict(err).Status()
 		}
 		m.duration.Record(context.Background(), time.Since(start).Seconds(), metric.WithAttributes(
 			attribute.String("http.request.method", c.Request().Method),
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -100,14 +100,23 @@
 // that closed its connection.
 const statusClientClosedRequest = 499
 
-// Status returns the HTTP status of the code.
-func (c Code) Status() int {
+func (c Code) status() int {
 	if status, ok := statusByCode[c]; ok {
 		return status
 	}
 	return http.StatusInternalServerError
 }
 
+// PromisesNotRun reports whether a status tells callers that the request has not run and
+// never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Error is the error type of the request path.
 type Error struct {
 	Verdict    Verdict
@@ -137,6 +146,19 @@
 	return e
 }
 
+// Status returns the HTTP status of a response with the error. The verdict decides whether it
+// promises that the request has not run, whatever the code.
+func (e *Error) Status() int {
+	status := e.Code.status()
+	switch {
+	case e.Verdict == NotRun && status >= http.StatusInternalServerError:
+		return http.StatusServiceUnavailable
+	case e.Verdict != NotRun && PromisesNotRun(status):
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	text := fmt.Sprintf("%s: %s (%s)", e.Code, e.Message, e.Verdict)
