--- a/internal/backend/refusal_test.go
+++ b/internal/backend/refusal_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -218,3 +224,130 @@
 		closeBody(response.Body)
 	}
 }
+
+// A call that ends while it is being connected counts as not run only if the server never gets
+// it.
+func TestCancelledCallsThatCountAsNotRun(t *testing.T) {
+	server, address := newRefusingServer(t, "")
+	client := NewClient(testCodec{})
+	notRun := make(map[string]bool)
+	for n := range 1500 {
+		call := callTo(address, http.MethodPost, "x")
+		call.RequestID = fmt.Sprint("r", n)
+		call.Header = http.Header{"Request-Id": {call.RequestID}}
+		ctx, cancel := context.WithCancel(t.Context())
+		timer := time.AfterFunc(time.Duration(rand.IntN(400))*time.Microsecond, cancel)
+		response, err := client.Do(ctx, call)
+		if err == nil {
+			closeBody(response.Body)
+		} else if verdict.From(err).Verdict == verdict.NotRun {
+			notRun[call.RequestID] = true
+		}
+		timer.Stop()
+		cancel()
+	}
+	time.Sleep(100 * time.Millisecond) // the server has read what was sent
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	for id := range notRun {
+		if server.seen[id] > 0 {
+			t.Errorf("%s reached the server and counts as not run", id)
+		}
+	}
+	t.Logf("%d calls count as not run, %d requests reached the server", len(notRun), len(server.seen))
+}
+
+// A server may refuse a request before it has read the body, and read on. What it reads on the
+// connection is the rest of that body or the end of the connection.
+func TestRefusalBeforeTheBody(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		t.Run(fmt.Sprint("reads on ", reads), func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			var mu sync.Mutex
+			var faults []string
+			heads := make(map[string]int)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						reader := bufio.NewReader(conn)
+						for {
+							r, err := http.ReadRequest(reader)
+							if err != nil {
+								if err != io.EOF && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) {
+									mu.Lock()
+									faults = append(faults, err.Error())
+									mu.Unlock()
+								}
+								return
+							}
+							id := r.Header.Get("Request-Id")
+							mu.Lock()
+							heads[id]++
+							mu.Unlock()
+							_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nRequest: %s\r\nContent-Length: 0\r\n\r\n", id)
+							time.Sleep(time.Duration(rand.IntN(80)) * time.Millisecond)
+							if !reads {
+								return
+							}
+							content, err := io.ReadAll(r.Body)
+							if wrong := strings.Trim(string(content), id[:1]); wrong != "" {
+								mu.Lock()
+								faults = append(faults, fmt.Sprintf("%d other bytes in the body of %s, then %v", len(wrong), id, err))
+								mu.Unlock()
+							}
+							if err != nil {
+								return
+							}
+						}
+					}()
+				}
+			}()
+			client := NewClient(testCodec{})
+			refused := 0
+			var group sync.WaitGroup
+			for worker := range 2 {
+				group.Go(func() {
+					for n := range 25 {
+						id := fmt.Sprintf("%c-%d-%d", 'a'+rune(n), worker, n)
+						call := callTo(listener.Addr().String(), http.MethodPost, strings.Repeat(id[:1], rand.IntN(4<<20)))
+						call.RequestID = id
+						call.Header = http.Header{"Request-Id": {id}}
+						response, err := client.Do(t.Context(), call)
+						if err != nil {
+							continue // its fate is unknown
+						}
+						closeBody(response.Body)
+						mu.Lock()
+						refused++
+						mu.Unlock()
+					}
+				})
+			}
+			group.Wait()
+			time.Sleep(100 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, fault := range faults {
+				t.Error(fault)
+			}
+			for id, n := range heads {
+				if n > 1 {
+					t.Errorf("%s was sent %d times", id, n)
+				}
+			}
+			if refused == 0 {
+				t.Error("no request was refused")
+			}
+			t.Logf("%d of 50 refused", refused)
+		})
+	}
+}
