engine/client: take no refusal of a request for the answer to an order

An engine that writes a refusal a second time on a kept connection made an order or a report, which bear no id, count as refused though the engine carried it out. A refusal that bears an id is that of a request, so it now counts as the end of the connection: the outcome is unknown.

TestRefusalIsNoAnswerToACallWithoutAnID. Requests themselves need nothing: their ids are those of attempts, and no attempt is sent twice.

--- a/internal/engine/client/repeated_test.go
+++ b/internal/engine/client/repeated_test.go
@@ -65,3 +65,33 @@
 	}
 	_, _ = reader.ReadByte() // until the client closes the connection
 }
+
+// An engine that writes a refusal once more does not make an order that it carries out, which
+// bears no id, count as refused.
+func TestRefusalIsNoAnswerToACallWithoutAnID(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			refuseTwice(conn, true)
+		}
+	}()
+	e := client.NewEngine("http://" + listener.Addr().String())
+	if _, err := e.Generate(t.Context(), request("refused", 1)); !errors.Is(err, engine.ErrRefused) {
+		t.Errorf("request: %v, want a refusal", err)
+	}
+	if err := e.Apply(t.Context(), engine.Order{Fence: 1, Load: &engine.LoadedWeights{Model: "badge", Version: "8"}}); !errors.Is(err, engine.ErrBroken) {
+		t.Errorf("order: %v, want an error that it may have been carried out", err)
+	}
+	e.CloseIdleConnections()
+	_ = listener.Close()
+	<-served
+}
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -73,14 +73,16 @@
 }
 
 // answers reports whether a refusal is that of the request. An engine may write an earlier one
-// once more, which arrives when the next request waits on the connection. The chunks of a
-// stream name their request themselves.
+// once more, which arrives when the next request waits on the connection. Ids are those of
+// attempts, so none is sent twice. The chunks of a stream name their request themselves.
 func answers(resp *http.Response, req *http.Request, reused bool) bool {
-	id := req.Header.Get(engine.HeaderRequestID)
-	if id == "" || resp.StatusCode/100 == 2 {
+	id, answered := req.Header.Get(engine.HeaderRequestID), resp.Header.Get(engine.HeaderRequestID)
+	switch {
+	case resp.StatusCode/100 == 2:
 		return true
+	case id == "":
+		return answered == ""
 	}
-	answered := resp.Header.Get(engine.HeaderRequestID)
 	return answered == id || answered == "" && !reused
 }
 
