Blame requests that crash servers beside streams that have just begun

What callers saw: a request that ended each engine before the response began reached more and more engines, and each end broke the streams there. The operators' rule on repeats (BUDGET) allows three late ones.

Cause: of the requests that a server lost, only those counted that it had got furthest with. On a busy engine a stream of somebody else has nearly always just begun, so the end did not count against the request that caused it, and its blame needed three ends without such a neighbour.

Ruled out: a missed crash (the check found each process ended) and the news between gateways (one gateway alone does the same in a replay: ten of ten ends, no blame).

Change: how far a server had got decides between parts that were lost at the same servers; it no longer excuses a part. Neighbours are others each time, or have successes in between.

Conclusion: fixed here; that the users' cases were of this kind is suspected.

--- a/internal/gateway/crashingpart_test.go
+++ b/internal/gateway/crashingpart_test.go
@@ -34,6 +34,8 @@
 	servers []*http.Server
 	listed  []*deployment.Server
 	deadly  func(*http.Request) bool // whether a request crashes its server
+	early   bool                     // a crash comes before the response's head
+	pause   time.Duration            // between events
 
 	mu       sync.Mutex
 	sound    bool        // the part no longer crashes servers
@@ -42,7 +44,7 @@
 }
 
 func startEngines(t *testing.T, store *memoryStore, count int) *engines {
-	e := &engines{store: store, servers: make([]*http.Server, count)}
+	e := &engines{store: store, servers: make([]*http.Server, count), pause: 10 * time.Millisecond}
 	e.deadly = func(r *http.Request) bool { return strings.Contains(r.Header.Get("Parts"), crashingPart) }
 	for i := range count {
 		listener := listenLoopback(t)
@@ -70,6 +72,9 @@
 func (e *engines) respond(i int, w http.ResponseWriter, r *http.Request) {
 	crash := e.arrive(r)
 	time.Sleep(time.Duration(10+rand.IntN(20)) * time.Millisecond)
+	if crash && e.early {
+		e.crash(i)
+	}
 	w.Header().Set("Signed", "1")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush() // a broken connection shows in the next write
@@ -81,7 +86,7 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(e.pause)
 	}
 }
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -49,8 +49,8 @@
 }
 
 // isExplained reports whether another part explains all the crashes against a part: requests
-// with it were lost at the same servers, and it has more crashes, or fewer requests that
-// were lost, so that holding it back costs less. A crashing part is then not blamed together
+// with it were lost at the same servers, which had got further with them, or it has more
+// crashes, or fewer requests that were lost, so that holding it back costs less. A crashing part is then not blamed together
 // with sound ones that it took with it. If it is the wrong one, the next crash tells. The
 // caller holds the lock.
 func (q *Quarantine) isExplained(part Part, open, counted []*Crash) bool {
@@ -64,6 +64,7 @@
 			continue
 		}
 		order := cmp.Or(
+			cmp.Compare(q.countFurthest(otherOpen, counted), q.countFurthest(open, counted)),
 			cmp.Compare(countServers(otherOpen), countServers(open)),
 			cmp.Compare(len(open), len(otherOpen)),
 			cmp.Compare(part, other),
@@ -80,6 +81,18 @@
 	return !slices.ContainsFunc(crashes, func(c *Crash) bool { return !ofServer(others, c.Server) })
 }
 
+// countFurthest returns at how many of the servers of counted a crash has the highest stage
+// of all crashes there. The caller holds the lock.
+func (q *Quarantine) countFurthest(crashes, counted []*Crash) int {
+	return countServers(slices.Collect(func(yield func(*Crash) bool) {
+		for _, c := range crashes {
+			if c.Stage == q.servers[c.Server].stage && ofServer(counted, c.Server) && !yield(c) {
+				return
+			}
+		}
+	}))
+}
+
 func countServers(crashes []*Crash) int {
 	servers := make(map[string]struct{})
 	for _, c := range crashes {
@@ -91,12 +104,12 @@
 // evidence returns the crashes against a part since its last success, ordered by time, and
 // those of them that count: of different servers, and under requests sent after the one
 // counted before had ended. Repeats of a request that has not succeeded lately may have been
-// sent together: a sound one that is at several servers when they end together has. A request without a response does not count if the server had begun
-// one to another request. The caller holds the lock.
+// sent together: a sound one that is at several servers when they end together has. The
+// caller holds the lock.
 func (q *Quarantine) evidence(part Part) (open, counted []*Crash) {
 	success := q.success[part]
 	for _, crash := range q.byPart[part] {
-		if crash.Ended.After(success) && crash.Stage == q.servers[crash.Server].stage {
+		if crash.Ended.After(success) {
 			open = append(open, crash)
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -79,8 +79,8 @@
 	return Part(digest.Sum64() | wholeRequest)
 }
 
-// Stage is how far a server was with a request when its process ended. Of the requests at a
-// server, only those of the highest stage count.
+// Stage is how far a server was with a request when its process ended. Of requests that were
+// lost at the same servers, those of a higher stage are blamed first.
 type Stage uint8
 
 // The stages, in the order in which they point to a request as the cause.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -65,6 +65,11 @@
 			{server: "s1", parts: "W", sent: 1, at: 2}, {server: "s1", parts: "P", sent: 1, at: 2, stage: Beginning},
 			{server: "s2", parts: "W", sent: 2, at: 3}, {server: "s2", parts: "P", sent: 2, at: 3, stage: Beginning},
 		}, []string{"P"}, []string{"W"}},
+		{"a request that ends servers before they respond, beside young streams of others", []step{
+			{server: "s0", parts: "A", sent: 0, at: 1, stage: Streaming}, {server: "s0", parts: "P", sent: 0, at: 1},
+			{server: "s1", parts: "B", sent: 1, at: 2, stage: Streaming}, {server: "s1", parts: "P", sent: 1, at: 2},
+			{server: "s2", parts: "C", sent: 2, at: 3, stage: Streaming}, {server: "s2", parts: "P", sent: 2, at: 3},
+		}, []string{"P"}, []string{"A", "B", "C"}},
 		{"no shared parts", three("", "", ""), nil, []string{""}},
 	} {
 		q := New(func(Part, int64) bool { return false })
--- a/internal/quarantine/replay_test.go
+++ b/internal/quarantine/replay_test.go
@@ -19,6 +19,7 @@
 	reports  []simReport // crashes that are not confirmed yet
 
 	crashing  Part            // crashes servers; 0: none does
+	early     bool            // a server crashes before its response begins
 	interval  time.Duration   // between two exchanges of a pair
 	arrivals  []time.Time     // requests with the crashing part at servers
 	ends      []time.Time     // of servers, under the crashing part
@@ -174,6 +175,8 @@
 		r.remove(req)
 		crash := Crash{Server: name, Sent: req.sent, Ended: r.now, Parts: req.parts}
 		switch {
+		case req == cause && r.early:
+			crash.Stage = Waiting
 		case req == cause:
 			crash.Stage = Beginning
 		case r.now.Before(req.begins):
@@ -228,7 +231,7 @@
 )
 
 // Requests with a crashing part are held back in time, and sound ones that share all other
-// parts are not.
+// parts are not, whether servers end before they respond or after that.
 func TestReplayOfCrashingPart(t *testing.T) {
 	for _, c := range []struct {
 		name              string
@@ -241,9 +244,10 @@
 		{"mostly crashing", 5, 16, map[string]float64{"AP": 8, "ABP": 8, "A": 1, "AB": 1, "AC": 1}},
 		{"large", 30, 60, map[string]float64{"AP": 10, "BP": 5, "A": 20, "AB": 20, "B": 10, "rare": 20}},
 	} {
-		for seed := range uint64(4) {
+		for seed := range uint64(8) {
 			t.Run(fmt.Sprint(c.name, " ", seed), func(t *testing.T) {
 				r := newReplay(seed, c.gateways, c.servers)
+				r.early = seed >= 4
 				r.play(3*time.Second, map[string]float64{"A": 10, "AB": 5, "B": 3, "AC": 3})
 				r.crashing = PartOf("service", "P")
 				r.play(60*time.Second, c.rates)
