Keep what crashes servers in the store, so that it outlasts all gateways

What callers saw: a request that crashes plain services went on ending servers after each end of all gateways, and each end broke the calls beside it.

Cause: the findings were in the memory of the gateways only. When all are killed the next three ends are needed once more; a request that comes back every few seconds causes them after the gateways are in touch again.

Change: one gateway, chosen by a hash, writes the findings to one entry of the store when they differ from it; gateways merge it before they are ready. A success empties it. While nothing is blamed nothing is written; the entry is bounded like a message between gateways (32 crashes).

Conclusion: fixed here; that the users' cases were of this kind is suspected.

--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -45,7 +45,8 @@
 	Servers  map[string]*Server       // by id
 	Weights  map[string]WeightsTarget // by model
 	Gateways []Gateway
-	Leader   string // value of the lease key of the gateway that runs the rollout; empty: none
+	Leader   string         // value of the lease key of the gateway that runs the rollout; empty: none
+	Crashes  platform.Entry // what gateways know of requests that crash servers; Version 0: nothing
 
 	byService map[string][]*Server
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,6 +53,7 @@
 const (
 	GatewayPrefix = KeyPrefix + "gateways/" // followed by the RPC address, a slash, and the incarnation
 	LeaderKey     = KeyPrefix + "orders/leader"
+	CrashesKey    = KeyPrefix + "crashes" // what crashes backend servers, for gateways that start
 )
 
 // Item is a decoded entry of the store. At most one field is set.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -30,6 +30,7 @@
 	weights    map[string]deployment.WeightsTarget
 	gateways   map[string]platform.Version // by key, the version of the registration
 	leader     string
+	crashes    platform.Entry
 }
 
 func newState() state {
@@ -64,6 +65,9 @@
 	if !contains(keys, LeaderKey) {
 		st.leader = ""
 	}
+	if !contains(keys, CrashesKey) {
+		st.crashes = platform.Entry{}
+	}
 }
 
 func contains(set map[string]struct{}, key string) bool {
@@ -207,6 +211,10 @@
 		st.leader = ""
 	case event.Key == LeaderKey:
 		st.leader = string(event.Value)
+	case event.Key == CrashesKey && event.Deleted:
+		st.crashes = platform.Entry{}
+	case event.Key == CrashesKey:
+		st.crashes = event.Entry
 	case strings.HasPrefix(event.Key, GatewayPrefix) && event.Deleted:
 		delete(st.gateways, event.Key)
 	case strings.HasPrefix(event.Key, GatewayPrefix):
@@ -224,6 +232,7 @@
 		Weights:  maps.Clone(st.weights),
 		Gateways: st.listGateways(),
 		Leader:   st.leader,
+		Crashes:  st.crashes,
 	}
 	return s.Index()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,7 @@
 	ingress  *ingress
 	// quarantine is shared with the other gateways through exchange.
 	quarantine   *quarantine.Quarantine
+	crashes      *savedCrashes
 	serverLimits *serverlimit.Limits
 	access       *serveraccess.Access
 }
@@ -165,6 +166,10 @@
 	g.limits.follower = g.follower
 	registerStateGauges(g.follower)
 	g.quarantine = quarantine.New(g.mayProbe)
+	g.crashes = &savedCrashes{
+		quarantine: g.quarantine, store: g.store, self: settings.Daemon.RPCAddress,
+		snapshot: func() *deployment.Snapshot { return g.follower.Snapshot() }, gateways: g.runningGateways,
+	}
 	g.serverLimits = serverlimit.New(settings.Daemon.RPCAddress)
 	g.access = serveraccess.New(serveraccess.Options{
 		Source: g.follower.Snapshot, Fleet: g.fleet, Limits: g.serverLimits, Backoffs: serverbackoff.New(),
@@ -248,6 +253,7 @@
 func (g *Gateway) onSnapshot(snapshot *deployment.Snapshot) {
 	g.fleet.Prune(snapshot)
 	g.shareBounds(snapshot)
+	g.crashes.merge(snapshot)
 	g.serverLimits.Prune(snapshot.Incarnation)
 	g.limits.update(snapshot, g.exchange.PeersSince(time.Now().Add(-unlistedPeerTTL)), time.Now())
 	g.follower.SetIdle(!roster.Watches(snapshot.Gateways, g.settings.Daemon.RPCAddress))
@@ -320,7 +326,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -59,6 +59,11 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.digest()
+}
+
+// digest is Digest for a caller that holds the lock.
+func (q *Quarantine) digest() uint64 {
 	digest := uint64(0)
 	for part, b := range q.blamed {
 		digest ^= uint64(PartOf(b.newest, "")) * (uint64(part) | 1)
@@ -79,11 +84,7 @@
 	q.forget(now)
 	news := &newsWriter{message: &wire.QuarantineNews{Digest: digest}, quarantine: q, now: now}
 	if digest != theirs {
-		for part := range q.blamed {
-			open, counted := q.evidence(part)
-			news.addCrashes(counted[:minCrashes])
-			news.addCrashes(open[max(0, len(open)-maxCounted):]) // from which the next probe follows
-		}
+		news.addFindings()
 	}
 	for _, r := range q.rumors {
 		if news.add(r) {
@@ -94,6 +95,17 @@
 	return news.message
 }
 
+// Findings returns the digest of the findings with the crashes and successes that they rest
+// on.
+func (q *Quarantine) Findings(now time.Time) *wire.QuarantineNews {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forget(now)
+	news := &newsWriter{message: &wire.QuarantineNews{Digest: q.digest()}, quarantine: q, now: now}
+	news.addFindings()
+	return news.message
+}
+
 // newsWriter builds a message of bounded size.
 type newsWriter struct {
 	message    *wire.QuarantineNews
@@ -111,6 +123,15 @@
 	return slices.Contains(w.told, r.crash)
 }
 
+// addFindings adds the crashes for which parts are blamed.
+func (w *newsWriter) addFindings() {
+	for part := range w.quarantine.blamed {
+		open, counted := w.quarantine.evidence(part)
+		w.addCrashes(counted[:minCrashes])
+		w.addCrashes(open[max(0, len(open)-maxCounted):]) // from which the next probe follows
+	}
+}
+
 // addCrashes adds crashes together with the successes of their parts, without which the
 // receiver would come to other findings.
 func (w *newsWriter) addCrashes(crashes []*Crash) {
