Give a server no more time than is left when none is left

What callers saw: nothing that was reported.

Cause: the time left is written over the client's header only if it is above 0. A request whose deadline passed before its timer fired, as in a process that gets no CPU, was sent with the client's own value.

Ruled out: later deadlines on retries; the deadline is fixed when the head of the request was read, and each send gets what is left of it.

Change: a server is given a millisecond at least.

Result: forward.TestNoTimeLeft: before, -1s and 0s are passed on; after it 1ms.

Conclusion: fixed; shown for the decision alone, not with real processes, and too rare to explain the users' cases.

--- a/internal/forward/instruct.go
+++ b/internal/forward/instruct.go
@@ -9,6 +9,9 @@
 	"github.com/wasabigate/wasabigate/internal/serveraccess"
 )
 
+// minCallTime is the least time that a server is given.
+const minCallTime = time.Millisecond
+
 // placementQuery returns the query by which a backend server is chosen for the request.
 func (r *activeRequest) placementQuery(now time.Time) *placement.Query {
 	q := &placement.Query{Zone: r.relay.Zone, Target: r.req.Route.TargetLatency, MaxReplaced: r.relay.MaxReplaced, Tried: func(id string) bool { return r.tried[id] }}
@@ -66,7 +69,7 @@
 	server := r.req.Snapshot.Servers[choice.Server.ID]
 	call.Observe = func(head *backend.Description) { r.relay.Access.Observe(server, r.req.ID, head, now, time.Now()) }
 	if !r.req.Deadline.IsZero() {
-		call.Timeout = r.req.Deadline.Sub(now)
+		call.Timeout = max(minCallTime, r.req.Deadline.Sub(now)) // 0 would leave the server the client's own time
 	}
 	if r.req.Model != "" {
 		r.setEngineFields(call, choice, now)
--- a/internal/forward/instruct_test.go
+++ b/internal/forward/instruct_test.go
@@ -8,6 +8,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
+	"github.com/wasabigate/wasabigate/internal/placement"
 )
 
 // requestWithPrompt returns a request with a shared part that no engine has cached.
@@ -23,6 +24,21 @@
 	return req
 }
 
+// A request whose time is up by the moment it is sent does not give the server the time that
+// its client gave when it sent it.
+func TestNoTimeLeft(t *testing.T) {
+	for _, left := range []time.Duration{-time.Second, 0, time.Microsecond} {
+		req := testRequest(testRoute(deployment.Idempotent, false))
+		now := time.Now()
+		req.Deadline = now.Add(left)
+		relay := NewRelay(Relay{ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory()})
+		active := &activeRequest{relay: relay, req: req, service: "s"}
+		if call := active.newCall(&placement.Choice{Server: &placement.Server{ID: "a"}}, now); call.Timeout <= 0 || call.Timeout > time.Millisecond {
+			t.Errorf("%v left: the server is given %v", left, call.Timeout)
+		}
+	}
+}
+
 // While an engine prefills a prompt that none has cached, the next request with the same
 // prompt goes to that engine, although another one is the prompt's home. Otherwise a
 // second engine would compute the same prefix.
