Give no share of the retries' slack to gateways that nobody sees

What callers saw: servers that fail get more retries from all gateways together than the operators allow (BUDGET), when the gateways have started while the store reads but takes no registrations.

Cause: a gateway divides the slack among the gateways that it knows. One that can't register, and whose list is empty, knows the three of its settings and itself, however many there are.

Requests' own share of retries: each counts once, at the process that had it.

Change: a daemon has no share of the slack until the list that the others read has it, too. What its own requests allow it keeps. A daemon that was listed once keeps to the number that it knew.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/wasabigate/wasabigate/internal/httpapi"
 	"github.com/wasabigate/wasabigate/internal/inflight"
 	"github.com/wasabigate/wasabigate/internal/limit"
+	"github.com/wasabigate/wasabigate/internal/membership"
 	"github.com/wasabigate/wasabigate/internal/pipeline"
 	"github.com/wasabigate/wasabigate/internal/platform/client"
 	"github.com/wasabigate/wasabigate/internal/prefix"
@@ -141,7 +143,8 @@
 // requests of withdrawn keys.
 func (r *router) snapshotChanged(snapshot *control.Snapshot) {
 	if snapshot.View != nil {
-		r.budget.SetDaemons(len(snapshot.View.Routers), time.Now())
+		listed := slices.ContainsFunc(snapshot.View.Routers, func(other membership.Router) bool { return other.Address == r.base.settings.Daemon.RPCAddress })
+		r.budget.SetDaemons(len(snapshot.View.Routers), listed, time.Now())
 	}
 	if snapshot.Config != nil {
 		r.inflight.CancelWithdrawn(snapshot.Config.KeyWithdrawn)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -263,7 +263,8 @@
 func (g *Gateway) shareBounds(snapshot *deployment.Snapshot) {
 	gateways := g.runningGateways(snapshot)
 	others := slices.DeleteFunc(gateways, func(address string) bool { return address == g.settings.Daemon.RPCAddress })
-	g.budget.SetDaemons(max(1+len(others), g.seeds()), time.Now())
+	listed := slices.ContainsFunc(snapshot.Gateways, func(other deployment.Gateway) bool { return other.Address == g.settings.Daemon.RPCAddress })
+	g.budget.SetDaemons(max(1+len(others), g.seeds()), listed, time.Now())
 	g.serverLimits.SetGateways(others)
 }
 
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -28,7 +28,7 @@
 // restart replaces a gateway's process by one that knows of some gateways, itself included.
 func (f *fleet) restart(i, known int) {
 	f.budgets[i] = New(f.bound, f.now)
-	f.budgets[i].SetDaemons(known, f.now)
+	f.budgets[i].SetDaemons(known, true, f.now)
 }
 
 // run lets every gateway take a request now and then, and all retries that it may.
@@ -74,7 +74,7 @@
 				}
 				f.run(time.Second, random)
 				for _, b := range f.budgets {
-					b.SetDaemons(4, f.now)
+					b.SetDaemons(4, true, f.now)
 				}
 			}
 			f.run(20*time.Second, random)
@@ -83,6 +83,26 @@
 	}
 }
 
+// Gateways that the others can't see, as the store takes no registrations, know few others.
+// They do not each take a share of the slack among these few.
+func TestBoundHoldsWhileGatewaysAreNotListed(t *testing.T) {
+	for _, rate := range []int{20, 50, 110} {
+		f, random := newFleet(27), rand.New(rand.NewPCG(1, 1))
+		for i := range f.budgets {
+			f.budgets[i] = New(f.bound, f.now)
+			f.budgets[i].SetDaemons(4, false, f.now)
+		}
+		f.serve(30*time.Second, rate, 3, random)
+		f.check(t, fmt.Sprintf("not listed, %d requests a second", rate))
+		for _, b := range f.budgets {
+			b.SetDaemons(27, true, f.now)
+			b.SetDaemons(4, false, f.now)
+		}
+		f.serve(30*time.Second, rate, 3, random)
+		f.check(t, fmt.Sprintf("no longer listed, %d requests a second", rate))
+	}
+}
+
 // Gateways that lose sight of each other, one after the other, do not each take the shares
 // of those that they no longer see.
 func TestBoundHoldsOverPartitions(t *testing.T) {
@@ -90,7 +110,7 @@
 	f.run(20*time.Second, random)
 	for seen := 3; seen > 0; seen-- {
 		for _, b := range f.budgets {
-			b.SetDaemons(seen, f.now)
+			b.SetDaemons(seen, true, f.now)
 		}
 		f.run(8*time.Second, random)
 	}
@@ -100,8 +120,8 @@
 // The share of a gateway that is gone for good is used again after a while.
 func TestShareOfAGoneGatewayReturns(t *testing.T) {
 	b := New(Bound{Window: 10 * time.Second, Slack: 10}, start)
-	b.SetDaemons(4, start)
-	b.SetDaemons(1, start.Add(time.Minute))
+	b.SetDaemons(4, true, start)
+	b.SetDaemons(1, true, start.Add(time.Minute))
 	spend := func(now time.Time) (n int) {
 		for b.AllowRetry("s", now) {
 			n++
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -57,6 +57,8 @@
 	// daemon's address may have spent it within the window before.
 	slackFrom time.Time
 	daemons   []daemonCount // falling in number, rising in time; not empty
+	listed    bool          // the others have known of this daemon
+	alone     bool          // SetDaemons was never called
 	services  map[string]*window
 }
 
@@ -78,7 +80,7 @@
 func New(bound Bound, now time.Time) *Budget {
 	return &Budget{
 		bound: bound, start: now, slackFrom: now.Add(bound.Window),
-		daemons: []daemonCount{{1, now}}, services: make(map[string]*window),
+		daemons: []daemonCount{{1, now}}, alone: true, services: make(map[string]*window),
 	}
 }
 
@@ -94,11 +96,14 @@
 	b.bound = bound
 }
 
-// SetDaemons sets the number of daemons that share the slack. If it falls, the shares
-// grow only after absenceTime.
-func (b *Budget) SetDaemons(n int, now time.Time) {
+// SetDaemons sets the number of known daemons, which share the slack. If it falls, the
+// shares grow only after absenceTime. listed says whether the others know of this daemon.
+// Until they do, there may be any number like it, and none of them has a share.
+func (b *Budget) SetDaemons(n int, listed bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.alone = false
+	b.listed = b.listed || listed
 	n = max(1, n)
 	b.daemons = slices.DeleteFunc(b.daemons, func(c daemonCount) bool { return c.number <= n || now.Sub(c.at) > absenceTime })
 	b.daemons = append(b.daemons, daemonCount{n, now})
@@ -109,6 +114,9 @@
 	for len(b.daemons) > 1 && now.Sub(b.daemons[0].at) > absenceTime {
 		b.daemons = b.daemons[1:]
 	}
+	if !b.listed && !b.alone {
+		return 0
+	}
 	share := b.bound.Slack / float64(b.daemons[0].number)
 	if now.Before(b.slackFrom) {
 		return startFraction * share
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -19,7 +19,7 @@
 		budgets := make([]*Budget, n)
 		for i := range budgets {
 			budgets[i] = New(bound, start.Add(time.Duration(i)*137*time.Millisecond))
-			budgets[i].SetDaemons(n, start)
+			budgets[i].SetDaemons(n, true, start)
 		}
 		var requests, retries []time.Time
 		now := start
@@ -72,7 +72,7 @@
 	if n := spend(start.Add(time.Hour)); n != 8 {
 		t.Errorf("%d retries after a long pause, want 8", n)
 	}
-	b.SetDaemons(4, start.Add(time.Hour))
+	b.SetDaemons(4, true, start.Add(time.Hour))
 	if n := spend(start.Add(2 * time.Hour)); n != 2 {
 		t.Errorf("%d retries as one of four gateways, want 2", n)
 	}
