Log the software version of the server that a request is sent to

Neither the software version of a server nor the id of the attempt that a client resumes was read, so the logs could not tell a stream that goes on at its version from one that does not.

The 'placed' line has the version, the start of the process and what the client resumes. 'Resumes' is passed on as the client sent it.

--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -15,6 +15,7 @@
 	Service          string
 	Address          string // host:port
 	AvailabilityZone string
+	Software         string // version of its software; empty: not given
 	Slots            int
 	Draining         bool              // gets no new requests
 	LeavingSince     time.Time         // when it became known that the server itself says that it leaves; zero: it does not
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -291,6 +291,12 @@
 		"running": choice.Server.Running, "failures": choice.Server.FailureRate, "weights": call.WeightsVersion,
 		"fetch_from": call.FetchFrom, "after": call.LastEventID, "position": r.req.Snapshot.Position.String(),
 	}
+	if server := r.req.Snapshot.Servers[choice.Server.ID]; server != nil {
+		entry["software"], entry["incarnation"] = server.Software, server.Incarnation
+	}
+	if r.req.Resumes != "" {
+		entry["resumes"] = r.req.Resumes
+	}
 	if r.req.Log.Attempts == 1 && r.req.Model != "" {
 		r.addPromptFields(entry)
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -30,6 +30,7 @@
 	HasTokens    bool   // the numbers of tokens are given
 	Parts        []Part // of the prompt, in order; the last is the request's own
 	LastEventID  string // the client resumes a stream after this event
+	Resumes      string // id of the request that brought the first event of that stream; empty: not given
 }
 
 // Request is a client's request on its way through the chain. One goroutine uses
