Reproduce streams that hold events of two software versions

A table test of the relay has the same cases without processes, and what a take-up is answered that can't go on.

--- /dev/null
+++ b/internal/forward/softwareversion_test.go
@@ -0,0 +1,194 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/fleet"
+	"github.com/wasabigate/wasabigate/internal/kvcache"
+	"github.com/wasabigate/wasabigate/internal/verdict"
+)
+
+// versionTest is a relay before servers of two software versions.
+type versionTest struct {
+	t       *testing.T
+	route   deployment.Route
+	current *deployment.Snapshot
+	backend *fakeBackend
+	budget  *fakeBudget
+	relay   *Relay
+	sentTo  []string // software versions of the calls' servers when they were called
+}
+
+// Do records the software version of the server and calls the fake backend.
+func (v *versionTest) Do(ctx context.Context, call *backend.Call) (*backend.Response, error) {
+	v.sentTo = append(v.sentTo, v.current.Servers[call.ServerID].Software)
+	return v.backend.Do(ctx, call)
+}
+
+// newVersionTest returns a relay whose servers a, c and e have version v1, and b, d and f v2.
+// Its servers perform steps in order.
+func newVersionTest(t *testing.T, steps ...step) *versionTest {
+	v := &versionTest{t: t, route: testRoute(deployment.Stream, true), backend: &fakeBackend{steps: steps}, budget: &fakeBudget{left: ampleRetries}}
+	v.current = testSnapshot(v.route)
+	v.relay = NewRelay(Relay{ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: v, Budget: v.budget,
+		Source: func() *deployment.Snapshot { return v.current }})
+	v.change(func(server *deployment.Server) {
+		server.Incarnation = 1
+		server.Software = []string{"v1", "v2"}[(server.ID[0]-'a')%2]
+	})
+	return v
+}
+
+// change publishes a snapshot with changed servers.
+func (v *versionTest) change(change func(*deployment.Server)) {
+	next := &deployment.Snapshot{Position: v.current.Position + 1, Config: v.current.Config, Servers: make(map[string]*deployment.Server)}
+	for id, server := range v.current.Servers {
+		changed := *server
+		change(&changed)
+		next.Servers[id] = &changed
+	}
+	v.current = next.Index()
+}
+
+// unnamed stands for a take-up that does not name what it resumes.
+const unnamed = "-"
+
+// begin begins a request. A take-up names the request that it resumes after the first event.
+func (v *versionTest) begin(id, resumes string) (*Response, *verdict.Error) {
+	req := testRequest(v.route)
+	req.ID, req.Route, req.Snapshot = id, &v.route, v.current
+	if resumes != "" {
+		req.Resumes, req.LastEventID = strings.Trim(resumes, unnamed), "1"
+	}
+	resp, err := v.relay.Handle(context.Background(), req)
+	if err != nil {
+		return nil, verdict.From(err)
+	}
+	return resp, nil
+}
+
+// read reads a stream to its end and reports whether it is complete.
+func (v *versionTest) read(resp *Response) bool {
+	var err error
+	for err == nil {
+		_, err = resp.Events.Next(context.Background())
+	}
+	resp.Events.Close()
+	return err == io.EOF
+}
+
+// A stream goes on only at the software version that began it, in the same request or over
+// the client's next ones. If that can't be told, it is refused before it is sent.
+func TestStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	broken := step{status: 200, body: first, cut: io.ErrUnexpectedEOF}
+	whole := step{status: 200, body: first + second}
+	rest := step{status: 200, body: second}
+	drainItsVersion := func(v *versionTest) {
+		v.change(func(server *deployment.Server) { server.Draining = server.Software == v.sentTo[0] })
+	}
+	for _, test := range []struct {
+		name  string
+		steps []step
+		play  func(v *versionTest)
+		calls int
+	}{
+		{"in the same request", []step{broken, rest}, func(v *versionTest) {
+			if resp, err := v.begin("r1", ""); err != nil || !v.read(resp) {
+				v.t.Errorf("not complete: %v", err)
+			}
+		}, 2},
+		{"in the same request, without another server of its version", []step{broken, rest}, func(v *versionTest) {
+			resp, err := v.begin("r1", "")
+			if err != nil {
+				v.t.Fatal(err)
+			}
+			drainItsVersion(v)
+			if v.read(resp) || v.budget.left != ampleRetries {
+				v.t.Errorf("complete, or %d retries left", v.budget.left)
+			}
+		}, 1},
+		{"in the same request, after all servers have started again with other software", []step{broken, rest}, func(v *versionTest) {
+			resp, err := v.begin("r1", "")
+			if err != nil {
+				v.t.Fatal(err)
+			}
+			v.change(func(server *deployment.Server) { server.Incarnation, server.Software = 2, "v3" })
+			if v.read(resp) {
+				v.t.Error("complete")
+			}
+		}, 1},
+		{"in the same request, after its server has started again with other software", []step{broken, rest}, func(v *versionTest) {
+			resp, err := v.begin("r1", "")
+			if err != nil {
+				v.t.Fatal(err)
+			}
+			began := v.backend.calls[0].ServerID
+			v.change(func(server *deployment.Server) {
+				if server.ID == began {
+					server.Incarnation, server.Software = 2, "v2"
+				}
+			})
+			if !v.read(resp) {
+				v.t.Error("not complete")
+			}
+		}, 2},
+		{"taken up at the same gateway", []step{broken, broken, rest}, func(v *versionTest) {
+			resp, err := v.begin("r1", "")
+			if err != nil {
+				v.t.Fatal(err)
+			}
+			v.budget.left = 0
+			v.read(resp)
+			v.backend.steps = []step{rest}
+			for _, id := range []string{"r2", "r3", "r4", "r5", "r6", "r7"} {
+				if resp, err := v.begin(id, "r1"); err != nil || !v.read(resp) {
+					v.t.Errorf("%s is not complete: %v", id, err)
+				}
+			}
+		}, 7},
+		{"taken up after its version has left", []step{broken, rest}, func(v *versionTest) {
+			resp, err := v.begin("r1", "")
+			if err != nil {
+				v.t.Fatal(err)
+			}
+			drainItsVersion(v)
+			v.read(resp)
+			if _, err := v.begin("r2", "r1"); err == nil || err.Verdict != verdict.NotRun || err.RetryAfter > 0 {
+				v.t.Errorf("%+v, want a refusal for good", err)
+			}
+		}, 1},
+		{"taken up where it is not known", []step{rest}, func(v *versionTest) {
+			if _, err := v.begin("r2", "r1"); err == nil || err.Verdict != verdict.NotRun || err.RetryAfter <= 0 {
+				v.t.Errorf("%+v, want a refusal for now", err)
+			}
+		}, 0},
+		{"taken up without the name of what it resumes", []step{rest}, func(v *versionTest) {
+			if _, err := v.begin("r2", unnamed); err == nil || err.Verdict != verdict.NotRun {
+				v.t.Errorf("%+v, want a refusal", err)
+			}
+		}, 0},
+		{"begun where no version is assigned", []step{whole}, func(v *versionTest) {
+			if resp, err := v.begin("r1", ""); err != nil || !v.read(resp) {
+				v.t.Errorf("not complete: %v", err)
+			}
+		}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			v := newVersionTest(t, test.steps...)
+			test.play(v)
+			for _, version := range v.sentTo {
+				if version != v.sentTo[0] {
+					t.Errorf("sent to servers of %s and of %s", v.sentTo[0], version)
+				}
+			}
+			if len(v.backend.calls) != test.calls {
+				t.Errorf("%d calls, want %d", len(v.backend.calls), test.calls)
+			}
+		})
+	}
+}
