Let a stream go on only at the software version that began it

What callers saw: the first part of a stream from servers of one software version and the rest from another one, in one answer or over a client's tries, with nothing in the answer to show it.

Cause: nothing asked at which version a stream began. The gateway resumed a stream within an attempt at any server of the service, and sent a client's take-up to any.

Ruled out: to remember streams alone, since all gateways can be lost at once; to take the version of a pool with one version for that of the stream, since the old one may just have left.

The watchdog and a resumption take a retry from the budget only if another server of the version takes requests. A take-up whose beginning this process doesn't know is decided by the assignment as the store has it after the request came. What is refused has not been sent: stream_origin_unknown with a time to come back, software_version_gone without. A server that is listed as another process when its first event comes is tried as one that broke off. The gateways that watch the store write the assignments.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -73,6 +73,10 @@
 	Targets       []Target
 }
 
+// ResumesStreams reports whether the responses are streams that may be resumed at another
+// backend server.
+func (r *Route) ResumesStreams() bool { return r.Kind == Stream && r.Resumable }
+
 // Target is a service that receives a share of a route's requests.
 type Target struct {
 	Service string
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
 
 // Server is a backend server as last listed.
@@ -27,7 +28,7 @@
 
 // SameProcess reports whether both entries are of the same incarnation.
 func (s *Server) SameProcess(other *Server) bool {
-	return s.ID == other.ID && s.Incarnation == other.Incarnation && s.Address == other.Address
+	return s.ID == other.ID && s.Incarnation == other.Incarnation && s.Address == other.Address && s.Software == other.Software
 }
 
 // WeightsOf returns the version of a model's weights, or 0.
@@ -47,6 +48,8 @@
 	Weights  map[string]WeightsTarget // by model
 	Gateways []Gateway
 	Leader   string // value of the lease key of the gateway that runs the rollout; empty: none
+	// Streams assigns the streams of services to software versions, by service.
+	Streams map[string]*streamversion.Assignment
 
 	byService map[string][]*Server
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -447,6 +447,7 @@
 		IDHash:        s.idHash,
 		Address:       server.Address,
 		Zone:          server.AvailabilityZone,
+		Software:      server.Software,
 		Slots:         server.Slots,
 		Draining:      server.Draining,
 		Cold:          now.Before(server.ColdUntil),
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,6 +53,7 @@
 const (
 	GatewayPrefix = KeyPrefix + "gateways/" // followed by the RPC address, a slash, and the incarnation
 	LeaderKey     = KeyPrefix + "orders/leader"
+	StreamsPrefix = KeyPrefix + "streams/" // followed by the name of a service
 )
 
 // Item is a decoded entry of the store. At most one field is set.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -9,6 +9,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
 
 // state is the cached state of the deployment, built from the store's entries. It is
@@ -30,6 +31,7 @@
 	weights    map[string]deployment.WeightsTarget
 	gateways   map[string]platform.Version // by key, the version of the registration
 	leader     string
+	streams    map[string]*streamversion.Assignment // by service
 }
 
 func newState() state {
@@ -43,6 +45,7 @@
 		leaving:  newLeavingServers(),
 		weights:  make(map[string]deployment.WeightsTarget),
 		gateways: make(map[string]platform.Version),
+		streams:  make(map[string]*streamversion.Assignment),
 	}
 }
 
@@ -61,6 +64,7 @@
 		}
 	}
 	maps.DeleteFunc(st.held, func(id string, _ heldServer) bool { return !contains(servers, id) })
+	maps.DeleteFunc(st.streams, func(service string, _ *streamversion.Assignment) bool { return !contains(keys, StreamsPrefix+service) })
 	if !contains(keys, LeaderKey) {
 		st.leader = ""
 	}
@@ -211,10 +215,29 @@
 		delete(st.gateways, event.Key)
 	case strings.HasPrefix(event.Key, GatewayPrefix):
 		st.gateways[event.Key] = event.Version
+	case strings.HasPrefix(event.Key, StreamsPrefix):
+		st.applyStreams(event)
 	}
 	return true
 }
 
+// applyStreams applies the assignment of a service's streams. One that can't be decoded counts
+// as none.
+func (st *state) applyStreams(event *platform.Event) {
+	service := strings.TrimPrefix(event.Key, StreamsPrefix)
+	delete(st.streams, service)
+	if event.Deleted {
+		return
+	}
+	assignment, err := streamversion.Decode(event.Value)
+	if err != nil {
+		logger.Warn(fields{"key": event.Key, "revision": event.Version.Revision(), "error": err.Error()}, "entry not decoded")
+		return
+	}
+	assignment.Revision = event.Version
+	st.streams[service] = assignment
+}
+
 // snapshot returns an immutable copy of the state.
 func (st *state) snapshot() *deployment.Snapshot {
 	s := &deployment.Snapshot{
@@ -224,6 +247,7 @@
 		Weights:  maps.Clone(st.weights),
 		Gateways: st.listGateways(),
 		Leader:   st.leader,
+		Streams:  maps.Clone(st.streams),
 	}
 	return s.Index()
 }
--- a/internal/forward/meters.go
+++ b/internal/forward/meters.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/wasabigate/wasabigate/internal/fleet"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
 
 // meters are the metrics of the relay.
@@ -15,6 +16,7 @@
 	attempts metric.Int64Counter
 	resumed  metric.Int64Counter
 	retries  metric.Int64Counter
+	takeUps  metric.Int64Counter
 }
 
 var outcomeLabels = map[fleet.Outcome]metric.MeasurementOption{
@@ -40,6 +42,7 @@
 	return meters{
 		attempts: counter("wasabigate.forward.attempts", "{attempt}", "Attempts at backend servers, by outcome."),
 		resumed:  counter("wasabigate.forward.resumed", "{stream}", "Streams that went on at another backend server."),
+		takeUps:  counter("wasabigate.forward.take_ups", "{request}", "Requests for the rest of a stream, by service and refusal."),
 		retries:  counter("wasabigate.forward.retries", "{retry}", "Retries that were asked for, by service and decision of the budget."),
 	}
 }
@@ -55,3 +58,8 @@
 	}
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
 }
+
+// countTakeUp counts a request for the rest of a stream.
+func (m *meters) countTakeUp(service string, refusal streamversion.Refusal) {
+	m.takeUps.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("refusal", refusal.String())))
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -19,6 +19,7 @@
 	"github.com/wasabigate/wasabigate/internal/serveraccess"
 	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 	"github.com/wasabigate/wasabigate/internal/serverlimit"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -68,6 +69,8 @@
 	Quarantine  *quarantine.Quarantine
 	Limits      *serverlimit.Limits  // nil: new ones
 	Access      *serveraccess.Access // nil: a new one with Limits
+	Streams     *streamversion.Decider
+	Assignments Assignments // nil: those of the snapshots are up to date
 	// ProcessEnded reports whether no process serves an address any more; nil:
 	// backend.ProcessEnded.
 	ProcessEnded func(ctx context.Context, address string) bool
@@ -94,6 +97,9 @@
 		source := func() *deployment.Snapshot { return config.Source() }
 		config.Access = serveraccess.New(serveraccess.Options{Source: source, Fleet: config.Fleet, Limits: config.Limits, Backoffs: serverbackoff.New()})
 	}
+	if config.Streams == nil {
+		config.Streams = streamversion.NewDecider()
+	}
 	if config.ProcessEnded == nil {
 		config.ProcessEnded = backend.ProcessEnded
 	}
@@ -102,7 +108,7 @@
 
 // Handle implements pipeline.Handler.
 func (r *Relay) Handle(ctx context.Context, req *Request) (*Response, error) {
-	service := chooseTarget(req.Route, req.ID)
+	service := chooseTarget(req.Route, originOf(req))
 	if service == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "the route leads to no service")
 	}
@@ -121,11 +127,14 @@
 	reached     int // attempts that reached a server
 	executions  int // of these, those that may have run
 	mayHaveRun  bool
-	serverError *Response   // a server's 5xx response, passed on if no attempt succeeds
-	lastID      string      // id of the last event that the client has received
-	delivered   bool        // the client has received events
-	reserved    atomic.Bool // the watchdog has taken a retry from the budget
-	begun       bool        // the server of the last attempt has begun a response
+	serverError *Response          // a server's 5xx response, passed on if no attempt succeeds
+	lastID      string             // id of the last event that the client has received
+	delivered   bool               // the client has received events
+	reserved    atomic.Bool        // the watchdog has taken a retry from the budget
+	begun       bool               // the server of the last attempt has begun a response
+	server      *deployment.Server // of the last attempt
+	software    *string            // version of the software whose events the client gets; nil: it has got none
+	confirmed   *readAssignment    // nil: none was read
 	parts       []quarantine.Part
 	sent        time.Time            // when the last attempt was sent
 	probe       quarantine.Part      // the last attempt is a probe of it; 0: it is none
@@ -188,7 +197,7 @@
 // allowRetry reports whether the request may be sent to another server, and takes the
 // retry from the budget.
 func (r *activeRequest) allowRetry(ctx context.Context, err *verdict.Error) bool {
-	if ctx.Err() != nil || err.Code == verdict.CodeNoBackendServer || err.Code == verdict.CodeQuarantined || !r.hasTime() {
+	if ctx.Err() != nil || isFinal(err.Code) || !r.hasTime() {
 		return false
 	}
 	if r.executions >= r.req.Route.MaxAttempts || r.reached >= r.req.Route.MaxAttempts+maxExtraRefusals {
@@ -197,7 +206,16 @@
 	if r.mayHaveRun && !r.req.MayRetry() {
 		return false
 	}
-	return r.reached == 0 || r.reserved.Swap(false) || r.takeRetry()
+	return r.reached == 0 || r.hasAlternative() && (r.reserved.Swap(false) || r.takeRetry())
+}
+
+// isFinal reports whether no other server can take a request that failed with a code.
+func isFinal(code verdict.Code) bool {
+	switch code {
+	case verdict.CodeNoBackendServer, verdict.CodeQuarantined, verdict.CodeOriginUnknown, verdict.CodeSoftwareGone:
+		return true
+	}
+	return false
 }
 
 // takeRetry takes a retry from the budget, if it has one.
@@ -218,6 +236,8 @@
 	if held := r.checkQuarantine(now); held != nil {
 		return nil, held
 	}
+	r.confirmSoftware(ctx)
+	now = time.Now() // the store was asked
 	r.refreshSnapshot()
 	choice, failure := r.chooseServer(now)
 	if failure != nil {
@@ -246,16 +266,24 @@
 
 // chooseServer chooses the server of an attempt, and takes the request to it.
 func (r *activeRequest) chooseServer(now time.Time) (placement.Choice, *verdict.Error) {
+	decision := r.decideSoftware(r.req.Snapshot)
+	r.recordDecision(&decision)
+	if decision.Refusal != streamversion.NotRefused {
+		return placement.Choice{}, r.refusalOf(&decision)
+	}
 	servers, wait := r.relay.Access.View(r.req.Snapshot, r.service, r.req.Model, now)
 	query := r.placementQuery(now)
+	if !decision.Any {
+		query.Software = &decision.Version
+	}
 	for {
 		choice, ok := r.relay.Pick(query, servers)
 		if !ok {
 			return choice, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Excluded).
 				WithRetryAfter(wait)
 		}
-		trial, decision := r.relay.Access.Begin(r.req.Snapshot.Servers[choice.Server.ID], now)
-		switch decision.Reason {
+		trial, access := r.relay.Access.Begin(r.req.Snapshot.Servers[choice.Server.ID], now)
+		switch access.Reason {
 		case serveraccess.Allowed:
 			r.trial = trial
 			return choice, nil
@@ -285,14 +313,15 @@
 	r.tried[choice.Server.ID] = true
 	r.req.Log.Attempts++
 	r.req.Log.Server = choice.Server.ID
+	r.server = r.req.Snapshot.Servers[choice.Server.ID]
 	entry := fields{
 		logging.FieldRequest: r.req.ID, "attempt": r.req.Log.Attempts, "server": choice.Server.ID, "address": choice.Server.Address,
 		"wait_ms": round(choice.WaitMs), "loss": choice.Loss, "missing": choice.PrefillTokens, "home": choice.AtHome(),
 		"running": choice.Server.Running, "failures": choice.Server.FailureRate, "weights": call.WeightsVersion,
 		"fetch_from": call.FetchFrom, "after": call.LastEventID, "position": r.req.Snapshot.Position.String(),
 	}
-	if server := r.req.Snapshot.Servers[choice.Server.ID]; server != nil {
-		entry["software"], entry["incarnation"] = server.Software, server.Incarnation
+	if r.server != nil {
+		entry["software"], entry["incarnation"] = r.server.Software, r.server.Incarnation
 	}
 	if r.req.Resumes != "" {
 		entry["resumes"] = r.req.Resumes
@@ -321,7 +350,8 @@
 func hash(text string) uint64 { return xxhash.Sum64String(text) }
 
 // chooseTarget returns the service of a request, chosen by the weights of the route's
-// targets and a hash of the request's id, so that all attempts use the same one.
+// targets and a hash of the request's id, so that all attempts use the same one. For the rest
+// of a stream it is the id of the request that began it.
 func chooseTarget(route *deployment.Route, id string) string {
 	total := uint64(0)
 	for _, target := range route.Targets {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -56,6 +56,7 @@
 type Log struct {
 	Attempts int
 	Server   string // id of the last backend server
+	Software string // version to which the last attempt was bound; empty: none
 }
 
 // Shared returns the parts of the prompt that other requests may share.
@@ -87,7 +88,7 @@
 // MayRetry reports whether, after an attempt of unknown outcome, the request may be run
 // again from its start or resumed at another server.
 func (r *Request) MayRetry() bool {
-	return r.Route.MayRetry() || r.Route.Kind == deployment.Stream && r.Route.Resumable
+	return r.Route.MayRetry() || r.Route.ResumesStreams()
 }
 
 // Response is the response to the client. Events is nil unless it is a stream.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -140,6 +140,9 @@
 		s.follows = eventstream.NewContinuation(r.lastID)
 	}
 	first, err := s.read()
+	if err == nil && r.hasRestarted() {
+		err = errors.Errorf("%s has started again", call.ServerID)
+	}
 	if err != nil {
 		r.checkCrash(ctx, time.Time{})
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
--- a/internal/forward/softwareversion_test.go
+++ b/internal/forward/softwareversion_test.go
@@ -10,6 +10,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -46,7 +47,7 @@
 
 // change publishes a snapshot with changed servers.
 func (v *versionTest) change(change func(*deployment.Server)) {
-	next := &deployment.Snapshot{Position: v.current.Position + 1, Config: v.current.Config, Servers: make(map[string]*deployment.Server)}
+	next := &deployment.Snapshot{Position: v.current.Position + 1, Config: v.current.Config, Streams: v.current.Streams, Servers: make(map[string]*deployment.Server)}
 	for id, server := range v.current.Servers {
 		changed := *server
 		change(&changed)
@@ -55,6 +56,12 @@
 	v.current = next.Index()
 }
 
+// assign assigns all streams to a software version.
+func (v *versionTest) assign(version string) {
+	v.change(func(*deployment.Server) {})
+	v.current.Streams = map[string]*streamversion.Assignment{"s": streamversion.Plan(nil, map[string]int{version: 1}, 0)}
+}
+
 // unnamed stands for a take-up that does not name what it resumes.
 const unnamed = "-"
 
@@ -157,6 +164,7 @@
 				v.t.Fatal(err)
 			}
 			drainItsVersion(v)
+			v.assign("v2")
 			v.read(resp)
 			if _, err := v.begin("r2", "r1"); err == nil || err.Verdict != verdict.NotRun || err.RetryAfter > 0 {
 				v.t.Errorf("%+v, want a refusal for good", err)
@@ -172,6 +180,18 @@
 				v.t.Errorf("%+v, want a refusal", err)
 			}
 		}, 0},
+		{"begun again before its first event, after its version has left", []step{{status: 200, body: "", cut: io.ErrUnexpectedEOF}, whole}, func(v *versionTest) {
+			v.assign("v2")
+			if resp, err := v.begin("r1", ""); err != nil || !v.read(resp) {
+				v.t.Errorf("not complete: %v", err)
+			}
+		}, 2},
+		{"begun where no server of its version is left", []step{whole}, func(v *versionTest) {
+			v.assign("v3")
+			if _, err := v.begin("r1", ""); err == nil || err.Verdict != verdict.NotRun || err.RetryAfter <= 0 {
+				v.t.Errorf("%+v, want a refusal for now", err)
+			}
+		}, 0},
 		{"begun where no version is assigned", []step{whole}, func(v *versionTest) {
 			if resp, err := v.begin("r1", ""); err != nil || !v.read(resp) {
 				v.t.Errorf("not complete: %v", err)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,6 +35,9 @@
 		if err == nil {
 			s.recordProgress(&batch)
 			s.active.delivered = true
+			if batch.Count > 0 {
+				s.active.recordEvents()
+			}
 			if batch.LastID != "" {
 				s.active.lastID = batch.LastID
 			}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -63,7 +63,9 @@
 	timeout := r.attemptTimeout(now)
 	ctx, cancel := context.WithCancelCause(ctx)
 	responds := func(since time.Time) bool { return r.relay.Fleet.RespondedSince(server, since) }
-	w := &watchdog{ctx: ctx, cancel: cancel, reserve: r.reserveRetry, responds: responds}
+	hasAlternative := r.alternativesTo(r.server)
+	reserve := func() bool { return hasAlternative() && r.reserveRetry() }
+	w := &watchdog{ctx: ctx, cancel: cancel, reserve: reserve, responds: responds}
 	if timeout <= 0 {
 		return ctx, w
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/wasabigate/wasabigate/internal/serveraccess"
 	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 	"github.com/wasabigate/wasabigate/internal/serverlimit"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 	"github.com/wasabigate/wasabigate/internal/tcplisten"
 )
 
@@ -88,6 +89,7 @@
 	cache    *kvcache.Directory
 	budget   *retrybudget.Budget
 	rollout  *rollout.Rollout
+	keeper   *streamversion.Keeper
 	dialer   *rpc.Dialer
 	limits   *limits
 	exchange *peering.Exchange
@@ -202,6 +204,7 @@
 			return g.access.Check(server, time.Now()).Reason == serveraccess.Allowed
 		},
 	})
+	g.keeper = g.newKeeper()
 	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain())
 	return g
 }
@@ -234,6 +237,8 @@
 		Budget:      g.budget,
 		Quarantine:  g.quarantine,
 		Access:      g.access,
+		Streams:     streamversion.NewDecider(),
+		Assignments: newAssignmentReader(g.store),
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
@@ -320,7 +325,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.keeper.Run} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -304,6 +304,12 @@
 	if req.Route != nil {
 		f["route"] = req.Route.Name
 	}
+	if req.Resumes != "" {
+		f["resumes"] = req.Resumes
+	}
+	if req.Log.Software != "" {
+		f["software"] = req.Log.Software
+	}
 	if req.Workspace != nil {
 		f["workspace"] = req.Workspace.Name
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -81,6 +81,7 @@
 	IDHash        uint64 // HashID of ID
 	Address       string
 	Zone          string
+	Software      string // version of its software
 	Slots         int
 	Draining      bool
 	Cold          bool
@@ -119,6 +120,7 @@
 	ReplacedFor  func(weights uint64) time.Duration // time since a newer version became the target; 0: it is the newest
 	MaxReplaced  time.Duration                      // time after which replaced weights may not be used; 0: no limit
 	Tried        func(id string) bool
+	Software     *string // only servers of this software version; nil: of any
 }
 
 // Shared is where the shared parts of a prompt are cached for one version of the
@@ -151,12 +153,13 @@
 
 // Exclusions counts the servers that may not take a request, by reason.
 type Exclusions struct {
-	Draining, Loading, Tried, OldWeights, Limited, Paused int
+	Draining, Loading, Tried, OldWeights, Limited, Paused, OtherSoftware int
 }
 
 // String returns the counts as text. Clients receive it in the message of an error.
 func (e Exclusions) String() string {
-	return fmt.Sprintf("%d leave, %d load weights, %d were tried, %d have old weights, %d limit their requests, %d want none now", e.Draining, e.Loading, e.Tried, e.OldWeights, e.Limited, e.Paused)
+	return fmt.Sprintf("%d leave, %d load weights, %d were tried, %d have old weights, %d limit their requests, %d want none now, %d have another software version",
+		e.Draining, e.Loading, e.Tried, e.OldWeights, e.Limited, e.Paused, e.OtherSoftware)
 }
 
 // AtHome reports whether the chosen server is the home of the prompt.
@@ -215,6 +218,8 @@
 		switch {
 		case s.Draining:
 			excluded.Draining++
+		case d.Software != nil && s.Software != *d.Software:
+			excluded.OtherSoftware++
 		case s.Loading:
 			excluded.Loading++
 		case d.Tried != nil && d.Tried(s.ID):
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -62,6 +62,8 @@
 	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeStoreUnavailable Code = "store_unavailable"
 	CodeQuarantined      Code = "prompt_quarantined"
+	CodeOriginUnknown    Code = "stream_origin_unknown"
+	CodeSoftwareGone     Code = "software_version_gone"
 	CodeBackendFailed    Code = "backend_failed"
 	CodeStreamLost       Code = "stream_lost"
 	CodeCancelled        Code = "cancelled"
@@ -90,6 +92,8 @@
 	CodeOutcomeUnknown:   http.StatusConflict,
 	CodeStoreUnavailable: http.StatusServiceUnavailable,
 	CodeQuarantined:      http.StatusServiceUnavailable,
+	CodeOriginUnknown:    http.StatusServiceUnavailable,
+	CodeSoftwareGone:     http.StatusServiceUnavailable,
 	CodeBackendFailed:    http.StatusBadGateway,
 	CodeStreamLost:       http.StatusBadGateway,
 	CodeCancelled:        statusClientClosedRequest,
