Ask the other gateways where a stream began

Cause: while a slot may hold streams of several versions, only the gateway that delivered a stream knows where it began, and clients take streams up at any gateway.

Ruled out: to record each stream in the store, whose cost grows with the streams.

It does so only for take-ups that it would refuse.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -58,19 +58,20 @@
 	returns *returns
 	checks  *singleflight.Group // of servers that broke off, by id and incarnation
 
-	Zone        string
-	Source      func() *deployment.Snapshot
-	MaxReplaced time.Duration // how long replaced weights may still be used
-	Fleet       *fleet.Fleet
-	Cache       *kvcache.Directory
-	Backend     Backend
-	Budget      Budget
-	Pick        Picker // nil: placement.Pick
-	Quarantine  *quarantine.Quarantine
-	Limits      *serverlimit.Limits  // nil: new ones
-	Access      *serveraccess.Access // nil: a new one with Limits
-	Streams     *streamversion.Decider
-	Assignments Assignments // nil: those of the snapshots are up to date
+	Zone          string
+	Source        func() *deployment.Snapshot
+	MaxReplaced   time.Duration // how long replaced weights may still be used
+	Fleet         *fleet.Fleet
+	Cache         *kvcache.Directory
+	Backend       Backend
+	Budget        Budget
+	Pick          Picker // nil: placement.Pick
+	Quarantine    *quarantine.Quarantine
+	Limits        *serverlimit.Limits  // nil: new ones
+	Access        *serveraccess.Access // nil: a new one with Limits
+	Streams       *streamversion.Decider
+	Assignments   Assignments   // nil: those of the snapshots are up to date
+	OtherGateways OtherGateways // nil: there are none
 	// ProcessEnded reports whether no process serves an address any more; nil:
 	// backend.ProcessEnded.
 	ProcessEnded func(ctx context.Context, address string) bool
@@ -236,8 +237,8 @@
 	if held := r.checkQuarantine(now); held != nil {
 		return nil, held
 	}
-	r.confirmSoftware(ctx)
-	now = time.Now() // the store was asked
+	r.findOrigin(ctx)
+	now = time.Now() // the store and other gateways may have been asked
 	r.refreshSnapshot()
 	choice, failure := r.chooseServer(now)
 	if failure != nil {
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -35,6 +35,13 @@
 	Read(ctx context.Context, service string) (*streamversion.Assignment, platform.Era, error)
 }
 
+// OtherGateways knows what other gateways know of streams.
+type OtherGateways interface {
+	// AskOrigin returns the software version that began a stream, by the id of the request
+	// that began it.
+	AskOrigin(ctx context.Context, service, id string) (software string, known bool)
+}
+
 // readAssignment is an assignment that was read from the store after the request arrived.
 type readAssignment struct {
 	assignment *streamversion.Assignment
@@ -52,18 +59,27 @@
 	return r.relay.Streams.Decide(stream, r.newPool(snapshot))
 }
 
-// confirmSoftware reads the assignment of streams from the store if the request is for the
-// rest of a stream of which it may tell the software version.
-func (r *activeRequest) confirmSoftware(ctx context.Context) {
-	if r.decideSoftware(r.req.Snapshot).Refusal != streamversion.NotConfirmed {
-		return
+// findOrigin looks for the software version that began the stream if the request is for the
+// rest of one that this process does not know: in the assignment of streams as it is in the
+// store, and at the other gateways.
+func (r *activeRequest) findOrigin(ctx context.Context) {
+	decision := r.decideSoftware(r.req.Snapshot)
+	if decision.Refusal == streamversion.NotConfirmed {
+		assignment, era, err := r.relay.Assignments.Read(ctx, r.service)
+		if err == nil {
+			r.confirmed = &readAssignment{assignment: assignment, era: era}
+			decision = r.decideSoftware(r.req.Snapshot)
+		} else {
+			logger.Warn(fields{logging.FieldRequest: r.req.ID, "service": r.service, "error": err.Error()}, "assignment of streams not read")
+		}
 	}
-	assignment, era, err := r.relay.Assignments.Read(ctx, r.service)
-	if err != nil {
-		logger.Warn(fields{logging.FieldRequest: r.req.ID, "service": r.service, "error": err.Error()}, "assignment of streams not read")
+	unknown := decision.Refusal == streamversion.UnknownOrigin || decision.Refusal == streamversion.NotConfirmed
+	if !unknown || r.relay.OtherGateways == nil || originOf(r.req) == "" {
 		return
 	}
-	r.confirmed = &readAssignment{assignment: assignment, era: era}
+	if software, known := r.relay.OtherGateways.AskOrigin(ctx, r.service, originOf(r.req)); known {
+		r.relay.Streams.RecordBegin(r.service, originOf(r.req), software, time.Now())
+	}
 }
 
 // newPool returns the state of the request's service for a decision.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	cache    *kvcache.Directory
 	budget   *retrybudget.Budget
 	rollout  *rollout.Rollout
+	streams  *streamversion.Decider
 	keeper   *streamversion.Keeper
 	dialer   *rpc.Dialer
 	limits   *limits
@@ -159,6 +160,7 @@
 		platform: adapter,
 		fleet:    fleet.New(),
 		cache:    kvcache.NewDirectory(),
+		streams:  streamversion.NewDecider(),
 		dialer:   rpc.NewDialer(nil),
 	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
@@ -228,17 +230,18 @@
 // newChain returns the filter chain, in the order in which the filters run.
 func (g *Gateway) newChain() forward.Handler {
 	relay := forward.NewRelay(forward.Relay{
-		Source:      func() *deployment.Snapshot { return g.follower.Snapshot() },
-		Zone:        g.settings.Daemon.AvailabilityZone,
-		MaxReplaced: g.settings.Gateway.WeightsDeadline,
-		Fleet:       g.fleet,
-		Cache:       g.cache,
-		Backend:     backend.NewClient(g.platform.Headers),
-		Budget:      g.budget,
-		Quarantine:  g.quarantine,
-		Access:      g.access,
-		Streams:     streamversion.NewDecider(),
-		Assignments: newAssignmentReader(g.store),
+		Source:        func() *deployment.Snapshot { return g.follower.Snapshot() },
+		Zone:          g.settings.Daemon.AvailabilityZone,
+		MaxReplaced:   g.settings.Gateway.WeightsDeadline,
+		Fleet:         g.fleet,
+		Cache:         g.cache,
+		Backend:       backend.NewClient(g.platform.Headers),
+		Budget:        g.budget,
+		Quarantine:    g.quarantine,
+		Access:        g.access,
+		Streams:       g.streams,
+		OtherGateways: g.exchange,
+		Assignments:   newAssignmentReader(g.store),
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
@@ -389,6 +392,9 @@
 	if err := wire.DRPCRegisterGateways(mux, g.exchange); err != nil {
 		return errors.Wrap(err, "register gateways service")
 	}
+	if err := wire.DRPCRegisterStreams(mux, peering.OriginServer{Origins: g.streams}); err != nil {
+		return errors.Wrap(err, "register streams service")
+	}
 	if err := g.newOperatorService().register(mux); err != nil {
 		return err
 	}
--- a/internal/streamversion/decide.go
+++ b/internal/streamversion/decide.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// Origin returns the version at which a stream began, by the id of the attempt that began it,
+// if this process knows it.
+func (d *Decider) Origin(service, id string) (version string, known bool) {
+	recorded, known := d.origins.Get(originKey{service, id})
+	return recorded.version, known && id != ""
+}
+
 // Decide decides where a stream may be sent now.
 func (d *Decider) Decide(s *Stream, pool *Pool) Decision {
 	if s.Version != nil {
@@ -111,8 +118,8 @@
 	if !s.Continues {
 		return begin(s.ID, pool)
 	}
-	if known, ok := d.origins.Get(originKey{s.Service, s.Origin}); ok && s.Origin != "" {
-		return pin(known.version, pool)
+	if version, known := d.Origin(s.Service, s.Origin); known {
+		return pin(version, pool)
 	}
 	version, ok := assignedOrigin(s.Origin, pool)
 	switch {
