--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/wasabigate/wasabigate/internal/serveraccess"
 	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 	"github.com/wasabigate/wasabigate/internal/serverlimit"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 	"github.com/wasabigate/wasabigate/internal/tcplisten"
 )
 
@@ -88,6 +89,8 @@
 	cache    *kvcache.Directory
 	budget   *retrybudget.Budget
 	rollout  *rollout.Rollout
+	streams  *streamversion.Decider
+	keeper   *streamversion.Keeper
 	dialer   *rpc.Dialer
 	limits   *limits
 	exchange *peering.Exchange
@@ -158,6 +161,7 @@
 		platform: adapter,
 		fleet:    fleet.New(),
 		cache:    kvcache.NewDirectory(),
+		streams:  streamversion.NewDecider(),
 		dialer:   rpc.NewDialer(nil),
 	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
@@ -207,6 +211,7 @@
 			return g.access.Check(server, time.Now()).Reason == serveraccess.Allowed
 		},
 	})
+	g.keeper = g.newKeeper()
 	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain())
 	return g
 }
@@ -230,15 +235,18 @@
 // newChain returns the filter chain, in the order in which the filters run.
 func (g *Gateway) newChain() forward.Handler {
 	relay := forward.NewRelay(forward.Relay{
-		Source:      func() *deployment.Snapshot { return g.follower.Snapshot() },
-		Zone:        g.settings.Daemon.AvailabilityZone,
-		MaxReplaced: g.settings.Gateway.WeightsDeadline,
-		Fleet:       g.fleet,
-		Cache:       g.cache,
-		Backend:     backend.NewClient(g.platform.Headers),
-		Budget:      g.budget,
-		Quarantine:  g.quarantine,
-		Access:      g.access,
+		Source:        func() *deployment.Snapshot { return g.follower.Snapshot() },
+		Zone:          g.settings.Daemon.AvailabilityZone,
+		MaxReplaced:   g.settings.Gateway.WeightsDeadline,
+		Fleet:         g.fleet,
+		Cache:         g.cache,
+		Backend:       backend.NewClient(g.platform.Headers),
+		Budget:        g.budget,
+		Quarantine:    g.quarantine,
+		Access:        g.access,
+		Streams:       g.streams,
+		OtherGateways: g.exchange,
+		Assignments:   newAssignmentReader(g.store),
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
@@ -327,7 +335,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.keeper.Run} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
@@ -391,6 +399,9 @@
 	if err := wire.DRPCRegisterGateways(mux, g.exchange); err != nil {
 		return errors.Wrap(err, "register gateways service")
 	}
+	if err := wire.DRPCRegisterStreams(mux, peering.OriginServer{Origins: g.streams}); err != nil {
+		return errors.Wrap(err, "register streams service")
+	}
 	if err := g.newOperatorService().register(mux); err != nil {
 		return err
 	}
