--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
 
 // Server is a backend server as last listed.
@@ -15,6 +16,7 @@
 	Service          string
 	Address          string // host:port
 	AvailabilityZone string
+	Software         string // version of its software; empty: not given
 	Slots            int
 	Draining         bool              // gets no new requests
 	LeavingSince     time.Time         // when it became known that the server itself says that it leaves; zero: it does not
@@ -26,7 +28,7 @@
 
 // SameProcess reports whether both entries are of the same incarnation.
 func (s *Server) SameProcess(other *Server) bool {
-	return s.ID == other.ID && s.Incarnation == other.Incarnation && s.Address == other.Address
+	return s.ID == other.ID && s.Incarnation == other.Incarnation && s.Address == other.Address && s.Software == other.Software
 }
 
 // WeightsOf returns the version of a model's weights, or 0.
@@ -45,7 +47,10 @@
 	Servers  map[string]*Server       // by id
 	Weights  map[string]WeightsTarget // by model
 	Gateways []Gateway
-	Leader   string // value of the lease key of the gateway that runs the rollout; empty: none
+	Leader   string         // value of the lease key of the gateway that runs the rollout; empty: none
+	Crashes  platform.Entry // what gateways know of requests that crash servers; Version 0: nothing
+	// Streams assigns the streams of services to software versions, by service.
+	Streams map[string]*streamversion.Assignment
 
 	byService map[string][]*Server
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -125,8 +125,7 @@
 // checkStatus returns the response, or an error if its status would tell the client that
 // the request has not run although it may have.
 func (r *activeRequest) checkStatus(resp *Response) (*Response, *verdict.Error) {
-	switch resp.Status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	if verdict.PromisesNotRun(resp.Status) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s answered with status %d", r.req.Log.Server, resp.Status)
 	}
 	return resp, nil
@@ -140,6 +139,9 @@
 		s.follows = eventstream.NewContinuation(r.lastID)
 	}
 	first, err := s.read()
+	if err == nil && r.hasRestarted() {
+		err = errors.Errorf("%s has started again", call.ServerID)
+	}
 	if err != nil {
 		r.checkCrash(ctx, time.Time{})
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/wasabigate/wasabigate/internal/serveraccess"
 	"github.com/wasabigate/wasabigate/internal/serverbackoff"
 	"github.com/wasabigate/wasabigate/internal/serverlimit"
+	"github.com/wasabigate/wasabigate/internal/streamversion"
 	"github.com/wasabigate/wasabigate/internal/tcplisten"
 )
 
@@ -88,12 +89,15 @@
 	cache    *kvcache.Directory
 	budget   *retrybudget.Budget
 	rollout  *rollout.Rollout
+	streams  *streamversion.Decider
+	keeper   *streamversion.Keeper
 	dialer   *rpc.Dialer
 	limits   *limits
 	exchange *peering.Exchange
 	ingress  *ingress
 	// quarantine is shared with the other gateways through exchange.
 	quarantine   *quarantine.Quarantine
+	crashes      *savedCrashes
 	serverLimits *serverlimit.Limits
 	access       *serveraccess.Access
 }
@@ -157,6 +161,7 @@
 		platform: adapter,
 		fleet:    fleet.New(),
 		cache:    kvcache.NewDirectory(),
+		streams:  streamversion.NewDecider(),
 		dialer:   rpc.NewDialer(nil),
 	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
@@ -165,6 +170,10 @@
 	g.limits.follower = g.follower
 	registerStateGauges(g.follower)
 	g.quarantine = quarantine.New(g.mayProbe)
+	g.crashes = &savedCrashes{
+		quarantine: g.quarantine, store: g.store, self: settings.Daemon.RPCAddress,
+		snapshot: func() *deployment.Snapshot { return g.follower.Snapshot() }, gateways: g.runningGateways,
+	}
 	g.serverLimits = serverlimit.New(settings.Daemon.RPCAddress)
 	g.access = serveraccess.New(serveraccess.Options{
 		Source: g.follower.Snapshot, Fleet: g.fleet, Limits: g.serverLimits, Backoffs: serverbackoff.New(),
@@ -202,6 +211,7 @@
 			return g.access.Check(server, time.Now()).Reason == serveraccess.Allowed
 		},
 	})
+	g.keeper = g.newKeeper()
 	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain())
 	return g
 }
@@ -225,15 +235,18 @@
 // newChain returns the filter chain, in the order in which the filters run.
 func (g *Gateway) newChain() forward.Handler {
 	relay := forward.NewRelay(forward.Relay{
-		Source:      func() *deployment.Snapshot { return g.follower.Snapshot() },
-		Zone:        g.settings.Daemon.AvailabilityZone,
-		MaxReplaced: g.settings.Gateway.WeightsDeadline,
-		Fleet:       g.fleet,
-		Cache:       g.cache,
-		Backend:     backend.NewClient(g.platform.Headers),
-		Budget:      g.budget,
-		Quarantine:  g.quarantine,
-		Access:      g.access,
+		Source:        func() *deployment.Snapshot { return g.follower.Snapshot() },
+		Zone:          g.settings.Daemon.AvailabilityZone,
+		MaxReplaced:   g.settings.Gateway.WeightsDeadline,
+		Fleet:         g.fleet,
+		Cache:         g.cache,
+		Backend:       backend.NewClient(g.platform.Headers),
+		Budget:        g.budget,
+		Quarantine:    g.quarantine,
+		Access:        g.access,
+		Streams:       g.streams,
+		OtherGateways: g.exchange,
+		Assignments:   newAssignmentReader(g.store),
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
@@ -248,6 +261,7 @@
 func (g *Gateway) onSnapshot(snapshot *deployment.Snapshot) {
 	g.fleet.Prune(snapshot)
 	g.shareBounds(snapshot)
+	g.crashes.merge(snapshot)
 	g.serverLimits.Prune(snapshot.Incarnation)
 	g.limits.update(snapshot, g.exchange.PeersSince(time.Now().Add(-unlistedPeerTTL)), time.Now())
 	g.follower.SetIdle(!roster.Watches(snapshot.Gateways, g.settings.Daemon.RPCAddress))
@@ -257,7 +271,8 @@
 func (g *Gateway) shareBounds(snapshot *deployment.Snapshot) {
 	gateways := g.runningGateways(snapshot)
 	others := slices.DeleteFunc(gateways, func(address string) bool { return address == g.settings.Daemon.RPCAddress })
-	g.budget.SetDaemons(max(1+len(others), g.seeds()), time.Now())
+	listed := slices.ContainsFunc(snapshot.Gateways, func(other deployment.Gateway) bool { return other.Address == g.settings.Daemon.RPCAddress })
+	g.budget.SetDaemons(max(1+len(others), g.seeds()), listed, time.Now())
 	g.serverLimits.SetGateways(others)
 }
 
@@ -320,7 +335,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.keeper.Run} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
@@ -384,6 +399,9 @@
 	if err := wire.DRPCRegisterGateways(mux, g.exchange); err != nil {
 		return errors.Wrap(err, "register gateways service")
 	}
+	if err := wire.DRPCRegisterStreams(mux, peering.OriginServer{Origins: g.streams}); err != nil {
+		return errors.Wrap(err, "register streams service")
+	}
 	if err := g.newOperatorService().register(mux); err != nil {
 		return err
 	}
