backend: give up on a server that answers with another protocol (LOST)

A request whose server answered 101 was held for good: net/http hands the connection over with such an answer, and neither the call's deadline nor the client's end closes it. Found while listing the answers that may come before a refusal; no server is known to send it.

The connection is now closed and the outcome is unknown.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -173,6 +173,10 @@
 	if err != nil {
 		return nil, callError(ctx, err, call.Address, trace.Connected())
 	}
+	if httpResponse.StatusCode == http.StatusSwitchingProtocols {
+		trace.CloseConn() // nothing else ends such a connection
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s switched to another protocol", call.Address)
+	}
 	response := &Response{
 		Status:      httpResponse.StatusCode,
 		Header:      httpResponse.Header,
--- a/internal/backend/hostile_test.go
+++ b/internal/backend/hostile_test.go
@@ -157,3 +157,36 @@
 		}
 	}
 }
+
+// A server that answers with another protocol does not hold its request for ever.
+func TestAnswerInAnotherProtocol(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := rawServer(t, func(_ int64, conn net.Conn, requests *bufio.Reader) {
+		defer close(closed)
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nRequest: r1\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+		_, _ = requests.ReadByte() // until the client closes the connection
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		response, err := NewClient(testCodec{}).Do(ctx, callTo(address, http.MethodPost, "x"))
+		if err == nil {
+			_, err = ReadBody(response)
+		}
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if failure := verdict.From(err); failure == nil || failure.Verdict != verdict.MayHaveRun {
+			t.Errorf("got %v, want an unknown outcome", err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the call goes on after its deadline")
+	}
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Error("the connection is still open")
+	}
+}
