engine/client: give orders connections of their own

An engine that names no request in its refusals and wrote one a second time on a kept connection made the next order count as refused, though the engine carried it out. Orders, cancellations and moves of cached parts bear no id, so nothing tells such a copy from their answer. Each of them now has its own connection; reports and requests keep theirs.

--- a/internal/engine/client/engine.go
+++ b/internal/engine/client/engine.go
@@ -18,13 +18,16 @@
 type Engine struct {
 	base string
 	http *http.Client
+	// unnamed is for calls that change something and bear no id, so that a copy of an earlier
+	// answer can't be taken for theirs: each has a connection of its own.
+	unnamed *http.Client
 	// OnResponse is called with the head of each response, if set.
 	OnResponse func(engine.Answer)
 }
 
 // NewEngine returns a client of the model engine at baseURL.
 func NewEngine(baseURL string) *Engine {
-	return &Engine{base: strings.TrimSuffix(baseURL, "/"), http: newHTTPClient(true)}
+	return &Engine{base: strings.TrimSuffix(baseURL, "/"), http: newHTTPClient(true), unnamed: newHTTPClient(false)}
 }
 
 // Generate implements engine.Engine. The stream breaks when ctx ends.
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -103,10 +103,11 @@
 		return nil, errors.Wrapf(engine.ErrRefused, "make request: %v", err)
 	}
 	req.Header.Set(contentType, applicationJSON)
-	if requestID != "" {
-		req.Header.Set(engine.HeaderRequestID, requestID)
+	if requestID == "" {
+		return e.do(e.unnamed, req)
 	}
-	return e.do(req)
+	req.Header.Set(engine.HeaderRequestID, requestID)
+	return e.do(e.http, req)
 }
 
 func (e *Engine) get(ctx context.Context, path string) (*http.Response, error) {
@@ -114,11 +115,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(engine.ErrRefused, "make request: %v", err)
 	}
-	return e.do(req)
+	return e.do(e.http, req)
 }
 
-func (e *Engine) do(req *http.Request) (*http.Response, error) {
-	resp, err := send(e.http, req, func(resp *http.Response) {
+func (e *Engine) do(client *http.Client, req *http.Request) (*http.Response, error) {
+	resp, err := send(client, req, func(resp *http.Response) {
 		if e.OnResponse != nil {
 			isRequest := strings.HasSuffix(req.URL.Path, httpapi.PathCompletions)
 			e.OnResponse(engine.Answer{Status: resp.StatusCode, Header: resp.Header, Request: isRequest})
