--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SMOKE_SECONDS := 60
 BENCH_SECONDS := 300
 SHORT_BENCH_SECONDS := 50
-HOSTILE := LateCopy|WithoutIDs|SentTwice|Stop|Pings|SlowAttempt|SilentServers|Panic|TestCall|BrokenOff|BrokenStream|WithoutEvents|Pause|Endless|SlowHead|TooLarge|CancelledStream|WithoutLength|PartThatCrashes|HeldRequests|ServersLimits
+HOSTILE := LateCopy|WithoutIDs|SentTwice|Stop|Pings|SlowAttempt|SilentServers|Panic|TestCall|BrokenOff|BrokenStream|WithoutEvents|Pause|Endless|SlowHead|TooLarge|CancelledStream|WithoutLength|PartThatCrashes|HeldRequests|ServersLimits|CopyOfARefusal|IDIsSentOnce|AnotherProtocol
 
 .PHONY: build demo smoke promises hostile bench soak test lint generate clean
 
