Hold back no sound requests after a few ends of few servers

What callers saw: with four servers that end 0.3 s apart for other reasons, sound requests that shared a seldom used part were refused as not run.

Cause: how far a server had got tells sound requests from the one that ended it. Without it three ends in a row are too little where few servers are left and nothing succeeds in between.

Change: ends count by how far the servers had got, as before. Beside that, four ends in a row count against a whole request that has not succeeded lately, and five against a part, however far the servers had got with others. A message has all ends that a blame rests on.

TestEndsBesideYoungStreams replaces a case of TestWhoIsBlamed and is stricter: it wants the blame after exactly that many ends, for requests too.

--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -127,7 +127,7 @@
 func (w *newsWriter) addFindings() {
 	for part := range w.quarantine.blamed {
 		open, counted := w.quarantine.evidence(part)
-		w.addCrashes(counted[:minCrashes])
+		w.addCrashes(counted)
 		w.addCrashes(open[max(0, len(open)-maxCounted):]) // from which the next probe follows
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -28,6 +28,10 @@
 	// minCrashes is the number of servers that must have ended under requests with a part,
 	// one after the other, before the part is blamed.
 	minCrashes = 3
+	// minWaitingCrashes is the number when servers had got further with other requests, and
+	// minWaitingRequests that of a whole request that has not succeeded lately.
+	minWaitingCrashes  = 5
+	minWaitingRequests = 4
 	// maxCounted bounds the crashes that count against a part.
 	maxCounted = 8
 	// firstHold is the time from a crash to the first probe. Each probe that crashes a
@@ -79,8 +83,8 @@
 	return Part(digest.Sum64() | wholeRequest)
 }
 
-// Stage is how far a server was with a request when its process ended. Of requests that were
-// lost at the same servers, those of a higher stage are blamed first.
+// Stage is how far a server was with a request when its process ended. The requests of the
+// highest stage at a server are the first to be suspected.
 type Stage uint8
 
 // The stages, in the order in which they point to a request as the cause.
