Remember a request that crashes a server on which many others wait

What callers saw: under load a request that crashes servers went on ending them, each time with all that waited there.

Cause: eight lost requests of each server are remembered. Of more, those learned of first stay, and the one that ended the server may never be among them.

Change: a process remembers 32 of those that it lost itself, beyond eight only the whole requests, and a told one beyond eight if its request was lost before.

Conclusion: fixed up to 31 others at one gateway; beyond that chance decides.

--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -169,7 +169,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, entry := range news.Crashes[:min(len(news.Crashes), maxTold)] {
-		if crash := crashFrom(entry, now); crash != nil && q.add(crash, now) {
+		if crash := crashFrom(entry, now); crash != nil && q.add(crash, maxPerServer, now) {
 			q.spread(&rumor{crash: crash})
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -44,11 +44,13 @@
 	probeTurn = 5 * time.Second
 	// probePause is the time after a probe without a clear outcome until the next one.
 	probePause = time.Second
-	// maxCrashes bounds the crashes that are remembered, maxPerServer those of one server,
-	// and MaxParts the parts of a request that are considered.
-	maxCrashes   = 512
-	maxPerServer = 8
-	MaxParts     = 32
+	// maxCrashes bounds the crashes that are remembered, maxPerServer those of one server that
+	// other processes tell, but for repeated requests, maxOwnPerServer those of one server that
+	// this process has seen, and MaxParts the parts of a request that are considered.
+	maxCrashes      = 512
+	maxPerServer    = 8
+	maxOwnPerServer = 32
+	MaxParts        = 32
 )
 
 // Part identifies a shared part of a prompt within its service, or a whole request.
@@ -260,7 +262,7 @@
 	defer q.mu.Unlock()
 	crash.Parts = slices.Clone(limitParts(crash.Parts))
 	crash.Proven = slices.ContainsFunc(crash.Parts, func(p Part) bool { return p.IsRequest() && q.proven.has(p, now) })
-	if q.add(&crash, now) {
+	if q.add(&crash, maxOwnPerServer, now) {
 		q.meters.count(q.meters.crashes)
 		q.spread(&rumor{crash: &crash})
 	}
@@ -296,8 +298,9 @@
 // the first ones most often.
 func limitParts(parts []Part) []Part { return parts[max(0, len(parts)-MaxParts):] }
 
-// add adds a crash unless it is known or too old. The caller holds the lock.
-func (q *Quarantine) add(crash *Crash, now time.Time) bool {
+// add adds a crash unless it is known or too old, or perServer others of its server are
+// known that point to a cause as much. The caller holds the lock.
+func (q *Quarantine) add(crash *Crash, perServer int, now time.Time) bool {
 	key := keyOf(crash)
 	if _, ok := q.known[key]; ok || len(crash.Parts) == 0 || now.Sub(crash.Ended) > forgetAfter {
 		return false
@@ -306,8 +309,16 @@
 	if server == nil {
 		server = &endedServer{}
 	}
-	if server.crashes >= maxPerServer && crash.Stage <= server.stage {
-		return false
+	if server.crashes >= maxPerServer && crash.Stage <= server.stage && !q.isRepeated(crash) {
+		if server.crashes >= perServer {
+			return false
+		}
+		// The parts of prompts are known from the others, but the request is not.
+		crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), func(p Part) bool { return !p.IsRequest() })
+		key = keyOf(crash)
+		if _, ok := q.known[key]; ok || len(crash.Parts) == 0 {
+			return false
+		}
 	}
 	q.forget(now)
 	if len(q.crashes) >= maxCrashes {
@@ -329,6 +340,12 @@
 	return true
 }
 
+// isRepeated reports whether the whole request of a crash was lost before. Few requests are,
+// and one that crashes servers is. The caller holds the lock.
+func (q *Quarantine) isRepeated(crash *Crash) bool {
+	return slices.ContainsFunc(crash.Parts, func(p Part) bool { return p.IsRequest() && len(q.byPart[p]) > 0 })
+}
+
 func keyOf(crash *Crash) crashKey {
 	sum := uint64(0)
 	for _, part := range crash.Parts {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -82,6 +82,43 @@
 	}
 }
 
+// A request that crashes servers on which many others wait is blamed also if the process
+// learns of it last, and if the request goes to another gateway each time.
+func TestRequestLostBesideMany(t *testing.T) {
+	deadly := RequestOf("s", "POST", "/", "c", []byte("deadly"))
+	const neighbors = maxOwnPerServer - 1
+	for gateways := 1; gateways <= 3; gateways++ {
+		all := make([]*Quarantine, gateways)
+		for i := range all {
+			all[i] = New(func(Part, int64) bool { return false })
+		}
+		sends := 0
+		for ; sends < 60 && !all[sends%gateways].Check([]Part{deadly}, second(float64(sends+1))).Held; sends++ {
+			at := float64(sends + 1)
+			for i := range neighbors + 1 {
+				part := RequestOf("s", "POST", "/", "c", []byte(fmt.Sprint(sends, i)))
+				if i == neighbors {
+					part = deadly
+				}
+				q := all[(sends+neighbors-i)%gateways]
+				q.RecordCrash(Crash{Server: fmt.Sprint("i", sends), Sent: second(at - 0.1), Ended: second(at), Parts: []Part{part}}, second(at))
+			}
+			for range 8 {
+				for _, from := range all {
+					for _, to := range all {
+						if from != to {
+							to.Merge(from.News(to.Digest(), second(at)), second(at+0.1))
+						}
+					}
+				}
+			}
+		}
+		if sends > minCrashes+1 {
+			t.Errorf("%d gateways: sent %d times", gateways, sends)
+		}
+	}
+}
+
 // A request, or a part of prompts, that ends servers before they respond is blamed also if a
 // young stream of another request is lost with it each time.
 func TestEndsBesideYoungStreams(t *testing.T) {
