Give a whole share of the retries only a window after a gateway is listed

What callers saw: servers that fail get more retries than the operators allow while gateways get listed one after the other, long after they started, as when the store takes registrations again.

Cause: the first to be listed know few others, and had their whole share at once, as their start was longer than a window ago.

Change: the whole share is used a window after the list has the daemon, as after a start.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -103,12 +103,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.alone = false
-	b.listed = b.listed || listed
+	if listed && !b.listed {
+		// Others that are listed after this one may still be missing in n.
+		b.listed, b.slackFrom = true, later(b.slackFrom, now.Add(b.bound.Window))
+	}
 	n = max(1, n)
 	b.daemons = slices.DeleteFunc(b.daemons, func(c daemonCount) bool { return c.number <= n || now.Sub(c.at) > absenceTime })
 	b.daemons = append(b.daemons, daemonCount{n, now})
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // slack returns this daemon's share of the slack. The caller holds the lock.
 func (b *Budget) slack(now time.Time) float64 {
 	for len(b.daemons) > 1 && now.Sub(b.daemons[0].at) > absenceTime {
