Restore findings on crashing requests whatever the clocks say

What callers saw: after an end of all gateways a request that crashes servers was sent at once, where the process that had saved the findings had a clock that was behind.

Cause: the entry held the time of day at which it was saved, and the ages of its ends were counted from that.

Change: the ages are as of the save, and a process that restores them takes them as they are. It may hold a request back longer, by the time that no gateway ran, never shorter. The entry is a message as gateways exchange it.

--- a/internal/quarantine/saved.go
+++ b/internal/quarantine/saved.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,42 +9,21 @@
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
-// saved is the form in which findings outlast all processes.
-type saved struct {
-	At       time.Time `json:"at"`       // by the clock of the process that saved them
-	Findings []byte    `json:"findings"` // a wire.QuarantineNews whose ages are of that time
-}
-
 // Save returns the findings for Restore, and their digest.
-func (q *Quarantine) Save(now time.Time) (text []byte, digest uint64, err error) {
+func (q *Quarantine) Save(now time.Time) (saved []byte, digest uint64, err error) {
 	findings := q.Findings(now)
-	encoded, err := proto.Marshal(findings)
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "encode findings")
-	}
-	text, err = json.Marshal(saved{At: now.UTC(), Findings: encoded})
-	return text, findings.Digest, errors.Wrap(err, "encode findings")
+	saved, err = proto.Marshal(findings)
+	return saved, findings.Digest, errors.Wrap(err, "encode findings")
 }
 
-// Restore merges findings that a process has saved, and returns their digest. It returns an
-// error if they are malformed.
-func (q *Quarantine) Restore(text []byte, now time.Time) (digest uint64, err error) {
-	var from saved
-	if err := json.Unmarshal(text, &from); err != nil {
-		return 0, errors.Wrap(err, "decode findings")
-	}
+// Restore merges findings that a process has saved as if it had done so just now, since the
+// clocks of two processes may differ: a request may be held back longer, but not for a
+// shorter time. It returns their digest, or an error if they are malformed.
+func (q *Quarantine) Restore(saved []byte, now time.Time) (digest uint64, err error) {
 	news := &wire.QuarantineNews{}
-	if err := proto.Unmarshal(from.Findings, news); err != nil {
+	if err := proto.Unmarshal(saved, news); err != nil {
 		return 0, errors.Wrap(err, "decode findings")
 	}
-	age := max(0, now.Sub(from.At)).Milliseconds()
-	for _, crash := range news.Crashes {
-		crash.SentAgeMs += age
-		crash.EndedAgeMs += age
-	}
-	for _, success := range news.Successes {
-		success.AgeMs += age
-	}
 	q.Merge(news, now)
 	return news.Digest, nil
 }
