Send one probe of a crashing request, not one from each gateway

What callers saw: when a request that crashes servers came back after a pause, several servers ended at once: 4 to 8 of 12 behind 27 gateways, where the operators allow three late sends (BUDGET).

Cause: each five seconds after the time of the probe twice as many gateways may send it. After a minute without such a request all may.

Change: the turns of the election run from the first request that could be the probe, at each gateway. Gateways to which requests come together begin together, and one sends the probe; a request that comes to few is sent later.

A sound request that is blamed and comes to one of many gateways, each time another, may wait longer for its probe.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -39,6 +39,9 @@
 		}
 	} else {
 		now := &blame{common: q.common(part, counted), servers: len(counted), newest: open[len(open)-1].Server, until: holdUntil(open)}
+		if before != nil && before.until.Equal(now.until) {
+			now.asked = before.asked
+		}
 		q.blamed[part] = now
 		if before == nil {
 			logBlamed(part, now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -154,6 +154,7 @@
 	until   time.Time // no probe before
 	servers int       // that ended one after the other
 	newest  string    // server that ended last
+	asked   time.Time // when a request first came that could have been the probe; zero: none
 }
 
 // Quarantine holds the crashes that are known, and what follows from them. It is safe for
@@ -240,7 +241,10 @@
 	if wait := from.Sub(now); wait > 0 {
 		return wait
 	}
-	since := now.Sub(b.until)
+	if b.asked.IsZero() {
+		b.asked = now // all gateways to which requests come begin with the first turn
+	}
+	since := now.Sub(b.asked)
 	if !q.elect(part, int64(since/probeTurn)) {
 		return probeTurn - since%probeTurn
 	}
