--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -127,7 +127,7 @@
 func (w *newsWriter) addFindings() {
 	for part := range w.quarantine.blamed {
 		open, counted := w.quarantine.evidence(part)
-		w.addCrashes(counted[:minCrashes])
+		w.addCrashes(counted)
 		w.addCrashes(open[max(0, len(open)-maxCounted):]) // from which the next probe follows
 	}
 }
@@ -169,7 +169,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, entry := range news.Crashes[:min(len(news.Crashes), maxTold)] {
-		if crash := crashFrom(entry, now); crash != nil && q.add(crash, now) {
+		if crash := crashFrom(entry, now); crash != nil && q.add(crash, maxPerServer, now) {
 			q.spread(&rumor{crash: crash})
 		}
 	}
