Begin no stream at a gateway whose state may be out of date

What callers would see: a gateway that is paused or cut off from the store and from all other gateways for longer than five seconds begins streams by an assignment that has been replaced meanwhile. The slots count as settled later although such a stream lasts, and its rest comes from another version.

Cause: the time for which former versions are kept covers a state that is five seconds old, and nothing kept an older one from use.

Ruled out: to refuse whenever the store has not confirmed the state, since an outage of the store for all changes no assignment.

A gateway refuses to begin resumable streams while neither the store nor another gateway has confirmed its state for streamversion.ViewMargin and no other gateway reports, though others are listed. It goes on with the streams that it has. What remains: a part of the gateways that is cut off together.

forward.TestStreamGoesOnAtItsSoftwareVersion and streamversion.TestDecide have the case; the gateway's own check has no test with processes.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -72,6 +72,9 @@
 	Streams       *streamversion.Decider
 	Assignments   Assignments   // nil: those of the snapshots are up to date
 	OtherGateways OtherGateways // nil: there are none
+	// Outdated reports whether snapshots may have been out of date for longer than
+	// streamversion.ViewMargin; nil: they never are.
+	Outdated func() bool
 	// ProcessEnded reports whether no process serves an address any more; nil:
 	// backend.ProcessEnded.
 	ProcessEnded func(ctx context.Context, address string) bool
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -64,7 +64,7 @@
 // store, and at the other gateways.
 func (r *activeRequest) findOrigin(ctx context.Context) {
 	decision := r.decideSoftware(r.req.Snapshot)
-	if decision.Refusal == streamversion.NotConfirmed {
+	if decision.Refusal == streamversion.NotConfirmed && continues(r.req) {
 		assignment, era, err := r.relay.Assignments.Read(ctx, r.service)
 		if err == nil {
 			r.confirmed = &readAssignment{assignment: assignment, era: era}
@@ -74,7 +74,7 @@
 		}
 	}
 	unknown := decision.Refusal == streamversion.UnknownOrigin || decision.Refusal == streamversion.NotConfirmed
-	if !unknown || r.relay.OtherGateways == nil || originOf(r.req) == "" {
+	if !unknown || !continues(r.req) || r.relay.OtherGateways == nil || originOf(r.req) == "" {
 		return
 	}
 	if software, known := r.relay.OtherGateways.AskOrigin(ctx, r.service, originOf(r.req)); known {
@@ -86,7 +86,7 @@
 func (r *activeRequest) newPool(snapshot *deployment.Snapshot) *streamversion.Pool {
 	pool := &streamversion.Pool{
 		Assignment: snapshot.Streams[r.service], Era: snapshot.Position.Era(), Versions: make(map[string]int, 2),
-		Confirmed: r.relay.Assignments == nil,
+		Confirmed: r.relay.Assignments == nil, Outdated: r.relay.Outdated != nil && r.relay.Outdated(),
 	}
 	if r.confirmed != nil {
 		pool.Assignment, pool.Era, pool.Confirmed = r.confirmed.assignment, r.confirmed.era, true
@@ -103,7 +103,9 @@
 func (r *activeRequest) refusalOf(decision *streamversion.Decision) *verdict.Error {
 	var failure *verdict.Error
 	switch decision.Refusal {
-	case streamversion.UnknownOrigin, streamversion.NotConfirmed:
+	case streamversion.NotConfirmed:
+		failure = verdict.New(verdict.NotRun, verdict.CodeOriginUnknown, "this gateway can't tell yet at which software version of %s the stream may begin or go on", r.service)
+	case streamversion.UnknownOrigin:
 		failure = verdict.New(verdict.NotRun, verdict.CodeOriginUnknown, "it is not known which software version of %s began the stream", r.service)
 	case streamversion.VersionGone:
 		failure = verdict.New(verdict.NotRun, verdict.CodeSoftwareGone, "the software version %q of %s, which began the stream, is gone", decision.Version, r.service)
--- a/internal/forward/softwareversion_test.go
+++ b/internal/forward/softwareversion_test.go
@@ -192,6 +192,13 @@
 				v.t.Errorf("%+v, want a refusal for now", err)
 			}
 		}, 0},
+		{"begun while what is assigned may be out of date", []step{whole}, func(v *versionTest) {
+			v.assign("v1")
+			v.relay.Outdated = func() bool { return true }
+			if _, err := v.begin("r1", ""); err == nil || err.Verdict != verdict.NotRun || err.RetryAfter <= 0 {
+				v.t.Errorf("%+v, want a refusal for now", err)
+			}
+		}, 0},
 		{"begun where no version is assigned", []step{whole}, func(v *versionTest) {
 			if resp, err := v.begin("r1", ""); err != nil || !v.read(resp) {
 				v.t.Errorf("not complete: %v", err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -242,6 +242,7 @@
 		Streams:       g.streams,
 		OtherGateways: g.exchange,
 		Assignments:   newAssignmentReader(g.store),
+		Outdated:      g.isIsolated,
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -173,3 +173,16 @@
 	}
 	return streamversion.Decode(entry.Value)
 }
+
+// isIsolated reports whether neither the store nor another gateway has confirmed the state for
+// longer than streams may begin by an old one, although there are other gateways. While the
+// store is down for all, no assignment changes, and the others still report.
+func (g *Gateway) isIsolated() bool {
+	now := time.Now()
+	if g.follower.Staleness(now) <= streamversion.ViewMargin || len(g.exchange.PeersSince(now.Add(-unlistedPeerTTL))) > 0 {
+		return false
+	}
+	return slices.ContainsFunc(g.follower.Snapshot().Gateways, func(gateway deployment.Gateway) bool {
+		return gateway.Address != g.settings.Daemon.RPCAddress
+	})
+}
--- a/internal/streamversion/decide.go
+++ b/internal/streamversion/decide.go
@@ -32,6 +32,7 @@
 	Era        platform.Era   // of the store
 	Versions   map[string]int // servers that take requests, by software version
 	Confirmed  bool           // Assignment was read from the store after the request arrived
+	Outdated   bool           // Assignment may have been replaced longer than ViewMargin ago
 }
 
 // Refusal is why a stream may not begin or go on now.
@@ -40,7 +41,7 @@
 // The refusals.
 const (
 	NotRefused    Refusal = iota
-	NotConfirmed          // a confirmed assignment may tell which version began the stream
+	NotConfirmed          // a confirmed assignment may tell the version of the stream
 	UnknownOrigin         // it is not known which version began the stream
 	VersionAbsent         // no server of its version takes requests now
 	VersionGone           // its version is not in service any more
@@ -147,6 +148,9 @@
 
 // begin returns the decision on a stream that begins.
 func begin(id string, pool *Pool) Decision {
+	if pool.Outdated {
+		return Decision{Refusal: NotConfirmed, RetryAfter: absentDelay}
+	}
 	if pool.Assignment == nil {
 		return Decision{Any: true}
 	}
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -21,11 +21,12 @@
 	turnDelay = 400 * time.Millisecond
 	// writeTimeout bounds a write.
 	writeTimeout = 2 * time.Second
-	// viewMargin is added to the longest time that a stream can last: a gateway that is cut
-	// off or paused begins streams by an older assignment for so long.
-	viewMargin = 5 * time.Second
 )
 
+// ViewMargin is added to the longest time that a stream can last: a gateway that is cut off or
+// paused begins streams by an older assignment for so long.
+const ViewMargin = 5 * time.Second
+
 // ServiceState is what a gateway knows of a service whose streams can be resumed.
 type ServiceState struct {
 	Name       string
@@ -98,7 +99,7 @@
 	}
 	next := Plan(current, state.Capacities, state.Pool.Era)
 	if next == nil && current != nil {
-		next = Settle(current, func(i int) time.Duration { return now.Sub(k.since[i]) }, state.Lifetime+viewMargin)
+		next = Settle(current, func(i int) time.Duration { return now.Sub(k.since[i]) }, state.Lifetime+ViewMargin)
 	}
 	switch {
 	case next == nil:
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -29,6 +29,8 @@
 		refusal Refusal
 	}{
 		"begins without an assignment":         {Stream{ID: id}, Pool{Versions: both}, "", true, NotRefused},
+		"begins by what is out of date":        {Stream{ID: id}, Pool{Assignment: settledAt("v1"), Era: 1, Versions: both, Outdated: true}, "", false, NotConfirmed},
+		"resumes by what is out of date":       {Stream{ID: id, Continues: true, Version: &v2}, Pool{Assignment: settledAt("v1"), Era: 1, Versions: both, Outdated: true}, "v2", false, NotRefused},
 		"begins":                               {Stream{ID: id}, Pool{Assignment: settledAt("v1"), Era: 1, Versions: both}, "v1", false, NotRefused},
 		"begins while its version is absent":   {Stream{ID: id}, Pool{Assignment: settledAt("v1"), Era: 1, Versions: map[string]int{"v2": 2}}, "v1", false, VersionAbsent},
 		"resumes":                              {Stream{ID: id, Continues: true, Version: &v2}, Pool{Assignment: settledAt("v1"), Era: 1, Versions: both}, "v2", false, NotRefused},
