Tell another gateway where a stream began

Cause: a stream in a slot that has moved is known only to the gateway that delivered it, and is lost with that one.

Ruled out: to tell all gateways, or to tell also while all streams begin at one version, when the assignment tells.

A gateway sends the origins of new streams to the next gateway by address every 50 ms. While nothing has moved it sends none.

--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -40,6 +40,8 @@
 	// AskOrigin returns the software version that began a stream, by the id of the request
 	// that began it.
 	AskOrigin(ctx context.Context, service, id string) (software string, known bool)
+	// TellOrigin tells another gateway which software version began a stream.
+	TellOrigin(service, id, software string)
 }
 
 // readAssignment is an assignment that was read from the store after the request arrived.
@@ -157,7 +159,15 @@
 		return
 	}
 	r.software = &r.server.Software
-	r.relay.Streams.RecordBegin(r.service, originOf(r.req), r.server.Software, time.Now())
+	origin := originOf(r.req)
+	r.relay.Streams.RecordBegin(r.service, origin, r.server.Software, time.Now())
+	if r.relay.OtherGateways == nil || origin == "" {
+		return
+	}
+	// While all streams begin at one version, any gateway can tell.
+	if assignment := r.req.Snapshot.Streams[r.service]; assignment == nil || !assignment.Uniform() {
+		r.relay.OtherGateways.TellOrigin(r.service, origin, r.server.Software)
+	}
 }
 
 // hasRestarted reports whether the server of the last attempt is listed as another process
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -329,7 +329,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.keeper.Run} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.keeper.Run, g.exchange.TellOrigins} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
--- a/internal/peering/origins_test.go
+++ b/internal/peering/origins_test.go
@@ -42,7 +42,6 @@
 		group.Go(func() { _ = rpc.Serve(ctx, listener, mux, nil, nil) })
 	}
 	silent := listen()
-	defer silent.Close()
 	streams[1].RecordBegin("s", "r1", "v1", time.Now())
 	streams[2].RecordBegin("s", "r2", "", time.Now())
 	for id, want := range map[string]struct {
@@ -58,6 +57,18 @@
 			t.Errorf("%s: asked for %v", id, took)
 		}
 	}
+	_ = silent.Close()
+	group.Go(func() { x.TellOrigins(ctx) })
+	x.TellOrigin("s", "r4", "v4")
+	eventually(t, "the origin of a stream of another gateway", func() bool {
+		told := 0
+		for _, decider := range streams {
+			if software, known := decider.Origin("s", "r4"); known && software == "v4" {
+				told++
+			}
+		}
+		return told == 1
+	})
 	if _, known := x.AskOrigin(ctx, "other", "r1"); known {
 		t.Error("the stream of another service is known")
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -75,6 +75,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer // by RPC address
+
+	told toldOrigins
 }
 
 // peer is the state of another gateway.
