Ask an engine which process it is while the store is silent

Cause: an engine started again under its id with other software while the store refused all calls, for 19 s. Its entry still named the former version, so streams of that version went on there, and streams that began there went on at others.

Ruled out: to use no server whose connection has broken until the store confirms its entry, as a few broken streams would leave no server in an outage of the store; to take a refused connection for the end of a process for good.

While the state is older than two seconds, a stream that can be resumed is sent to an engine only if its report, at most half a second old and newer than its last failed attempt, names the incarnation that is listed. An engine that gives no answer, or no incarnation, counts as the same.

What remains: up to half a second after a restart that breaks no connection of the gateway.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -54,9 +54,10 @@
 // Relay is the last handler of the chain. It sends a request to backend servers until
 // one has responded or no further attempt is allowed.
 type Relay struct {
-	meters  meters
-	returns *returns
-	checks  *singleflight.Group // of servers that broke off, by id and incarnation
+	meters    meters
+	returns   *returns
+	checks    *singleflight.Group // of servers that broke off, by id and incarnation
+	processes *processChecks
 
 	Zone          string
 	Source        func() *deployment.Snapshot
@@ -70,8 +71,10 @@
 	Limits        *serverlimit.Limits  // nil: new ones
 	Access        *serveraccess.Access // nil: a new one with Limits
 	Streams       *streamversion.Decider
-	Assignments   Assignments   // nil: those of the snapshots are up to date
-	OtherGateways OtherGateways // nil: there are none
+	Assignments   Assignments          // nil: those of the snapshots are up to date
+	OtherGateways OtherGateways        // nil: there are none
+	Processes     Processes            // nil: servers are not asked
+	Staleness     func() time.Duration // of snapshots; nil: they are up to date
 	// Outdated reports whether snapshots may have been out of date for longer than
 	// streamversion.ViewMargin; nil: they never are.
 	Outdated func() bool
@@ -88,6 +91,7 @@
 	config.meters = newMeters()
 	config.returns = newReturns()
 	config.checks = &singleflight.Group{}
+	config.processes = newProcessChecks()
 	if config.Pick == nil {
 		config.Pick = placement.Pick
 	}
@@ -249,6 +253,12 @@
 		return nil, failure
 	}
 	defer func() { r.trial.End() }()
+	if failure := r.checkProcess(ctx, r.req.Snapshot.Servers[choice.Server.ID]); failure != nil {
+		r.recordTried(choice.Server.ID)
+		r.endProbe(now)
+		return nil, failure
+	}
+	now = time.Now() // the server may have been asked
 	call := r.newCall(&choice, now)
 	r.recordAttempt(&choice, call)
 	attempt := r.relay.Fleet.Begin(choice.Server.ID, choice.PrefillTokens, now)
@@ -311,10 +321,7 @@
 
 // recordAttempt records and logs the choice of a server.
 func (r *activeRequest) recordAttempt(choice *placement.Choice, call *backend.Call) {
-	if r.tried == nil {
-		r.tried = make(map[string]bool)
-	}
-	r.tried[choice.Server.ID] = true
+	r.recordTried(choice.Server.ID)
 	r.req.Log.Attempts++
 	r.req.Log.Server = choice.Server.ID
 	r.server = r.req.Snapshot.Servers[choice.Server.ID]
@@ -336,6 +343,13 @@
 	logger.Info(entry, "placed")
 }
 
+func (r *activeRequest) recordTried(id string) {
+	if r.tried == nil {
+		r.tried = make(map[string]bool)
+	}
+	r.tried[id] = true
+}
+
 // addPromptFields adds the log fields from which the request can be replayed. The shared
 // part is logged as a hash.
 func (r *activeRequest) addPromptFields(entry fields) {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -36,6 +36,9 @@
 // endAttempt records the outcome of an attempt.
 func (r *activeRequest) endAttempt(attempt *fleet.Attempt, outcome fleet.Outcome) {
 	now := time.Now()
+	if outcome != fleet.Succeeded && r.server != nil {
+		r.relay.processes.forget(r.server)
+	}
 	r.relay.meters.countAttempt(outcome)
 	attempt.End(outcome, now)
 	r.endProbe(now)
--- a/internal/forward/softwareversion_test.go
+++ b/internal/forward/softwareversion_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -62,6 +63,25 @@
 	v.current.Streams = map[string]*streamversion.Assignment{"s": streamversion.Plan(nil, map[string]int{version: 1}, 0)}
 }
 
+// restartUnlisted lets all servers of v1 start again with other software, while the list is out
+// of date.
+func (v *versionTest) restartUnlisted() {
+	v.current.Config.Services[0].Engine = &deployment.Engine{}
+	v.relay.Staleness = func() time.Duration { return time.Minute }
+	v.relay.Processes = processesFunc(func(server *deployment.Server) int64 {
+		if server.Software == "v1" {
+			return 2
+		}
+		return 1
+	})
+}
+
+type processesFunc func(server *deployment.Server) int64
+
+func (f processesFunc) Incarnation(_ context.Context, server *deployment.Server) (int64, error) {
+	return f(server), nil
+}
+
 // unnamed stands for a take-up that does not name what it resumes.
 const unnamed = "-"
 
@@ -199,6 +219,26 @@
 				v.t.Errorf("%+v, want a refusal for now", err)
 			}
 		}, 0},
+		{"begun at a server that says it is another process, while the list may be out of date", []step{whole}, func(v *versionTest) {
+			v.restartUnlisted()
+			if resp, err := v.begin("r1", ""); err != nil || !v.read(resp) {
+				v.t.Errorf("not complete: %v", err)
+			}
+			if v.sentTo[0] != "v2" {
+				v.t.Errorf("sent to a server that is listed with %s", v.sentTo[0])
+			}
+		}, 1},
+		{"taken up while all servers of its version are other processes, unlisted", []step{broken, rest}, func(v *versionTest) {
+			resp, err := v.begin("r1", "")
+			if err != nil {
+				v.t.Fatal(err)
+			}
+			v.restartUnlisted()
+			v.read(resp)
+			if _, err := v.begin("r2", "r1"); err == nil || err.Verdict != verdict.NotRun {
+				v.t.Errorf("%+v, want a refusal", err)
+			}
+		}, 1},
 		{"begun where no version is assigned", []step{whole}, func(v *versionTest) {
 			if resp, err := v.begin("r1", ""); err != nil || !v.read(resp) {
 				v.t.Errorf("not complete: %v", err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	cache    *kvcache.Directory
 	budget   *retrybudget.Budget
 	rollout  *rollout.Rollout
+	engines  rollout.Engines
 	streams  *streamversion.Decider
 	keeper   *streamversion.Keeper
 	dialer   *rpc.Dialer
@@ -194,6 +195,7 @@
 			g.access.Observe(server, "", head, sent, time.Now())
 		})
 	}
+	g.engines = engines
 	g.rollout = rollout.New(rollout.Options{
 		Self:    settings.Daemon.Name,
 		Lease:   settings.Gateway.OrderLease,
@@ -243,6 +245,8 @@
 		OtherGateways: g.exchange,
 		Assignments:   newAssignmentReader(g.store),
 		Outdated:      g.isIsolated,
+		Processes:     g.processes(),
+		Staleness:     func() time.Duration { return g.follower.Staleness(time.Now()) },
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -11,7 +11,9 @@
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/forward"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rollout"
 	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
@@ -186,3 +188,20 @@
 		return gateway.Address != g.settings.Daemon.RPCAddress
 	})
 }
+
+// processes returns what asks servers which process they are, or nil.
+func (g *Gateway) processes() forward.Processes {
+	if g.engines == nil {
+		return nil
+	}
+	return engineProcesses{g.engines}
+}
+
+// engineProcesses implements forward.Processes by the reports of engines.
+type engineProcesses struct{ engines rollout.Engines }
+
+// Incarnation implements forward.Processes.
+func (e engineProcesses) Incarnation(ctx context.Context, server *deployment.Server) (int64, error) {
+	report, err := e.engines.Report(ctx, server)
+	return report.Incarnation, err
+}
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -31,9 +31,10 @@
 
 // Report is the state that an engine reports. It lags by some hundred milliseconds.
 type Report struct {
-	Weights  map[string]uint64
-	Busy     bool   // the engine is executing an order
-	Accepted uint64 // number of orders accepted by this incarnation
+	Weights     map[string]uint64
+	Busy        bool   // the engine is executing an order
+	Accepted    uint64 // number of orders accepted by this incarnation
+	Incarnation int64  // start of the process, Unix milliseconds; 0: not given
 }
 
 // Order is an order to an engine to load weights.
