--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	cache    *kvcache.Directory
 	budget   *retrybudget.Budget
 	rollout  *rollout.Rollout
+	engines  rollout.Engines
 	streams  *streamversion.Decider
 	keeper   *streamversion.Keeper
 	dialer   *rpc.Dialer
@@ -199,6 +200,7 @@
 			g.access.Observe(server, "", head, sent, time.Now())
 		})
 	}
+	g.engines = engines
 	g.rollout = rollout.New(rollout.Options{
 		Self:    settings.Daemon.Name,
 		Lease:   settings.Gateway.OrderLease,
@@ -247,6 +249,9 @@
 		Streams:       g.streams,
 		OtherGateways: g.exchange,
 		Assignments:   newAssignmentReader(g.store),
+		Outdated:      g.isIsolated,
+		Processes:     g.processes(),
+		Staleness:     func() time.Duration { return g.follower.Staleness(time.Now()) },
 	})
 	filters := []forward.Filter{forward.Match{}}
 	if g.settings.Gateway.FailClosed {
@@ -335,7 +340,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.keeper.Run} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.keeper.Run, g.exchange.TellOrigins} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
