--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -11,7 +11,9 @@
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/forward"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/rollout"
 	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
@@ -173,3 +175,33 @@
 	}
 	return streamversion.Decode(entry.Value)
 }
+
+// isIsolated reports whether neither the store nor another gateway has confirmed the state for
+// longer than streams may begin by an old one, although there are other gateways. While the
+// store is down for all, no assignment changes, and the others still report.
+func (g *Gateway) isIsolated() bool {
+	now := time.Now()
+	if g.follower.Staleness(now) <= streamversion.ViewMargin || len(g.exchange.PeersSince(now.Add(-unlistedPeerTTL))) > 0 {
+		return false
+	}
+	return slices.ContainsFunc(g.follower.Snapshot().Gateways, func(gateway deployment.Gateway) bool {
+		return gateway.Address != g.settings.Daemon.RPCAddress
+	})
+}
+
+// processes returns what asks servers which process they are, or nil.
+func (g *Gateway) processes() forward.Processes {
+	if g.engines == nil {
+		return nil
+	}
+	return engineProcesses{g.engines}
+}
+
+// engineProcesses implements forward.Processes by the reports of engines.
+type engineProcesses struct{ engines rollout.Engines }
+
+// Incarnation implements forward.Processes.
+func (e engineProcesses) Incarnation(ctx context.Context, server *deployment.Server) (int64, error) {
+	report, err := e.engines.Report(ctx, server)
+	return report.Incarnation, err
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -28,6 +28,10 @@
 	// minCrashes is the number of servers that must have ended under requests with a part,
 	// one after the other, before the part is blamed.
 	minCrashes = 3
+	// minWaitingCrashes is the number when servers had got further with other requests, and
+	// minWaitingRequests that of a whole request that has not succeeded lately.
+	minWaitingCrashes  = 5
+	minWaitingRequests = 4
 	// maxCounted bounds the crashes that count against a part.
 	maxCounted = 8
 	// firstHold is the time from a crash to the first probe. Each probe that crashes a
@@ -40,11 +44,13 @@
 	probeTurn = 5 * time.Second
 	// probePause is the time after a probe without a clear outcome until the next one.
 	probePause = time.Second
-	// maxCrashes bounds the crashes that are remembered, maxPerServer those of one server,
-	// and MaxParts the parts of a request that are considered.
-	maxCrashes   = 512
-	maxPerServer = 8
-	MaxParts     = 32
+	// maxCrashes bounds the crashes that are remembered, maxPerServer those of one server that
+	// other processes tell, but for repeated requests, maxOwnPerServer those of one server that
+	// this process has seen, and MaxParts the parts of a request that are considered.
+	maxCrashes      = 512
+	maxPerServer    = 8
+	maxOwnPerServer = 32
+	MaxParts        = 32
 )
 
 // Part identifies a shared part of a prompt within its service, or a whole request.
@@ -79,8 +85,8 @@
 	return Part(digest.Sum64() | wholeRequest)
 }
 
-// Stage is how far a server was with a request when its process ended. Of requests that were
-// lost at the same servers, those of a higher stage are blamed first.
+// Stage is how far a server was with a request when its process ended. The requests of the
+// highest stage at a server are the first to be suspected.
 type Stage uint8
 
 // The stages, in the order in which they point to a request as the cause.
@@ -148,6 +154,7 @@
 	until   time.Time // no probe before
 	servers int       // that ended one after the other
 	newest  string    // server that ended last
+	asked   time.Time // when a request first came that could have been the probe; zero: none
 }
 
 // Quarantine holds the crashes that are known, and what follows from them. It is safe for
@@ -234,7 +241,10 @@
 	if wait := from.Sub(now); wait > 0 {
 		return wait
 	}
-	since := now.Sub(b.until)
+	if b.asked.IsZero() {
+		b.asked = now // all gateways to which requests come begin with the first turn
+	}
+	since := now.Sub(b.asked)
 	if !q.elect(part, int64(since/probeTurn)) {
 		return probeTurn - since%probeTurn
 	}
@@ -256,7 +266,7 @@
 	defer q.mu.Unlock()
 	crash.Parts = slices.Clone(limitParts(crash.Parts))
 	crash.Proven = slices.ContainsFunc(crash.Parts, func(p Part) bool { return p.IsRequest() && q.proven.has(p, now) })
-	if q.add(&crash, now) {
+	if q.add(&crash, maxOwnPerServer, now) {
 		q.meters.count(q.meters.crashes)
 		q.spread(&rumor{crash: &crash})
 	}
@@ -292,8 +302,9 @@
 // the first ones most often.
 func limitParts(parts []Part) []Part { return parts[max(0, len(parts)-MaxParts):] }
 
-// add adds a crash unless it is known or too old. The caller holds the lock.
-func (q *Quarantine) add(crash *Crash, now time.Time) bool {
+// add adds a crash unless it is known or too old, or perServer others of its server are
+// known that point to a cause as much. The caller holds the lock.
+func (q *Quarantine) add(crash *Crash, perServer int, now time.Time) bool {
 	key := keyOf(crash)
 	if _, ok := q.known[key]; ok || len(crash.Parts) == 0 || now.Sub(crash.Ended) > forgetAfter {
 		return false
@@ -302,8 +313,16 @@
 	if server == nil {
 		server = &endedServer{}
 	}
-	if server.crashes >= maxPerServer && crash.Stage <= server.stage {
-		return false
+	if server.crashes >= maxPerServer && crash.Stage <= server.stage && !q.isRepeated(crash) {
+		if server.crashes >= perServer {
+			return false
+		}
+		// The parts of prompts are known from the others, but the request is not.
+		crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), func(p Part) bool { return !p.IsRequest() })
+		key = keyOf(crash)
+		if _, ok := q.known[key]; ok || len(crash.Parts) == 0 {
+			return false
+		}
 	}
 	q.forget(now)
 	if len(q.crashes) >= maxCrashes {
@@ -325,6 +344,12 @@
 	return true
 }
 
+// isRepeated reports whether the whole request of a crash was lost before. Few requests are,
+// and one that crashes servers is. The caller holds the lock.
+func (q *Quarantine) isRepeated(crash *Crash) bool {
+	return slices.ContainsFunc(crash.Parts, func(p Part) bool { return p.IsRequest() && len(q.byPart[p]) > 0 })
+}
+
 func keyOf(crash *Crash) crashKey {
 	sum := uint64(0)
 	for _, part := range crash.Parts {
