--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -53,6 +53,7 @@
 	Streams map[string]*streamversion.Assignment
 
 	byService map[string][]*Server
+	software  map[string]map[string]int // numbers of servers, by service and software version
 }
 
 // WeightsTarget is the target version of a model's weights, with the earlier targets
@@ -113,13 +114,24 @@
 // snapshot is published.
 func (s *Snapshot) Index() *Snapshot {
 	s.byService = make(map[string][]*Server)
+	s.software = make(map[string]map[string]int)
 	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
 		server := s.Servers[id]
 		s.byService[server.Service] = append(s.byService[server.Service], server)
+		if s.software[server.Service] == nil {
+			s.software[server.Service] = make(map[string]int)
+		}
+		if !server.Draining {
+			s.software[server.Service][server.Software]++
+		}
 	}
 	return s
 }
 
+// SoftwareOf returns the numbers of a service's servers that are not draining, by the version
+// of their software. The caller must not change the map.
+func (s *Snapshot) SoftwareOf(service string) map[string]int { return s.software[service] }
+
 // ServersOf returns the listed servers of a service, draining ones included.
 func (s *Snapshot) ServersOf(service string) []*Server { return s.byService[service] }
 
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -87,17 +87,12 @@
 // newPool returns the state of the request's service for a decision.
 func (r *activeRequest) newPool(snapshot *deployment.Snapshot) *streamversion.Pool {
 	pool := &streamversion.Pool{
-		Assignment: snapshot.Streams[r.service], Era: snapshot.Position.Era(), Versions: make(map[string]int, 2),
+		Assignment: snapshot.Streams[r.service], Era: snapshot.Position.Era(), Versions: snapshot.SoftwareOf(r.service),
 		Confirmed: r.relay.Assignments == nil, Outdated: r.relay.Outdated != nil && r.relay.Outdated(),
 	}
 	if r.confirmed != nil {
 		pool.Assignment, pool.Era, pool.Confirmed = r.confirmed.assignment, r.confirmed.era, true
 	}
-	for _, server := range snapshot.ServersOf(r.service) {
-		if !server.Draining {
-			pool.Versions[server.Software]++
-		}
-	}
 	return pool
 }
 
