--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -229,8 +229,7 @@
 	return true
 }
 
-// applyStreams applies the assignment of a service's streams. One that can't be decoded counts
-// as none.
+// applyStreams applies the assignment of a service's streams.
 func (st *state) applyStreams(event *platform.Event) {
 	service := strings.TrimPrefix(event.Key, StreamsPrefix)
 	delete(st.streams, service)
@@ -240,7 +239,7 @@
 	assignment, err := streamversion.Decode(event.Value)
 	if err != nil {
 		logger.Warn(fields{"key": event.Key, "revision": event.Version.Revision(), "error": err.Error()}, "entry not decoded")
-		return
+		assignment = streamversion.Unreadable()
 	}
 	assignment.Revision = event.Version
 	st.streams[service] = assignment
--- a/internal/streamversion/assignment.go
+++ b/internal/streamversion/assignment.go
@@ -66,6 +66,16 @@
 	slots [Slots]slot
 }
 
+// Unreadable returns what stands for an entry that can't be decoded: streams may have begun at
+// any version, and none begins until the entry is replaced.
+func Unreadable() *Assignment {
+	a := &Assignment{}
+	for i := range a.slots {
+		a.slots[i].open = true
+	}
+	return a
+}
+
 // Uniform reports whether all streams that may go on began at the same version.
 func (a *Assignment) Uniform() bool {
 	for i := range a.slots {
--- a/internal/streamversion/keeper_test.go
+++ b/internal/streamversion/keeper_test.go
@@ -102,3 +102,22 @@
 		t.Errorf("%d writes, want 1", store.writes)
 	}
 }
+
+// An entry that no gateway can read is replaced, and streams that began before are refused
+// for a while.
+func TestUnreadableEntryIsReplaced(t *testing.T) {
+	for era := range platform.Era(2) {
+		store := &fakeKV{value: []byte("{"), version: 7}
+		state := ServiceState{Name: "s", Pool: Pool{Assignment: Unreadable(), Era: era}, Capacities: map[string]int{"v1": 1}, Lifetime: time.Second}
+		state.Pool.Assignment.Revision = 7
+		k := NewKeeper(KeeperOptions{KV: store, Turn: func() int { return 0 }, Services: func() []ServiceState { return []ServiceState{state} }})
+		k.step(t.Context(), time.Now())
+		a, err := Decode(store.value)
+		if err != nil {
+			t.Fatalf("era %d: %v", era, err)
+		}
+		if shares := a.Shares(); shares["v1"] != Slots || a.Unsettled() != Slots {
+			t.Errorf("era %d: shares %v, %d slots unsettled", era, shares, a.Unsettled())
+		}
+	}
+}
