--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -53,9 +53,9 @@
 
 // isExplained reports whether another part explains all the crashes against a part: requests
 // with it were lost at the same servers, and it has more crashes, or fewer requests that
-// were lost, so that holding it back costs less, or servers had got further with it. A crashing part is then not blamed together
-// with sound ones that it took with it. If it is the wrong one, the next crash tells. The
-// caller holds the lock.
+// were lost, so that holding it back costs less, or servers had got further with it. A
+// crashing part is then not blamed together with sound ones that it took with it. If it is
+// the wrong one, the next crash tells. The caller holds the lock.
 func (q *Quarantine) isExplained(part Part, open, counted []*Crash) bool {
 	common := q.common(part, counted)
 	for other := range q.partsLostAt(counted[0].Server) {
