--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -225,9 +225,9 @@
 }
 
 // answers reports whether a response is the call's, whose id its connection has not carried
-// before. A server may send a response twice,
-// the second time when the next request waits on the connection. Without the id of its
-// request, only the first response on a connection can be trusted.
+// before. A server may send a response twice, the second time when the next request waits on
+// the connection. Without the id of its request, only the first response on a connection can
+// be trusted.
 func answers(response *Response, call *Call, reused bool) bool {
 	if response.RequestID == "" {
 		return !reused
