A response that broke off during its upload is not complete

Cause: on Linux the first call on a socket after a reset gets the error. If that is the write of the upload, reads see an ordinary end, and a response without a length ends with its connection: its part counted as the whole. A server that closes its side before it has read the upload looked the same. The engine's orders and imports did not read their response to its end.

Ruled out: a matter of chance in net/http. With the read held until the write has failed, and the failure held until the read has returned, the part is taken for the whole on every run; with a length or chunks it never is.

Change: connections count what was written of the current request. If a response has begun, the end of the connection is io.ErrUnexpectedEOF unless the request was written completely. RPC between daemons frames its messages itself.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -210,7 +210,7 @@
 // response header.
 func (c *Client) send(ctx context.Context, transport *http.Transport, call *Call) (*http.Response, *conntrace.Trace, error) {
 	for {
-		traced, trace := conntrace.AttachOnce(ctx, call.RequestID)
+		traced, trace := conntrace.AttachOnce(ctx, call.RequestID, len(call.Body))
 		response, err := transport.RoundTrip(c.newRequest(traced, call))
 		if !trace.Rejected() {
 			return response, trace, err
--- a/internal/conntrace/conn.go
+++ b/internal/conntrace/conn.go
@@ -18,7 +18,8 @@
 
 // Remember returns a Dial whose connections remember the requests that they have carried. A
 // server may write a response a second time, which can't be told from that to another
-// request with the same id on the same connection.
+// request with the same id on the same connection. They also record how much of a request from a
+// Transport or with an AttachOnce has been written.
 func Remember(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
@@ -32,6 +33,7 @@
 // conn is a connection that remembers the ids of its requests.
 type conn struct {
 	net.Conn
+	upload upload
 
 	mu      sync.Mutex
 	carried []uint64 // hashes of ids
--- a/internal/conntrace/conntrace.go
+++ b/internal/conntrace/conntrace.go
@@ -12,7 +12,8 @@
 
 // Trace is the connection of one request. It is safe for concurrent use.
 type Trace struct {
-	id string // of the request; empty: it may be sent on any connection
+	id   string // of the request; empty: it may be sent on any connection
+	size int64  // of the request's body, in bytes; negative: a Transport records it
 
 	mu       sync.Mutex
 	conn     net.Conn // nil: none
@@ -21,13 +22,17 @@
 }
 
 // Attach returns a context for one request, and the trace that it fills.
-func Attach(ctx context.Context) (context.Context, *Trace) { return AttachOnce(ctx, "") }
+func Attach(ctx context.Context) (context.Context, *Trace) { return attach(ctx, &Trace{size: -1}) }
 
 // AttachOnce is Attach for a request with an id that may be sent once on each connection of
 // Remember. If the HTTP client chooses one that has carried the id, the connection is closed
-// before anything is written to it, and Rejected tells so.
-func AttachOnce(ctx context.Context, id string) (context.Context, *Trace) {
-	t := &Trace{id: id}
+// before anything is written to it, and Rejected tells so. The request needs no Transport; its
+// body has size bytes.
+func AttachOnce(ctx context.Context, id string, size int) (context.Context, *Trace) {
+	return attach(ctx, &Trace{id: id, size: int64(size)})
+}
+
+func attach(ctx context.Context, t *Trace) (context.Context, *Trace) {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn}), t
 }
 
@@ -35,7 +40,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conn, t.reused, t.rejected = info.Conn, info.Reused, false
-	if c, ok := info.Conn.(*conn); ok && t.id != "" && !c.carry(t.id) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	if t.size >= 0 {
+		c.upload.begin(t.size)
+	}
+	if t.id != "" && !c.carry(t.id) {
 		_ = info.Conn.Close() // its state does not matter any more
 		t.conn, t.rejected = nil, true
 	}
--- a/internal/engine/client/engine.go
+++ b/internal/engine/client/engine.go
@@ -47,8 +47,7 @@
 	if err != nil {
 		return err
 	}
-	closeBody(resp)
-	return nil
+	return finish(resp)
 }
 
 // State implements engine.Engine.
@@ -92,8 +91,7 @@
 	if err != nil {
 		return err
 	}
-	closeBody(resp)
-	return nil
+	return finish(resp)
 }
 
 // ExportPiece implements engine.Engine. A response with another salt or other blocks
@@ -119,8 +117,7 @@
 	if err != nil {
 		return err
 	}
-	closeBody(resp)
-	return nil
+	return finish(resp)
 }
 
 var _ engine.Engine = (*Engine)(nil)
--- a/internal/engine/client/transport.go
+++ b/internal/engine/client/transport.go
@@ -44,7 +44,7 @@
 		IdleConnTimeout:     idleTimeout,
 	}
 	return &http.Client{
-		Transport:     transport,
+		Transport:     conntrace.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -163,9 +163,23 @@
 // decode reads a JSON body of at most limit bytes.
 func decode(resp *http.Response, limit int64, value any) error {
 	defer closeBody(resp)
-	err := json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(value)
-	if err != nil {
-		return errors.Wrapf(engine.ErrBroken, "decode response: %v", err)
+	decoder := json.NewDecoder(io.LimitReader(resp.Body, limit))
+	err := decoder.Decode(value)
+	if err == nil {
+		// A response that breaks off after the value is incomplete.
+		if _, err = decoder.Token(); err == io.EOF {
+			return nil
+		}
+	}
+	return errors.Wrapf(engine.ErrBroken, "decode response: %v", err)
+}
+
+// finish closes the body of a success without a result. It returns an error if the response
+// broke off.
+func finish(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.CopyN(io.Discard, resp.Body, maxDrainBytes); err != nil && err != io.EOF {
+		return errors.Wrapf(engine.ErrBroken, "read response: %v", err)
 	}
 	return nil
 }
