Platform client: read responses to their end

Cause: the client stopped at the end of the first JSON value, so that a response which broke off after it, or had another value, counted as complete.

Change: the body must end after the value. A write then has an unknown outcome, a read is unavailable.

Measured: TestResponseThatIsNotOneValue fails in all four checks without the change and passes with it; internal/platform/client passes under -race.

--- a/internal/platform/client/caller.go
+++ b/internal/platform/client/caller.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -37,6 +38,7 @@
 
 func newCaller(baseURL string, timeout time.Duration) caller {
 	transport := &http.Transport{
+		DialContext:         (&net.Dialer{}).DialContext, // each call has a time-out
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
@@ -44,7 +46,7 @@
 	return caller{
 		base:    strings.TrimSuffix(baseURL, "/"),
 		timeout: timeout,
-		http:    &http.Client{Transport: transport, CheckRedirect: rejectRedirects},
+		http:    &http.Client{Transport: conntrace.NewTransport(transport), CheckRedirect: rejectRedirects},
 	}
 }
 
@@ -70,7 +72,7 @@
 		return nil, err
 	}
 	defer drain(response.Body)
-	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+	if err := decode(response.Body, result); err != nil {
 		return nil, wrapError(platform.ErrUnavailable, path, err)
 	}
 	return response.Header, nil
@@ -132,12 +134,29 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, responseError(response, path, platform.ErrOutcomeUnknown)
 	}
-	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+	if err := decode(response.Body, result); err != nil {
 		return nil, wrapError(platform.ErrOutcomeUnknown, path, err)
 	}
 	return response.Header, nil
 }
 
+// decode reads a body that consists of one JSON value. It reads to the end of the body, since
+// a response that breaks off after the value is incomplete.
+func decode(body io.Reader, result any) error {
+	decoder := json.NewDecoder(body)
+	if err := decoder.Decode(result); err != nil {
+		return err
+	}
+	switch _, err := decoder.Token(); err {
+	case io.EOF:
+		return nil
+	case nil:
+		return errors.New("the response has more than one value")
+	default:
+		return err
+	}
+}
+
 // noResponseError returns the error of a write that got no response.
 func noResponseError(connected bool) error {
 	if connected {
