A status that no final response has is a failure of the server

Cause: statuses were passed on as they came. 000 and 099 make the handler panic, 600 and 999 reached clients. After 101 the clients of engines, plain services, the store and orders read on past their deadline, as net/http no longer ends such a connection.

Ruled out: 1xx before the final response, which net/http skips (TestInformationalResponses).

Change: a status outside 200 to 599 ends the attempt as one that may have run, counts against the server, and closes the connection, at the gateway and for all other HTTP clients.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -173,9 +173,9 @@
 	if err != nil {
 		return nil, callError(ctx, err, call.Address, trace.Connected())
 	}
-	if httpResponse.StatusCode == http.StatusSwitchingProtocols {
-		trace.CloseConn() // nothing else ends such a connection
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s switched to another protocol", call.Address)
+	if status := httpResponse.StatusCode; !verdict.IsFinalStatus(status) {
+		discard(transport, trace, httpResponse)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s answered with status %d", call.Address, status)
 	}
 	response := &Response{
 		Status:      httpResponse.StatusCode,
@@ -193,19 +193,24 @@
 		c.unidentified.Remove(call.Address)
 	}
 	if !answers(response, call, trace.Reused()) {
-		// An extra response may be complete, so closing its body keeps the connection.
-		trace.CloseConn()
-		closeBody(httpResponse.Body)
-		if httpResponse.ContentLength == 0 {
-			// Without a body the connection is idle by now, and would be used again
-			// before the transport learns that it is closed.
-			transport.CloseIdleConnections()
-		}
+		discard(transport, trace, httpResponse)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s sent the answer of another request", call.Address)
 	}
 	return response, nil
 }
 
+// discard closes the connection of a response. The response may be complete, so closing its body
+// would keep the connection.
+func discard(transport *http.Transport, trace *conntrace.Trace, response *http.Response) {
+	trace.CloseConn()
+	closeBody(response.Body)
+	if response.ContentLength == 0 {
+		// Without a body the connection is idle by now, and would be used again
+		// before the transport learns that it is closed.
+		transport.CloseIdleConnections()
+	}
+}
+
 // send sends the request on a connection that has not carried its id before, and waits for the
 // response header.
 func (c *Client) send(ctx context.Context, transport *http.Transport, call *Call) (*http.Response, *conntrace.Trace, error) {
--- a/internal/conntrace/upload.go
+++ b/internal/conntrace/upload.go
@@ -2,14 +2,20 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
-// Transport sends HTTP requests on connections that recognize responses which broke off. A
+// Transport sends HTTP requests and returns an error for a response whose status is not that of a
+// final response. Its connections recognize responses which broke off: a
 // response without a length ends with its connection. If it came before its request was written
 // completely, that end does not show that the response is whole: the error of a reset may go to
 // the write alone, and reads then see an ordinary end.
@@ -25,12 +31,20 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var used net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used = info.Conn
 		if c, ok := info.Conn.(*conn); ok {
 			c.upload.begin(request.ContentLength)
 		}
 	}}
-	return t.Base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := t.Base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err == nil && !verdict.IsFinalStatus(response.StatusCode) {
+		_ = used.Close() // after 101 the context of the request does not end it
+		_ = response.Body.Close()
+		return nil, errors.Errorf("response with status %d", response.StatusCode)
+	}
+	return response, err
 }
 
 // CloseIdleConnections closes the connections that carry no request.
--- a/internal/httpapi/call.go
+++ b/internal/httpapi/call.go
@@ -92,7 +92,7 @@
 }
 
 func sendReply(c echo.Context, reply *wire.Reply) error {
-	if status := int(reply.GetStatus()); verdict.PromisesNotRun(status) {
+	if status := int(reply.GetStatus()); verdict.PromisesNotRun(status) || !verdict.IsFinalStatus(status) {
 		return verdict.New(verdict.Ran, verdict.CodeBackendFailed, "the service answered with status %d", status)
 	}
 	header := c.Response().Header()
--- a/internal/httpapi/reply_status_test.go
+++ b/internal/httpapi/reply_status_test.go
@@ -44,3 +44,16 @@
 		}
 	}
 }
+
+// A reply whose status is no status of a final response is a failure of the service. Writing it
+// would panic, or pass on what callers can't interpret.
+func TestReplyWithImpossibleStatus(t *testing.T) {
+	for _, status := range []int32{-1, 0, 99, 100, 101, 600, 999} {
+		server, _ := newServer(replyHandler{status})
+		recorder := httptest.NewRecorder()
+		server.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/desk/orders", http.NoBody))
+		if recorder.Code != http.StatusBadGateway || recorder.Header().Get(HeaderVerdict) == verdict.NotRun.String() {
+			t.Errorf("status %d: got %d with verdict %q", status, recorder.Code, recorder.Header().Get(HeaderVerdict))
+		}
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -121,6 +121,13 @@
 	return false
 }
 
+// IsFinalStatus reports whether a final response can have a status. Others can't be passed on:
+// net/http panics on those below 100, takes 1xx for a response before the final one, and callers
+// can't interpret those above 599.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+const maxStatus = 599
+
 // Error is the error type of the request path.
 type Error struct {
 	Verdict    Verdict
