--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SHORT_BENCH_SECONDS := 50
 HOSTILE := LateCopy|WithoutIDs|SentTwice|Stop|Pings|SlowAttempt|SilentServers|Panic|TestCall|BrokenOff|BrokenStream|WithoutEvents|Pause|Endless|SlowHead|TooLarge|CancelledStream|WithoutLength|PartThatCrashes|HeldRequests|ServersLimits|CopyOfARefusal|IDIsSentOnce|AnotherProtocol
 
-.PHONY: build demo smoke promises hostile bench soak test lint generate clean
+.PHONY: build demo smoke promises hostile bench soak test fuzz lint generate clean
 
 build: ## Builds the programs into bin.
 	$(GO) build -o bin/ ./cmd/... ./internal/tools/smoke
@@ -30,6 +30,9 @@
 test: lint ## The README's test command: format, vet, staticcheck, tests with -race.
 	$(GO) run ./internal/tools/redtest -known KNOWN-RED.txt -- -race -timeout 15m $(PACKAGES)
 
+fuzz: ## Fuzzes the reader of servers' answers; at most half a minute. Its seeds run with the tests.
+	$(GO) test ./internal/backend -run '^$$' -fuzz FuzzAnswer -fuzztime 20s -parallel 2
+
 lint:
 	@unformatted=$$(gofmt -l cmd internal platform); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	$(GO) vet $(PACKAGES)
