--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Link forwards connections. It is safe for concurrent use.
@@ -134,12 +135,38 @@
 	}
 	defer l.remove(from, to)
 	l.work.Go(func() {
-		_, _ = io.Copy(writer{link: l, to: from}, to)
+		if _, err := io.Copy(writer{link: l, to: from}, to); err != nil || wasReset(to) {
+			resetOnClose(from)
+		}
 		_ = from.Close()
 	})
-	_, _ = io.Copy(writer{link: l, to: to, record: true}, from)
+	if _, err := io.Copy(writer{link: l, to: to, record: true}, from); err != nil {
+		resetOnClose(from)
+	}
+}
+
+// wasReset reports whether the peer has reset a connection whose reads have ended. A write may
+// have got the error of the reset, and reads then end like those of a connection that the peer
+// has closed.
+func wasReset(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClosed
+	})
+	return reset
 }
 
+// tcpClosed is the state of a connection after a reset, in Linux's tcp_states.h.
+const tcpClosed = 7
+
+// resetOnClose lets the peer of a connection see a reset once it is closed.
+func resetOnClose(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
+
 // add registers open connections, unless the link is down. It reports whether it
 // registered them.
 func (l *Link) add(conns ...net.Conn) bool {
