A copy of a running request gets its outcome

Cause: each copy that a client sends at the same moment under one id was a request of its own.

Ruled out: requests that share only their id; they are told apart by workspace, method, host, target and body, and get their own answers.

Change: the filter JoinCopies lets copies wait for the running request and gives them its outcome, for routes whose requests may run at most once. It holds an entry for each running request. Copies at other gateways, and those that come after the outcome, remain requests of their own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,7 +258,7 @@
 		staleness := func() time.Duration { return g.follower.Staleness(time.Now()) }
 		filters = append(filters, &forward.RequireConfirmed{Staleness: staleness, MaxStaleness: g.settings.Gateway.MaxStaleness})
 	}
-	filters = append(filters, forward.Authenticate{}, &forward.Limit{Limiter: g.limits.local})
+	filters = append(filters, forward.Authenticate{}, &forward.JoinCopies{}, &forward.Limit{Limiter: g.limits.local})
 	return pipeline.Chain[*forward.Request, *forward.Response](relay, filters...)
 }
 
