docs: copies sent to two gateways

Not mended: gateways don't tell each other of single requests, and copies after the outcome are requests of their own.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -1,6 +1,6 @@
 // Package forward implements the filters through which a gateway passes a request before
-// it forwards it unchanged to a backend server: match, authenticate, limit, relay. Every
-// error states whether the request may have run.
+// it forwards it unchanged to a backend server: match, authenticate, copies, limit, relay.
+// Every error states whether the request may have run.
 package forward
 
 import (
