--- a/internal/limit/health.go
+++ b/internal/limit/health.go
@@ -96,8 +96,8 @@
 	return min(callTimeout, max(minPatience, patienceFactor*p.responseTime))
 }
 
-// isResponsive reports whether the peer's last call did not fail and none is running for
-// longer than its patience.
+// isResponsive reports whether the peer's last call did not fail and none has been
+// running for its patience.
 func (h *health) isResponsive(address string, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -106,7 +106,7 @@
 		return true
 	}
 	patience := p.patience()
-	return !p.failing && (p.running == 0 || patience == 0 || now.Sub(p.waitingSince) <= patience)
+	return !p.failing && (p.running == 0 || patience == 0 || now.Sub(p.waitingSince) < patience)
 }
 
 // beginProbe reports whether a peer is to be probed now, since it fails or its response
