limit: random histories with late debits of gateways

Cause: the simulation runs debits at once, so that no random history covered a debit that is overdue, others asked in its place, and a late response.

Change: half of the histories run with the gateways' refusal time, and a quarter of their debits reach the peer only after the request gave them up.

Conclusion: the bound holds with parallel, overdue and late debits.

--- a/internal/limit/admission_test.go
+++ b/internal/limit/admission_test.go
@@ -111,6 +111,12 @@
 	s := newSimulation(seedOf(rapid.SliceOfN(rapid.Uint64(), 4, 4).Draw(t, "seed")), 3)
 	s.faulty = true
 	s.lateSidecars = rapid.Bool().Draw(t, "late")
+	if rapid.Bool().Draw(t, "gateways") {
+		s.refusalTime = gatewayRefusalTime
+		for _, n := range s.nodes {
+			n.local.refusalTime = s.refusalTime
+		}
+	}
 	for range rapid.IntRange(10, 60).Draw(t, "steps") {
 		step := actions[s.random.IntN(len(actions))]
 		n := s.nodes[s.random.IntN(len(s.nodes))]
--- a/internal/limit/simulation_test.go
+++ b/internal/limit/simulation_test.go
@@ -37,6 +37,8 @@
 	faulty       bool // messages get lost and delayed
 	lateSidecars bool // sidecars get tables only from dispatches
 	lastID       int
+	refusalTime  time.Duration // 0: as of routers
+	delayedCalls []func()      // that run at the next step
 }
 
 // node is a VM with a router process.
@@ -55,6 +57,7 @@
 	cutList     bool
 	cutKV       bool
 	cutPeers    bool
+	working     int                               // nested runs of its background work
 	debits      map[string]map[drawKey]*admission // by request
 }
 
@@ -107,7 +110,8 @@
 	n.view = membership.NewView(nil)
 	n.source = control.NewAtomicSource(&control.Snapshot{Config: revisionOf(n.simulation.workspace), View: n.view})
 	n.local = New(Options{Self: n.address, Source: n.source, Peers: n})
-	n.local.spawn = func(f func()) { f() } // in the simulation's own goroutine
+	n.local.refusalTime = n.simulation.refusalTime
+	n.local.spawn = n.spawn
 	n.manager = shard.NewManager(shard.Options{
 		Self: n.address, Environment: "test", KV: reachableKV{n.simulation.store, n}, Limiter: n.local, VMListLag: listLag,
 	})
@@ -115,6 +119,17 @@
 	n.pausedUntil = time.Time{}
 }
 
+// spawn runs a call in the simulation's own goroutine. It delays some debits until after
+// the request has given them up, if the node does so before callTimeout.
+func (n *node) spawn(call func()) {
+	s := n.simulation
+	if s.faulty && s.refusalTime > 0 && n.working == 0 && s.random.IntN(4) == 0 {
+		s.delayedCalls = append(s.delayedCalls, call)
+		return
+	}
+	call()
+}
+
 func (n *node) crash() {
 	s := n.simulation
 	s.lostDebt += n.debt()
@@ -225,6 +240,11 @@
 func (s *simulation) advance(d time.Duration) {
 	for ; d > 0; d -= simulationStep {
 		time.Sleep(min(d, simulationStep))
+		calls := s.delayedCalls
+		s.delayedCalls = nil
+		for _, call := range calls {
+			call()
+		}
 		for _, n := range slices.Clone(s.nodes) {
 			n.work()
 		}
@@ -235,6 +255,8 @@
 	if !n.running() {
 		return
 	}
+	n.working++
+	defer func() { n.working-- }()
 	n.local.pauseGuard.heartbeat()
 	if time.Since(n.lastControl) >= controlStep {
 		n.control()
