limit: only distance lets a request wait beyond the refusal time

Ruled out: cut-off owners; the estimates counted only owners that respond. Change: a peer is distant by its fastest recent response.

--- a/internal/limit/debits.go
+++ b/internal/limit/debits.go
@@ -152,7 +152,7 @@
 	if patience > 0 && patience < callTimeout {
 		c.overdueAt = now.Add(patience)
 	}
-	if patience > limit {
+	if limit > 0 && d.attempt.local.health.isDistant(c.peer.address, limit/2) {
 		d.heldUntil = later(d.heldUntil, now.Add(patience))
 		d.attempt.distant = true
 	}
--- a/internal/limit/health.go
+++ b/internal/limit/health.go
@@ -32,6 +32,9 @@
 	running      int           // calls
 	waitingSince time.Time     // start of the running calls or the last response, whichever is later
 	responseTime time.Duration // slowest of the recent responses, decaying; 0: unknown
+	// distance is the time of the fastest of the recent responses, rising slowly. Unlike
+	// responseTime, it does not grow while a near peer has little processor time.
+	distance time.Duration
 }
 
 func newHealth() health { return health{peers: make(map[string]*peerHealth)} }
@@ -66,7 +69,21 @@
 		return
 	}
 	p.failing = false
-	p.responseTime = max(now.Sub(sent), p.responseTime-p.responseTime/8)
+	took := now.Sub(sent)
+	if p.responseTime == 0 || took < p.distance {
+		p.distance = took
+	}
+	p.distance += (took - p.distance) / 16
+	p.responseTime = max(took, p.responseTime-p.responseTime/8)
+}
+
+// isDistant reports whether a response of the peer takes longer than limit even when nothing
+// slows it down.
+func (h *health) isDistant(address string, limit time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.peers[address]
+	return p != nil && p.distance > limit
 }
 
 // call makes a call to a peer and records its outcome. It returns when the call began.
