canary: carry orders, states and evidence; gate attempts and streams

Cause: the decisions had no inputs and no effect. Measured: the tests of canary, streamversion, follower, peering, forward, placement and gateway pass without the race detector.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	PATH=$(CURDIR)/bin/tools:$$PATH protoc -I internal/rpc/wire \
 		--go_out=. --go_opt=module=github.com/wasabigate/wasabigate \
 		--go-drpc_out=. --go-drpc_opt=module=github.com/wasabigate/wasabigate \
-		wasabigate.proto streams.proto
+		wasabigate.proto streams.proto canary.proto
 
 clean:
 	rm -rf bin report
--- a/cmd/wasabigated/main.go
+++ b/cmd/wasabigated/main.go
@@ -71,6 +71,8 @@
 			Layout:  platform.Layout{},
 			Headers: platform.Headers{},
 			Engines: func(observe rollout.Observe) rollout.Engines { return platform.NewEngines(observe) },
+
+			RolloutStatus: platform.RolloutStatus,
 		})
 	}
 	return daemon.Run(ctx, settings)
--- a/internal/canary/analysis.go
+++ b/internal/canary/analysis.go
@@ -12,9 +12,12 @@
 	slowFactor = 2.2
 	// minOldTimes is the number of times of the old side from which their median is used.
 	minOldTimes = 20
-	// window is the time between two looks at the counts. Disruptions of single servers last
+	// maxWindow is the longest time of which the responses are compared together, and
+	// windowDivisor that of the permitted time of a rollback. Disruptions of single servers last
 	// about half a second, so a finding of slowness needs several windows.
-	window = 500 * time.Millisecond
+	maxWindow     = 500 * time.Millisecond
+	windowDivisor = 10
+	minWindow     = 100 * time.Millisecond
 	// lookParts is the number of looks in a window.
 	lookParts = 5
 	// recentWindows is the number of windows that are also looked at alone, for versions that
@@ -42,9 +45,10 @@
 const (
 	// minBad is the number of bad responses from which a version can be rolled back.
 	minBad = 6
-	// earlyBad is the number of bad responses at which a worse version is rolled back at once.
-	// The bound of the time to the last request counts from the 50th.
-	earlyBad = 35
+	// earlyPart is the part of the slack from which on so many bad responses of a worse version
+	// lead to a rollback at once. With a slack of 50 these are 35; the bound of the time to the
+	// last request counts from the 50th.
+	earlyPart = 0.7
 	// minBadFinal is minBad at the last look.
 	minBadFinal = 3
 	// minCrashed is the number of different new servers whose processes must have ended.
@@ -53,20 +57,20 @@
 	crashFactor = 4
 )
 
-// metric is a way in which a response can be bad.
-type metric uint8
+// measure is a way in which a response can be bad.
+type measure uint8
 
 const (
-	failed metric = iota
+	failed measure = iota
 	slowFirst
 	slowGaps
-	metrics
+	measures
 )
 
-var metricNames = [metrics]string{"failures", "slow first bytes", "slow events"}
+var measureNames = [measures]string{"failures", "slow first bytes", "slow events"}
 
 // neededWindows is the number of windows in which the new side must have been worse.
-var neededWindows = [metrics]int{failed: 2, slowFirst: 5, slowGaps: 5}
+var neededWindows = [measures]int{failed: 2, slowFirst: 5, slowGaps: 5}
 
 // sample is a cumulative count of both sides.
 type sample struct{ oldAll, oldBad, newAll, newBad float64 }
@@ -87,7 +91,7 @@
 	return min(1, oldRateFactor*(s.oldBad+1)/(s.oldAll+10)+oldRateMargin)
 }
 
-// series is the history of one metric on one route.
+// series is the history of one measure on one route.
 type series struct {
 	samples    [recentWindows + 1]sample // of the ends of the last windows
 	next       time.Time                 // end of the window, if it has enough responses
@@ -113,13 +117,15 @@
 
 // seriesKey names a series; the route is empty for all routes together.
 type seriesKey struct {
-	all    bool
-	route  string
-	metric metric
+	all     bool
+	route   string
+	measure measure
 }
 
 // analysis compares the two sides of an order.
 type analysis struct {
+	window   time.Duration
+	earlyBad float64
 	series   map[seriesKey]*series
 	next     time.Time // time of the next look
 	doubtful bool      // the new side was worse lately, but not clearly
@@ -131,32 +137,39 @@
 	Reason string
 }
 
+func newAnalysis(bounds Bounds) analysis {
+	return analysis{
+		window:   min(maxWindow, max(minWindow, bounds.Rollback/windowDivisor)),
+		earlyBad: max(minBad, earlyPart*bounds.Slack),
+	}
+}
+
 // look compares the sides several times in each window. final is set for the last look before
 // all requests move. servers are the numbers of servers of both sides that have requests.
 func (a *analysis) look(e *Evidence, servers [2]int, final bool, now time.Time) Finding {
 	if now.Before(a.next) && !final {
 		return Finding{}
 	}
-	a.next, a.doubtful = now.Add(window/lookParts), false
+	a.next, a.doubtful = now.Add(a.window/lookParts), false
 	if a.series == nil {
 		a.series = make(map[seriesKey]*series)
 	}
-	var sums [metrics]sample
+	var sums [measures]sample
 	var found Finding
 	for route, counts := range e.Routes {
-		for m := range metrics {
+		for m := range measures {
 			s, ok := sampleOf(counts, m)
 			if !ok {
 				continue
 			}
 			sums[m] = sums[m].plus(s)
-			if f := a.compare(seriesKey{route: route, metric: m}, s, final, now); f.Bad {
+			if f := a.compare(seriesKey{route: route, measure: m}, s, final, now); f.Bad {
 				found = f
 			}
 		}
 	}
-	for m := range metrics {
-		if f := a.compare(seriesKey{all: true, metric: m}, sums[m], final, now); f.Bad {
+	for m := range measures {
+		if f := a.compare(seriesKey{all: true, measure: m}, sums[m], final, now); f.Bad {
 			found = f
 		}
 	}
@@ -167,9 +180,9 @@
 	return found
 }
 
-// sampleOf returns the counts of a metric on a route. ok is false if the old side shows too
+// sampleOf returns the counts of a measure on a route. ok is false if the old side shows too
 // little to compare with.
-func sampleOf(counts *[2]Counts, m metric) (s sample, ok bool) {
+func sampleOf(counts *[2]Counts, m measure) (s sample, ok bool) {
 	o, n := &counts[Old], &counts[New]
 	if m == failed {
 		return sample{float64(o.Responses), float64(o.Failures), float64(n.Responses), float64(n.Failures)}, true
@@ -190,14 +203,14 @@
 func (a *analysis) compare(key seriesKey, s sample, final bool, now time.Time) Finding {
 	h := a.series[key]
 	if h == nil {
-		if len(a.series) > 4*int(metrics)*maxRoutes {
+		if len(a.series) > 4*int(measures)*maxRoutes {
 			return Finding{}
 		}
 		h = &series{}
 		a.series[key] = h
 	}
 	if delta := s.minus(h.samples[recentWindows]); !now.Before(h.next) && delta.newAll >= windowResponses {
-		h.next = now.Add(window)
+		h.next = now.Add(a.window)
 		isBad := delta.newBad >= 2 && tail(delta.newAll, delta.newBad, max(s.oldRate(), delta.oldRate())) < windowLevel
 		copy(h.recentBad[:], h.recentBad[1:])
 		h.recentBad[recentWindows-1] = isBad
@@ -209,7 +222,7 @@
 		h.samples[recentWindows] = s
 	}
 	recent := s.minus(h.samples[0])
-	needed, slow := neededWindows[key.metric], key.metric != failed
+	needed, slow := neededWindows[key.measure], key.measure != failed
 	a.doubtful = a.doubtful || isWorse(recent, max(s.oldRate(), recent.oldRate()), minBadFinal, doubtLevel)
 	reason := ""
 	switch {
@@ -217,7 +230,7 @@
 		reason = "clear"
 	case isWorse(recent, max(s.oldRate(), recent.oldRate()), minBad, clearLevel) && h.badWindows >= needed && (!slow || h.persistsRecently()):
 		reason = "recent"
-	case isWorse(s, s.oldRate(), earlyBad, earlyLevel) && s.newBad*s.oldAll > 2*s.oldBad*s.newAll && h.badWindows >= needed-1 && (!slow || h.persistsRecently()):
+	case isWorse(s, s.oldRate(), a.earlyBad, earlyLevel) && s.newBad*s.oldAll > 2*s.oldBad*s.newAll && h.badWindows >= needed-1 && (!slow || h.persistsRecently()):
 		reason = "early"
 	case final && isWorse(s, s.oldRate(), minBadFinal, finalLevel) && h.badWindows >= needed-1 && (!slow || h.persists()):
 		reason = "final"
@@ -229,7 +242,7 @@
 		where = "route " + key.route
 	}
 	return Finding{Bad: true, Reason: fmt.Sprintf("%s on %s (%s): %.0f of %.0f responses of the new version, %.0f of %.0f of the old ones",
-		metricNames[key.metric], where, reason, s.newBad, s.newAll, s.oldBad, s.oldAll)}
+		measureNames[key.measure], where, reason, s.newBad, s.newAll, s.oldBad, s.oldAll)}
 }
 
 // isWorse reports whether the new side has more bad responses than a rate explains.
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -27,6 +27,13 @@
 	maxRoutes = 64
 )
 
+// Bounds are what is permitted for a version that turns out to be bad.
+type Bounds struct {
+	Share    float64       // of all requests between an order and its deadline
+	Slack    float64       // requests beyond the share
+	Rollback time.Duration // from its 50th bad response to the last request
+}
+
 // Server is a backend server that takes requests.
 type Server struct {
 	ID       string
--- a/internal/canary/replay_test.go
+++ b/internal/canary/replay_test.go
@@ -89,7 +89,7 @@
 	trackers := make([]*Tracker, l.gateways)
 	lags := make([]time.Duration, l.gateways)
 	for i := range trackers {
-		trackers[i], lags[i] = NewTracker(replayShare), time.Duration(random.IntN(400))*time.Millisecond
+		trackers[i], lags[i] = NewTracker(Bounds{Share: replayShare, Slack: replaySlack, Rollback: 5 * time.Second}), time.Duration(random.IntN(400))*time.Millisecond
 	}
 	type write struct {
 		at    time.Duration
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -54,7 +54,7 @@
 // Tracker is what one process knows of the orders of all services. It is safe for concurrent
 // use.
 type Tracker struct {
-	share float64
+	bounds Bounds
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -96,9 +96,9 @@
 	at    time.Time
 }
 
-// NewTracker returns a Tracker for the permitted share of requests of a new version.
-func NewTracker(share float64) *Tracker {
-	return &Tracker{share: share, services: make(map[string]*service)}
+// NewTracker returns a Tracker that knows no services.
+func NewTracker(bounds Bounds) *Tracker {
+	return &Tracker{bounds: bounds, services: make(map[string]*service)}
 }
 
 // Update sets the views of all services.
@@ -110,24 +110,24 @@
 		s := t.services[name]
 		if s == nil {
 			s = &service{running: make(map[string]int), stable: now}
-			s.reset()
+			s.reset(t.bounds)
 			t.services[name] = s
 		}
-		s.update(view, t.share, now)
+		s.update(view, t.bounds, now)
 	}
 }
 
-func (s *service) reset() {
+func (s *service) reset(bounds Bounds) {
 	s.gate, s.own, s.total = gate{}, NewEvidence(), NewEvidence()
-	s.faults, s.pending, s.analysis, s.finding = faults{}, nil, analysis{}, Finding{}
+	s.faults, s.pending, s.analysis, s.finding = faults{}, nil, newAnalysis(bounds), Finding{}
 	s.peers = make(map[string]*peerReport)
 }
 
-func (s *service) update(view *View, share float64, now time.Time) {
+func (s *service) update(view *View, bounds Bounds, now time.Time) {
 	if versions := versionsOf(view.Servers); !slices.Equal(versions, s.versions) {
 		s.versions, s.stable = versions, now
 	}
-	s.view, s.standing = *view, newStanding(view, share)
+	s.view, s.standing = *view, newStanding(view, bounds.Share)
 	state := view.State
 	switch {
 	case view.Order != nil && *view.Order != s.order:
@@ -140,7 +140,7 @@
 	}
 	if state.Serial != s.serial {
 		s.serial, s.phase = state.Serial, None
-		s.reset()
+		s.reset(bounds)
 	}
 	if state.Phase != s.phase {
 		s.phase, s.phaseSeen = state.Phase, now
@@ -272,6 +272,28 @@
 	return old
 }
 
+// Concentrate returns the servers of a version at which streams that are bound to it are to be
+// made: of a new version, those that are exposed. ok is false if there is no such preference.
+func (t *Tracker) Concentrate(serviceName, version string) (choice Choice, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[serviceName]
+	if s == nil || version != s.standing.new || s.standing.exposed == nil {
+		return Choice{}, false
+	}
+	return Choice{versions: []string{version}, servers: s.standing.exposed, Reason: "stream"}, true
+}
+
+// Running returns the version of a running order, empty if there is none.
+func (t *Tracker) Running(serviceName string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.services[serviceName]; s != nil {
+		return s.standing.new
+	}
+	return ""
+}
+
 // Attempt is an attempt of which the outcome is to be recorded. Its methods are not safe for
 // concurrent use, except Resolve. A nil Attempt records nothing.
 type Attempt struct {
@@ -311,6 +333,9 @@
 	return a, true
 }
 
+// Counted reports whether the attempt's outcome is evidence.
+func (a *Attempt) Counted() bool { return a != nil && a.counted }
+
 // Events records that events, or the first byte of another response, have come.
 func (a *Attempt) Events(n int, now time.Time) {
 	if a == nil || n <= 0 {
@@ -530,7 +555,7 @@
 	if s == nil {
 		return nil, false
 	}
-	in := &Input{View: s.view, Share: t.share, Elapsed: now.Sub(s.orderSeen), Stable: now.Sub(s.stable), Finding: s.finding, Doubt: s.analysis.doubtful}
+	in := &Input{View: s.view, Share: t.bounds.Share, Elapsed: now.Sub(s.orderSeen), Stable: now.Sub(s.stable), Finding: s.finding, Doubt: s.analysis.doubtful}
 	in.Idle = func(phase Phase, withSilent bool) bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -105,12 +105,17 @@
 		WeightsDeadline: r.duration("weights_deadline"),
 		OrderLease:      r.duration("order_lease"),
 		Retries:         buildRetries(r),
+		Canary:          buildCanary(r),
 		LimitWait:       r.duration("limit_wait"),
 		FailClosed:      r.boolean("fail_closed"),
 		MaxStaleness:    r.duration("belief_bound"),
 	}
 }
 
+func buildCanary(r *reader) CanarySettings {
+	return CanarySettings{Share: r.number("canary_share"), Slack: r.number("canary_slack"), Rollback: r.duration("canary_rollback")}
+}
+
 // require adds a fault, with the reason, for each of keys that is missing or empty.
 func (r *reader) require(reason string, keys ...string) {
 	for _, key := range keys {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -91,6 +91,13 @@
 	StreamRetention time.Duration // how long a finished or abandoned stream can be resumed
 }
 
+// CanarySettings bound what a bad software version gets while it is rolled out.
+type CanarySettings struct {
+	Share    float64 // of a service's requests; 0: rollout orders are ignored
+	Slack    float64 // requests in addition
+	Rollback time.Duration
+}
+
 // GatewaySettings is the section [gateway].
 type GatewaySettings struct {
 	HTTPAddress     string
@@ -99,6 +106,7 @@
 	WeightsDeadline time.Duration // time after which replaced weights are no longer used; 0: none
 	OrderLease      time.Duration // time for which one gateway alone may send orders
 	Retries         RetrySettings
+	Canary          CanarySettings
 	LimitWait       time.Duration
 	FailClosed      bool
 	MaxStaleness    time.Duration // with FailClosed: age of the configuration after which requests are rejected
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
@@ -51,11 +52,24 @@
 	Crashes  platform.Entry // what gateways know of requests that crash servers; Version 0: nothing
 	// Streams assigns the streams of services to software versions, by service.
 	Streams map[string]*streamversion.Assignment
+	// Rollouts are the rollouts of software versions, by service.
+	Rollouts map[string]*Rollout
+	// RolloutOwner is the value of the lease key of the gateway that advances them; empty: none.
+	RolloutOwner string
 
 	byService map[string][]*Server
 	software  map[string]map[string]int // numbers of servers, by service and software version
 }
 
+// Rollout is the latest rollout order of a service and how far it is. It is immutable.
+type Rollout struct {
+	Order        *canary.Order // nil: none is known
+	OrderVersion platform.Version
+	State        *canary.State    // nil: none is known
+	Revision     platform.Version // of the entry of the State in the store; 0: it has none
+	Lost         bool             // the store has an older State, or none
+}
+
 // WeightsTarget is the target version of a model's weights, with the earlier targets
 // that this process knows.
 type WeightsTarget struct {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -11,7 +11,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/metric"
 
+	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/guard"
@@ -55,6 +58,10 @@
 	LeaderKey     = KeyPrefix + "orders/leader"
 	CrashesKey    = KeyPrefix + "crashes"  // what crashes backend servers, for gateways that start
 	StreamsPrefix = KeyPrefix + "streams/" // followed by the name of a service
+	CanaryPrefix  = KeyPrefix + "canary/"  // followed by the name of a service
+	// CanaryOwnerPrefix is the prefix of the lease key, which is no service's.
+	CanaryOwnerPrefix = CanaryPrefix + "owner/"
+	CanaryOwnerKey    = CanaryOwnerPrefix + "lease"
 )
 
 // Item is a decoded entry of the store. At most one field is set.
@@ -62,6 +69,7 @@
 	Config  *deployment.Config
 	Server  *deployment.Server
 	Weights Weights
+	Order   *canary.Order
 }
 
 // Weights is the target version of a model's weights, as set by operators.
@@ -95,6 +103,7 @@
 	forceRead atomic.Bool           // read the store once although idle
 	known     atomic.Pointer[known] // for other gateways
 	failures  failures              // of calls to the store
+	invalid   metric.Int64Counter   // entries that could not be decoded
 
 	state     state     // owned by the goroutine of Run
 	published time.Time // owned by the goroutine of Run
@@ -116,6 +125,11 @@
 // block.
 func New(feed platform.Feed, layout Layout, onChange func(*deployment.Snapshot)) *Follower {
 	f := &Follower{feed: feed, layout: layout, onChange: onChange, started: time.Now(), batches: make(chan batch), state: newState()}
+	var err error
+	f.invalid, err = otel.Meter("wasabigate/follower").Int64Counter("wasabigate.follower.invalid_entries", metric.WithUnit("{entry}"), metric.WithDescription("Entries of the store that could not be decoded."))
+	if err != nil {
+		otel.Handle(err)
+	}
 	f.current.Store((&deployment.Snapshot{}).Index())
 	return f
 }
@@ -367,11 +381,19 @@
 		return false
 	}
 	item, err := f.decode(event, now)
-	if err != nil || !f.state.applyItem(&item, now) {
+	if err != nil {
 		return false
 	}
-	f.state.record(event)
-	return true
+	applied := false
+	if item.Order != nil {
+		applied = f.state.applyOrder(item.Order, event.Version)
+	} else {
+		applied = f.state.applyItem(&item, now)
+	}
+	if applied {
+		f.state.record(event)
+	}
+	return applied
 }
 
 // decode decodes an entry, and logs a failure.
@@ -382,6 +404,7 @@
 		return err
 	})
 	if err != nil {
+		f.invalid.Add(context.Background(), 1)
 		logger.Warn(fields{"key": event.Key, "revision": event.Version.Revision(), "error": err.Error()}, "entry not decoded")
 	}
 	return item, err
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
@@ -33,6 +34,9 @@
 	leader     string
 	crashes    platform.Entry
 	streams    map[string]*streamversion.Assignment // by service
+	rollouts   map[string]*deployment.Rollout       // by service
+	former     map[string][]canary.Order            // orders that were replaced, by service
+	owner      string                               // of the rollouts
 }
 
 func newState() state {
@@ -47,6 +51,8 @@
 		weights:  make(map[string]deployment.WeightsTarget),
 		gateways: make(map[string]platform.Version),
 		streams:  make(map[string]*streamversion.Assignment),
+		rollouts: make(map[string]*deployment.Rollout),
+		former:   make(map[string][]canary.Order),
 	}
 }
 
@@ -66,6 +72,7 @@
 	}
 	maps.DeleteFunc(st.held, func(id string, _ heldServer) bool { return !contains(servers, id) })
 	maps.DeleteFunc(st.streams, func(service string, _ *streamversion.Assignment) bool { return !contains(keys, StreamsPrefix+service) })
+	st.loseRollouts(keys)
 	if !contains(keys, LeaderKey) {
 		st.leader = ""
 	}
@@ -223,6 +230,14 @@
 		delete(st.gateways, event.Key)
 	case strings.HasPrefix(event.Key, GatewayPrefix):
 		st.gateways[event.Key] = event.Version
+	case event.Key == CanaryOwnerKey && event.Deleted:
+		st.owner = ""
+	case event.Key == CanaryOwnerKey:
+		st.owner = string(event.Value)
+	case strings.HasPrefix(event.Key, CanaryOwnerPrefix):
+		// The era of the lease's key, which only its candidates read.
+	case strings.HasPrefix(event.Key, CanaryPrefix):
+		st.applyRolloutState(event)
 	case strings.HasPrefix(event.Key, StreamsPrefix):
 		st.applyStreams(event)
 	}
@@ -256,6 +271,9 @@
 		Leader:   st.leader,
 		Crashes:  st.crashes,
 		Streams:  maps.Clone(st.streams),
+		Rollouts: maps.Clone(st.rollouts),
+
+		RolloutOwner: st.owner,
 	}
 	return s.Index()
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -67,20 +68,30 @@
 		return
 	}
 	crash := quarantine.Crash{
-		Server: fmt.Sprintf("%s@%d", server.ID, server.Incarnation), Sent: r.sent, Ended: now, Stage: stage, Parts: r.parts,
+		Server: processName(server), Sent: r.sent, Ended: now, Stage: stage, Parts: r.parts,
 	}
 	go r.relay.recordIfEnded(server.Address, &crash)
 }
 
-// recordIfEnded records a crash if no process serves the server's address. Requests that a
-// server lost together share one check.
+// recordIfEnded records a crash if no process serves the server's address.
 func (r *Relay) recordIfEnded(address string, crash *quarantine.Crash) {
-	ended, _, _ := r.checks.Do(crash.Server, func() (any, error) {
+	if r.processEnded(crash.Server, address) {
+		r.Quarantine.RecordCrash(*crash, time.Now())
+	}
+}
+
+// processName names the process of a server.
+func processName(server *deployment.Server) string {
+	return fmt.Sprintf("%s@%d", server.ID, server.Incarnation)
+}
+
+// processEnded reports whether no process serves an address any more. Those who ask for the same
+// process at the same time share one check.
+func (r *Relay) processEnded(process, address string) bool {
+	ended, _, _ := r.checks.Do(process, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
 		return r.ProcessEnded(ctx, address), nil
 	})
-	if ended == true {
-		r.Quarantine.RecordCrash(*crash, time.Now())
-	}
+	return ended == true
 }
--- a/internal/forward/meters.go
+++ b/internal/forward/meters.go
@@ -17,6 +17,7 @@
 	resumed  metric.Int64Counter
 	retries  metric.Int64Counter
 	takeUps  metric.Int64Counter
+	rollout  metric.Int64Counter
 }
 
 var outcomeLabels = map[fleet.Outcome]metric.MeasurementOption{
@@ -43,6 +44,7 @@
 		attempts: counter("wasabigate.forward.attempts", "{attempt}", "Attempts at backend servers, by outcome."),
 		resumed:  counter("wasabigate.forward.resumed", "{stream}", "Streams that went on at another backend server."),
 		takeUps:  counter("wasabigate.forward.take_ups", "{request}", "Requests for the rest of a stream, by service and refusal."),
+		rollout:  counter("wasabigate.forward.rollout_choices", "{attempt}", "Attempts in services whose software versions are rolled out by orders, by service and reason of the choice."),
 		retries:  counter("wasabigate.forward.retries", "{retry}", "Retries that were asked for, by service and decision of the budget."),
 	}
 }
@@ -63,3 +65,11 @@
 func (m *meters) countTakeUp(service string, refusal streamversion.Refusal) {
 	m.takeUps.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("refusal", refusal.String())))
 }
+
+// countRollout counts an attempt by the reason for its software version.
+func (m *meters) countRollout(service, reason string) {
+	if reason == "" {
+		reason = "stream"
+	}
+	m.rollout.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("reason", reason)))
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
@@ -71,6 +72,7 @@
 	Limits        *serverlimit.Limits  // nil: new ones
 	Access        *serveraccess.Access // nil: a new one with Limits
 	Streams       *streamversion.Decider
+	Canary        *canary.Tracker      // of rollouts of software versions; nil: there are none
 	Assignments   Assignments          // nil: those of the snapshots are up to date
 	OtherGateways OtherGateways        // nil: there are none
 	Processes     Processes            // nil: servers are not asked
@@ -121,6 +123,9 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "the route leads to no service")
 	}
 	r.Budget.RecordRequest(service, time.Now())
+	if r.Canary != nil {
+		r.Canary.Arrive(service, req.Route.Name)
+	}
 	active := &activeRequest{relay: r, req: req, service: service, lastID: req.LastEventID, parts: quarantineParts(service, req)}
 	return active.serve(ctx)
 }
@@ -147,6 +152,7 @@
 	sent        time.Time            // when the last attempt was sent
 	probe       quarantine.Part      // the last attempt is a probe of it; 0: it is none
 	trial       *serverbackoff.Trial // of the last attempt; nil: none
+	rollout     rolloutChoice        // of the last attempt
 }
 
 // serve makes attempts until one succeeds or no further one is allowed.
@@ -255,10 +261,16 @@
 	defer func() { r.trial.End() }()
 	if failure := r.checkProcess(ctx, r.req.Snapshot.Servers[choice.Server.ID]); failure != nil {
 		r.recordTried(choice.Server.ID)
+		r.withdrawCredit()
 		r.endProbe(now)
 		return nil, failure
 	}
 	now = time.Now() // the server may have been asked
+	if failure := r.beginRollout(&choice, now); failure != nil {
+		r.recordTried(choice.Server.ID)
+		r.endProbe(now)
+		return nil, failure
+	}
 	call := r.newCall(&choice, now)
 	r.recordAttempt(&choice, call)
 	attempt := r.relay.Fleet.Begin(choice.Server.ID, choice.PrefillTokens, now)
@@ -287,11 +299,12 @@
 	}
 	servers, wait := r.relay.Access.View(r.req.Snapshot, r.service, r.req.Model, now)
 	query := r.placementQuery(now)
-	if !decision.Any {
-		query.Software = &decision.Version
-	}
+	r.restrictVersions(query, &decision, now)
 	for {
 		choice, ok := r.relay.Pick(query, servers)
+		if !ok && r.widenVersions(query) {
+			continue
+		}
 		if !ok {
 			return choice, verdict.New(verdict.NotRun, verdict.CodeNoBackendServer, "no backend server of %s can take the request: %v", r.service, choice.Excluded).
 				WithRetryAfter(wait)
@@ -334,6 +347,9 @@
 	if r.server != nil {
 		entry["software"], entry["incarnation"] = r.server.Software, r.server.Incarnation
 	}
+	if r.relay.Canary != nil {
+		entry["rollout"], entry["staleness_ms"] = r.rollout.choice.Reason, r.relay.staleness().Milliseconds()
+	}
 	if r.req.Resumes != "" {
 		entry["resumes"] = r.req.Resumes
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
@@ -24,6 +25,9 @@
 	case failure.Code == verdict.CodeCancelled: // by the watchdog, not by the client
 		failure = verdict.Wrap(failure, failure.Verdict, verdict.CodeBackendFailed, "%s does not respond", r.req.Log.Server)
 	}
+	if failure.Verdict != verdict.NotRun {
+		r.setRolloutOutcome(brokenOutcome(ctx, err))
+	}
 	r.endAttempt(attempt, outcome)
 	if failure.Verdict != verdict.NotRun {
 		r.reached++
@@ -41,6 +45,7 @@
 	}
 	r.relay.meters.countAttempt(outcome)
 	attempt.End(outcome, now)
+	r.endRollout(outcome, now)
 	r.endProbe(now)
 }
 
@@ -104,8 +109,12 @@
 
 // readWhole reads a response that is not a stream to its end.
 func (r *activeRequest) readWhole(ctx context.Context, attempt *fleet.Attempt, resp *backend.Response, success bool) (*Response, *verdict.Error) {
+	if success {
+		r.rollout.attempt.Events(1, time.Now())
+	}
 	body, err := backend.ReadBody(resp)
 	if err != nil {
+		r.setRolloutOutcome(brokenOutcome(ctx, err))
 		r.checkCrash(ctx, time.Time{})
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
 	}
@@ -142,8 +151,11 @@
 		s.follows = eventstream.NewContinuation(r.lastID)
 	}
 	first, err := s.read()
-	if err == nil && r.hasRestarted() {
+	if err != nil {
+		r.setRolloutOutcome(brokenOutcome(ctx, err))
+	} else if r.hasRestarted() {
 		err = errors.Errorf("%s has started again", call.ServerID)
+		r.setRolloutOutcome(canary.Uncounted)
 	}
 	if err != nil {
 		r.checkCrash(ctx, time.Time{})
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -90,6 +90,11 @@
 		Assignment: snapshot.Streams[r.service], Era: snapshot.Position.Era(), Versions: snapshot.SoftwareOf(r.service),
 		Confirmed: r.relay.Assignments == nil, Outdated: r.relay.Outdated != nil && r.relay.Outdated(),
 	}
+	if tracker := r.relay.Canary; tracker != nil {
+		staleness := r.relay.staleness()
+		pool.Allowed = func(version string) bool { return tracker.Allows(r.service, version, staleness) }
+		pool.Barred = func(version string) bool { return tracker.Barred(r.service, version) }
+	}
 	if r.confirmed != nil {
 		pool.Assignment, pool.Era, pool.Confirmed = r.confirmed.assignment, r.confirmed.era, true
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -61,6 +61,7 @@
 		return
 	}
 	s.watchdog.reset()
+	s.active.rollout.attempt.Events(batch.Count, time.Now())
 	if !s.started.IsZero() {
 		return
 	}
@@ -103,6 +104,7 @@
 // resume continues the stream at another server after the last event that the client
 // has received.
 func (s *stream) resume(ctx context.Context, cause error) error {
+	s.active.setRolloutOutcome(brokenOutcome(ctx, cause))
 	if ctx.Err() != nil {
 		s.end(fleet.Refused)
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeCancelled, "the client left, or its time is up: %v", context.Cause(ctx))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -77,6 +78,8 @@
 	Headers Headers
 	// Engines returns the client of engines. It passes the head of each response to observe.
 	Engines func(observe rollout.Observe) rollout.Engines
+	// RolloutStatus encodes how far the rollout of a software version is; nil: none is rolled out.
+	RolloutStatus canary.Status
 }
 
 // Gateway is the gateway daemon.
@@ -92,6 +95,8 @@
 	engines  rollout.Engines
 	streams  *streamversion.Decider
 	keeper   *streamversion.Keeper
+	canary   *canary.Tracker // nil: rollout orders are ignored
+	owner    *canary.Owner   // nil: as above
 	dialer   *rpc.Dialer
 	limits   *limits
 	exchange *peering.Exchange
@@ -164,6 +169,7 @@
 		cache:    kvcache.NewDirectory(),
 		streams:  streamversion.NewDecider(),
 		dialer:   rpc.NewDialer(nil),
+		canary:   newTracker(settings),
 	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
 	g.limits = newLimits(settings, g.dialer)
@@ -192,6 +198,7 @@
 
 		Quarantine: g.quarantine,
 		Limits:     g.serverLimits,
+		Canary:     g.canary,
 	})
 	g.budget = retrybudget.New(retryBound(settings), time.Now())
 	var engines rollout.Engines
@@ -214,6 +221,7 @@
 		},
 	})
 	g.keeper = g.newKeeper()
+	g.owner = g.newCanaryOwner()
 	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain())
 	return g
 }
@@ -247,6 +255,7 @@
 		Quarantine:    g.quarantine,
 		Access:        g.access,
 		Streams:       g.streams,
+		Canary:        g.canary,
 		OtherGateways: g.exchange,
 		Assignments:   newAssignmentReader(g.store),
 		Outdated:      g.isIsolated,
@@ -265,6 +274,7 @@
 // onSnapshot applies a new snapshot of the deployment to the parts that depend on it.
 func (g *Gateway) onSnapshot(snapshot *deployment.Snapshot) {
 	g.fleet.Prune(snapshot)
+	g.trackRollouts(snapshot, time.Now())
 	g.shareBounds(snapshot)
 	g.crashes.merge(snapshot)
 	g.serverLimits.Prune(snapshot.Incarnation)
@@ -344,6 +354,9 @@
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
+	if g.owner != nil {
+		group.Go(func() error { g.owner.Run(ctx); return nil })
+	}
 }
 
 func serveHTTP(group *errgroup.Group, server *http.Server, listener net.Listener) {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -57,6 +57,11 @@
 				state.Capacities[server.Software] += server.Slots
 			}
 		}
+		if g.canary != nil {
+			if capacities, ok := g.canary.Capacities(service); ok {
+				state.Capacities, state.Exact = capacities, g.canary.Running(service)
+			}
+		}
 		states = append(states, state)
 	}
 	return states
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/follower"
@@ -65,6 +66,7 @@
 	// tells them; nil: a new one.
 	Quarantine *quarantine.Quarantine
 	Limits     *serverlimit.Limits // that servers named; nil: a new one
+	Canary     *canary.Tracker     // of rollouts of software versions; nil: there are none
 }
 
 // Exchange exchanges reports with the other gateways. It implements
@@ -303,6 +305,7 @@
 	findings, joined := x.lastKnown(address)
 	report.Quarantine = x.opts.Quarantine.News(findings, now)
 	report.Limits = x.opts.Limits.News(now.Sub(joined) < joinTime, now)
+	report.Canaries = x.canaryNews(now)
 	return report
 }
 
@@ -351,6 +354,7 @@
 	}
 	x.opts.Fleet.SetRemoteLoad(report.Sender, loads, now)
 	x.recordReport(report, now)
+	x.mergeCanaries(report.Sender, report.Canaries, now)
 	x.opts.Quarantine.Merge(report.Quarantine, now)
 	x.opts.Limits.Merge(report.Limits, x.opts.Follower.Snapshot().Incarnation, now)
 	for _, server := range report.Leaving {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -121,6 +121,8 @@
 	MaxReplaced  time.Duration                      // time after which replaced weights may not be used; 0: no limit
 	Tried        func(id string) bool
 	Software     *string // only servers of this software version; nil: of any
+	// Usable reports whether a server may be used by its id and software version; nil: all may.
+	Usable func(id, software string) bool
 }
 
 // Shared is where the shared parts of a prompt are cached for one version of the
@@ -218,7 +220,7 @@
 		switch {
 		case s.Draining:
 			excluded.Draining++
-		case d.Software != nil && s.Software != *d.Software:
+		case d.Software != nil && s.Software != *d.Software, d.Usable != nil && !d.Usable(s.ID, s.Software):
 			excluded.OtherSoftware++
 		case s.Loading:
 			excluded.Loading++
--- a/internal/streamversion/decide.go
+++ b/internal/streamversion/decide.go
@@ -33,6 +33,28 @@
 	Versions   map[string]int // servers that take requests, by software version
 	Confirmed  bool           // Assignment was read from the store after the request arrived
 	Outdated   bool           // Assignment may have been replaced longer than ViewMargin ago
+	// Allowed reports whether a version may get requests now, Barred whether it never will
+	// again; nil: all may.
+	Allowed func(version string) bool
+	Barred  func(version string) bool
+}
+
+// allows reports whether a version may get requests now.
+func (p *Pool) allows(version string) bool { return p.Allowed == nil || p.Allowed(version) }
+
+// beginVersion returns the version at which a stream of a slot begins: that of the slot, or
+// while that one may get no requests, a former one. Until the slot is settled no gateway takes
+// the origin of its streams for known.
+func (p *Pool) beginVersion(s *slot) string {
+	if p.allows(s.version) {
+		return s.version
+	}
+	for _, version := range s.former {
+		if p.Versions[version] > 0 && p.allows(version) {
+			return version
+		}
+	}
+	return s.version
 }
 
 // Refusal is why a stream may not begin or go on now.
@@ -154,8 +176,8 @@
 	if pool.Assignment == nil {
 		return Decision{Any: true}
 	}
-	version := pool.Assignment.slots[slotOf(id)].version
-	if pool.Versions[version] == 0 {
+	version := pool.beginVersion(&pool.Assignment.slots[slotOf(id)])
+	if pool.Versions[version] == 0 || !pool.allows(version) {
 		return Decision{Version: version, Refusal: VersionAbsent, RetryAfter: absentDelay}
 	}
 	return Decision{Version: version}
@@ -164,7 +186,9 @@
 // pin returns the decision on a stream that began at a version.
 func pin(version string, pool *Pool) Decision {
 	switch {
-	case pool.Versions[version] > 0:
+	case pool.Barred != nil && pool.Barred(version):
+		return Decision{Version: version, Refusal: VersionGone}
+	case pool.Versions[version] > 0 && pool.allows(version):
 		return Decision{Version: version}
 	case pool.Assignment != nil && pool.Assignment.Shares()[version] == 0:
 		return Decision{Version: version, Refusal: VersionGone}
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -32,6 +32,7 @@
 	Name       string
 	Pool       Pool
 	Capacities map[string]int // of the servers that take requests, by software version
+	Exact      string         // version whose share must be exact, since it is being rolled out; empty: none
 	// Lifetime is how long a stream can last, over all attempts of its client.
 	Lifetime time.Duration
 }
@@ -97,7 +98,7 @@
 	if current != nil {
 		k.observe(current, now)
 	}
-	next := Plan(current, state.Capacities, state.Pool.Era)
+	next := plan(current, state.Capacities, state.Exact, state.Pool.Era)
 	if next == nil && current != nil {
 		next = Settle(current, func(i int) time.Duration { return now.Sub(k.since[i]) }, state.Lifetime+ViewMargin)
 	}
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -20,6 +20,11 @@
 // Plan returns the assignment for the capacities of the versions that are in service, in any
 // unit, or nil if the current one, nil for none, need not change. era is the store's.
 func Plan(current *Assignment, capacities map[string]int, era platform.Era) *Assignment {
+	return plan(current, capacities, "", era)
+}
+
+// plan is Plan with a version, unless it is empty, whose share must be exact.
+func plan(current *Assignment, capacities map[string]int, exact string, era platform.Era) *Assignment {
 	wanted := shares(capacities)
 	if len(wanted) == 0 {
 		return nil
@@ -36,7 +41,8 @@
 			next.slots[i].open = true
 		}
 	}
-	if needsMove(current.Shares(), wanted) {
+	have := current.Shares()
+	if needsMove(have, wanted) || exact != "" && have[exact] != wanted[exact] {
 		changed = true
 		next.move(wanted)
 	}
