--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -530,6 +530,9 @@
 	}
 	p := s.peers[peer]
 	if p == nil {
+		if len(s.peers) >= maxPeers {
+			maps.DeleteFunc(s.peers, func(_ string, p *peerReport) bool { return now.Sub(p.at) > peerTTL })
+		}
 		if len(s.peers) >= maxPeers {
 			return false
 		}
@@ -538,7 +541,6 @@
 	}
 	p.at, p.phase, p.onOld = now, r.Phase, r.OnOld
 	s.total.merge(p.evidence, r.Evidence)
-	maps.DeleteFunc(s.peers, func(_ string, p *peerReport) bool { return now.Sub(p.at) > peerTTL })
 	if r.Finding.Bad && !s.finding.Bad {
 		s.finding = r.Finding
 		return true
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -146,3 +147,28 @@
 		}
 	}
 }
+
+// While a version may get no requests, streams of its slots must begin at the former version and
+// not wait, and no stream may go on at a version that was rolled back.
+func TestVersionsThatMayGetNoRequests(t *testing.T) {
+	moved := plan(settledAt("v1"), map[string]int{"v1": 92, "v2": 8}, "v2", 1)
+	if got := moved.Shares()["v2"]; got != 20 {
+		t.Fatalf("%d slots at v2", got)
+	}
+	if more := plan(moved, map[string]int{"v1": 90, "v2": 10}, "v2", 1); more == nil || more.Shares()["v2"] != 26 {
+		t.Error("an exact share does not follow")
+	}
+	pool := &Pool{Assignment: moved, Era: 1, Versions: map[string]int{"v1": 1, "v2": 1}, Confirmed: true}
+	pool.Allowed = func(version string) bool { return version == "v1" }
+	pool.Barred = func(version string) bool { return version == "v2" }
+	d := NewDecider()
+	for i := range 100 {
+		if got := d.Decide(&Stream{Service: "s", ID: fmt.Sprint(i)}, pool); got.Refusal != NotRefused || got.Version != "v1" {
+			t.Fatalf("a stream that begins: %+v", got)
+		}
+	}
+	version := "v2"
+	if got := d.Decide(&Stream{Service: "s", ID: "1", Continues: true, Version: &version}, pool); got.Refusal != VersionGone {
+		t.Errorf("a stream of a barred version: %+v", got)
+	}
+}
