--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -118,6 +118,32 @@
 	}
 }
 
+// A share must not be spent on a server of the new version that is listed but down.
+func TestExposedServersAreReachable(t *testing.T) {
+	now := time.Now()
+	tracker := NewTracker(Bounds{Share: 0.1})
+	view := &View{State: observing()}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		view.Servers = append(view.Servers, Server{ID: "old-" + id, Software: "v1", Slots: 4}, Server{ID: id, Software: "v2", Slots: 4})
+	}
+	tracker.Update(map[string]*View{"s": view}, now)
+	used := make(map[string]bool)
+	for range 3 {
+		choice, ok := tracker.Concentrate("s", "v2")
+		for id := range choice.servers {
+			attempt, _ := tracker.Begin("s", "r", "v2", id, 0, 0, now)
+			attempt.End(Unreachable, now)
+			used[id] = true
+		}
+		if !ok || len(choice.servers) != 1 {
+			t.Fatalf("%v are exposed", choice.servers)
+		}
+	}
+	if len(used) != 3 {
+		t.Errorf("of the servers that are down, only %v were exposed", used)
+	}
+}
+
 // A rollout must not be completed while a gateway has requests at old servers, or does not
 // follow the phase yet, or its restart made its counts fall.
 func TestIdle(t *testing.T) {
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -62,12 +62,12 @@
 	Any      bool // at all of them
 	Reason   string
 	versions []string
-	servers  []string // of these versions; nil: all
+	servers  map[string]bool // of these versions; nil: all
 }
 
 // Allows reports whether an attempt may be made at a server.
 func (c *Choice) Allows(id, software string) bool {
-	return c.Any || slices.Contains(c.versions, software) && (c.servers == nil || slices.Contains(c.servers, id))
+	return c.Any || slices.Contains(c.versions, software) && (c.servers == nil || c.servers[id])
 }
 
 // standing is what follows from a View for all requests.
@@ -76,15 +76,16 @@
 	new      string // empty: no order is running
 	phase    Phase
 	barred   []string
-	exposed  []string // servers that get the share of the new version in Observe
-	oldGone  bool     // no old server takes requests
+	exposed  map[string]bool // servers that get the share of the new version in Observe
+	oldGone  bool            // no old server takes requests
 	newGone  bool
 	exposure float64
 	open     bool // no version is known to be established
 }
 
-// newStanding derives the standing from a View. share is the permitted share of a new version.
-func newStanding(v *View, share float64) standing {
+// newStanding derives the standing from a View. share is the permitted share of a new version;
+// isDown reports whether a server could not be reached lately.
+func newStanding(v *View, share float64, isDown func(id string) bool) standing {
 	s := v.State
 	if s == nil {
 		if v.Order == nil {
@@ -105,14 +106,15 @@
 			st.barred = append(slices.Clone(s.Barred), s.Order.To) // replaced
 		}
 	}
-	oldSlots, newSlots, newServers := 0, 0, []Server(nil)
+	oldSlots, newSlots := 0, 0
+	var newServers []string
 	for _, server := range v.Servers {
 		switch {
 		case slices.Contains(st.old, server.Software):
 			oldSlots += max(1, server.Slots)
 		case server.Software == st.new && st.new != "":
 			newSlots += max(1, server.Slots)
-			newServers = append(newServers, server)
+			newServers = append(newServers, server.ID)
 		}
 	}
 	st.oldGone, st.newGone = oldSlots == 0, newSlots == 0
@@ -120,18 +122,40 @@
 		st.old = st.fallback(v)
 	}
 	if st.phase == Observe && newSlots > 0 {
-		// As many servers as the share needs, each with the load of an old one.
-		slices.SortFunc(newServers, func(a, b Server) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
-		})
 		needed := int(math.Ceil(st.exposure * float64(oldSlots) * float64(len(newServers)) / float64(newSlots)))
-		for i := range newServers[:min(len(newServers), max(1, needed))] {
-			st.exposed = append(st.exposed, newServers[i].ID)
-		}
+		st.exposed = expose(newServers, max(1, needed), isDown)
 	}
 	return st
 }
 
+// expose chooses the servers that get the share of a new version, so many that each has the load
+// of an old one. All gateways choose the same, but for those that are down.
+func expose(servers []string, needed int, isDown func(id string) bool) map[string]bool {
+	type ranked struct {
+		id   string
+		down bool
+		hash uint64
+	}
+	order := make([]ranked, 0, len(servers))
+	for _, id := range servers {
+		order = append(order, ranked{id, isDown(id), xxhash.Sum64String(id)})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.down != b.down {
+			if a.down {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+	})
+	exposed := make(map[string]bool, needed)
+	for _, server := range order[:min(len(order), needed)] {
+		exposed[server.id] = true
+	}
+	return exposed
+}
+
 // versionsOf returns the software versions of servers, sorted.
 func versionsOf(servers []Server) []string {
 	var versions []string
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -20,6 +20,8 @@
 	// maxPending bounds the failures of which it is not known yet whether a fault of the network
 	// caused them.
 	maxPending = 1024
+	// downTime is how long a server that could not be reached is not exposed, if others can be.
+	downTime = 2 * time.Second
 	// gapEvents is the number of events after which the mean time between them is counted.
 	gapEvents = 8
 	// prefillFloor is added to the expected time to the first event of an engine, of which
@@ -48,7 +50,8 @@
 	Uncounted Outcome = iota // refused as not run, or cancelled by the client
 	Succeeded
 	Failed
-	Broken // the connection broke; Resolve says whether the server's process ended
+	Broken      // the connection broke; Resolve says whether the server's process ended
+	Unreachable // there was no connection, so that the request has not run
 )
 
 // Tracker is what one process knows of the orders of all services. It is safe for concurrent
@@ -67,6 +70,7 @@
 	versions []string  // in service
 	stable   time.Time // when versions changed
 	running  map[string]int
+	down     map[string]time.Time // servers of the new version that could not be reached, and until when
 
 	serial    uint64
 	order     Order
@@ -109,7 +113,7 @@
 	for name, view := range views {
 		s := t.services[name]
 		if s == nil {
-			s = &service{running: make(map[string]int), stable: now}
+			s = &service{running: make(map[string]int), down: make(map[string]time.Time), stable: now}
 			s.reset(t.bounds)
 			t.services[name] = s
 		}
@@ -127,7 +131,9 @@
 	if versions := versionsOf(view.Servers); !slices.Equal(versions, s.versions) {
 		s.versions, s.stable = versions, now
 	}
-	s.view, s.standing = *view, newStanding(view, bounds.Share)
+	maps.DeleteFunc(s.down, func(_ string, until time.Time) bool { return !now.Before(until) })
+	s.view = *view
+	s.derive(bounds)
 	state := view.State
 	switch {
 	case view.Order != nil && *view.Order != s.order:
@@ -150,6 +156,14 @@
 	}
 }
 
+// derive derives the standing from the view.
+func (s *service) derive(bounds Bounds) {
+	s.standing = newStanding(&s.view, bounds.Share, func(id string) bool {
+		_, down := s.down[id]
+		return down
+	})
+}
+
 // heardAge moves back the time at which the order arrived.
 func (s *service) heardAge(age time.Duration, now time.Time) {
 	if at := now.Add(-age); at.Before(s.orderSeen) {
@@ -302,7 +316,8 @@
 	serial   uint64
 	route    string
 	version  string
-	server   uint64
+	id       string // of the server
+	server   uint64 // hash of it
 	side     Side
 	counted  bool
 	began    time.Time
@@ -326,7 +341,7 @@
 	if !s.standing.allows(version, s.finding.Bad, staleness) {
 		return nil, false
 	}
-	a := &Attempt{tracker: t, service: s, serial: s.serial, route: route, version: version, server: xxhash.Sum64String(server), began: now, expected: expected}
+	a := &Attempt{tracker: t, service: s, serial: s.serial, route: route, version: version, id: server, server: xxhash.Sum64String(server), began: now, expected: expected}
 	a.side, a.counted = s.sideOf(version)
 	a.counted = a.counted && s.counts()
 	s.running[version]++
@@ -394,6 +409,19 @@
 	case Broken:
 		a.brokenAt = now
 		a.recordFault(true, now)
+	case Unreachable:
+		a.recordDown(now)
+	}
+}
+
+// recordDown makes others than the attempt's server exposed.
+func (a *Attempt) recordDown(now time.Time) {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	s := a.service
+	if _, known := s.down[a.id]; !known && a.side == New && a.counted && len(s.down) < len(s.view.Servers) {
+		s.down[a.id] = now.Add(downTime)
+		s.derive(a.tracker.bounds)
 	}
 }
 
@@ -431,6 +459,7 @@
 		a.postpone(a.brokenAt)
 		return
 	}
+	a.recordDown(a.brokenAt)
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
 	if a.counted && a.serial == a.service.serial {
@@ -464,7 +493,7 @@
 // serving returns the numbers of servers of both sides that get requests.
 func (s *service) serving() (n [2]int) {
 	for _, server := range s.view.Servers {
-		if side, ok := s.sideOf(server.Software); ok && (side == Old || s.standing.exposed == nil || slices.Contains(s.standing.exposed, server.ID)) {
+		if side, ok := s.sideOf(server.Software); ok && (side == Old || s.standing.exposed == nil || s.standing.exposed[server.ID]) {
 			n[side]++
 		}
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -25,8 +25,11 @@
 	case failure.Code == verdict.CodeCancelled: // by the watchdog, not by the client
 		failure = verdict.Wrap(failure, failure.Verdict, verdict.CodeBackendFailed, "%s does not respond", r.req.Log.Server)
 	}
-	if failure.Verdict != verdict.NotRun {
+	switch {
+	case failure.Verdict != verdict.NotRun:
 		r.setRolloutOutcome(brokenOutcome(ctx, err))
+	case ctx.Err() == nil:
+		r.setRolloutOutcome(canary.Unreachable)
 	}
 	r.endAttempt(attempt, outcome)
 	if failure.Verdict != verdict.NotRun {
