canary: count attempts that wait for too long at once

Cause: a version that never answers has no responses to count, and on routes with time-outs of 5 to 15 s its attempts end after the move has begun. Change: attempts of both sides count as slow once they have waited for the slow limit.

--- a/internal/canary/analysis.go
+++ b/internal/canary/analysis.go
@@ -191,12 +191,20 @@
 	if m == slowGaps {
 		oldTimes, newTimes = &o.Gaps, &n.Gaps
 	}
-	total := oldTimes.total()
-	if total < minOldTimes {
+	limit, ok := slowLimit(oldTimes)
+	if !ok {
 		return sample{}, false
 	}
-	limit := oldTimes.median() + bucketsPerOctave*math.Log2(slowFactor)
-	return sample{total, oldTimes.above(limit), newTimes.total(), newTimes.above(limit)}, true
+	return sample{oldTimes.total(), oldTimes.above(limit), newTimes.total(), newTimes.above(limit)}, true
+}
+
+// slowLimit returns the position on the scale of the buckets from which a time is slow. ok is
+// false if there are too few times of the old side.
+func slowLimit(old *Histogram) (position float64, ok bool) {
+	if old.total() < minOldTimes {
+		return 0, false
+	}
+	return old.median() + bucketsPerOctave*math.Log2(slowFactor), true
 }
 
 // compare adds a sample to its series and tests it.
--- a/internal/canary/replay_test.go
+++ b/internal/canary/replay_test.go
@@ -264,6 +264,7 @@
 		"all bad at once":  {vary(func(l *load) { l.behavior = behavior{fails: 1} }), false, 20},
 		"slow at once":     {vary(func(l *load) { l.behavior = behavior{slow: 0.3, factor: 4} }), false, 20},
 		"slow by three":    {vary(func(l *load) { l.behavior = behavior{slow: 1, factor: 3} }), false, 20},
+		"hangs":            {vary(func(l *load) { l.behavior = behavior{slow: 0.5, factor: 1000} }), false, 20},
 		"bad later":        {vary(func(l *load) { l.behavior = behavior{fails: 0.3, after: 4 * time.Second} }), false, 20},
 		"slow later":       {vary(func(l *load) { l.behavior = behavior{slow: 0.4, factor: 4, after: 4 * time.Second} }), false, 20},
 		"bad under load":   {vary(func(l *load) { l.behavior = behavior{fails: 0.4, underLoad: 0.4} }), false, 20},
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -22,6 +22,8 @@
 	maxPending = 1024
 	// downTime is how long a server that could not be reached is not exposed, if others can be.
 	downTime = 2 * time.Second
+	// maxOpen bounds the attempts that are watched for their first byte or event.
+	maxOpen = 8192
 	// gapEvents is the number of events after which the mean time between them is counted.
 	gapEvents = 8
 	// prefillFloor is added to the expected time to the first event of an engine, of which
@@ -82,6 +84,7 @@
 	total     *Evidence // with that of the other gateways
 	faults    faults
 	pending   []pendingFailure
+	open      map[*Attempt]struct{} // counted attempts without a first byte or event
 	analysis  analysis
 	finding   Finding
 	peers     map[string]*peerReport
@@ -124,7 +127,7 @@
 func (s *service) reset(bounds Bounds) {
 	s.gate, s.own, s.total = gate{}, NewEvidence(), NewEvidence()
 	s.faults, s.pending, s.analysis, s.finding = faults{}, nil, newAnalysis(bounds), Finding{}
-	s.peers = make(map[string]*peerReport)
+	s.peers, s.open = make(map[string]*peerReport), make(map[*Attempt]struct{})
 }
 
 func (s *service) update(view *View, bounds Bounds, now time.Time) {
@@ -323,6 +326,7 @@
 	began    time.Time
 	expected time.Duration
 	first    time.Time
+	late     bool // its time to the first byte or event has been counted; guarded by the tracker
 	events   int
 	ended    bool
 	brokenAt time.Time
@@ -345,6 +349,9 @@
 	a.side, a.counted = s.sideOf(version)
 	a.counted = a.counted && s.counts()
 	s.running[version]++
+	if a.counted && len(s.open) < maxOpen {
+		s.open[a] = struct{}{}
+	}
 	return a, true
 }
 
@@ -358,7 +365,7 @@
 	}
 	if a.first.IsZero() {
 		a.first = now
-		a.record(func(c *Counts) { c.First.Add(a.normalize(now.Sub(a.began))) })
+		a.recordFirst(now.Sub(a.began))
 		return
 	}
 	before := a.events
@@ -368,6 +375,40 @@
 	}
 }
 
+// recordFirst counts the time to the first byte or event, unless it was counted as late before.
+func (a *Attempt) recordFirst(d time.Duration) {
+	a.record(func(c *Counts) {
+		if !a.late {
+			c.First.Add(a.normalize(d))
+		}
+	})
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	a.late = true
+	delete(a.service.open, a)
+}
+
+// countLate counts the attempts of both sides that have waited for their first byte or event for
+// so long that they are slow: those of a version that never responds end too late.
+func (s *service) countLate(now time.Time) {
+	limits := make(map[string]float64, len(s.total.Routes))
+	for route, counts := range s.total.Routes {
+		if limit, ok := slowLimit(&counts[Old].First); ok {
+			limits[route] = limit
+		}
+	}
+	for a := range s.open {
+		waited := a.normalize(now.Sub(a.began))
+		if limit, ok := limits[a.route]; !ok || float64(bucketOf(waited)) <= limit {
+			continue
+		}
+		a.late = true
+		delete(s.open, a)
+		s.own.Counts(a.route)[a.side].First.Add(waited)
+		s.total.Counts(a.route)[a.side].First.Add(waited)
+	}
+}
+
 // normalize relates a time to the first event to the expected one: the servers of a new version
 // have no cached prompts.
 func (a *Attempt) normalize(d time.Duration) time.Duration {
@@ -396,6 +437,7 @@
 	a.ended = true
 	t, s := a.tracker, a.service
 	t.mu.Lock()
+	delete(s.open, a)
 	if s.running[a.version]--; s.running[a.version] <= 0 {
 		delete(s.running, a.version)
 	}
@@ -479,6 +521,7 @@
 		if !s.counts() || s.finding.Bad {
 			continue
 		}
+		s.countLate(now)
 		final := s.view.State.Phase == Observe && now.Sub(s.orderSeen) >= time.Duration(observeFraction*float64(s.order.Duration))
 		if s.finding = s.analysis.look(s.total, s.serving(), final, now); s.finding.Bad {
 			if found == nil {
