--- a/internal/canary/owner.go
+++ b/internal/canary/owner.go
@@ -34,6 +34,8 @@
 	// echoTime is how long a written state may take to come back through the follower before it
 	// is taken for lost.
 	echoTime = 2 * time.Second
+	// retryDelay is the time after a failed write until the next one.
+	retryDelay = 200 * time.Millisecond
 	// restoreDelay bounds the random delay before a gateway that is not the owner writes a
 	// terminal state again that a restored store has lost.
 	restoreDelay = 600 * time.Millisecond
@@ -86,6 +88,7 @@
 	status    statusKey // written last
 	lostSince time.Time // when the store's loss of the state was seen
 	delay     time.Duration
+	notBefore time.Time // of the next write, after a failed one
 	unknown   Order // logged
 }
 
@@ -154,7 +157,7 @@
 	if s.lostSince.IsZero() {
 		s.lostSince, s.delay = now, rand.N(restoreDelay)
 	}
-	if !owns && (!e.State.Phase.Terminal() || now.Sub(s.lostSince) < s.delay) {
+	if now.Before(s.notBefore) || !owns && (!e.State.Phase.Terminal() || now.Sub(s.lostSince) < s.delay) {
 		return
 	}
 	s.lostSince = now
@@ -171,6 +174,9 @@
 		}
 		return
 	}
+	if now.Before(s.notBefore) {
+		return
+	}
 	state := e.State
 	if s.written != nil && s.written.Supersedes(state) {
 		if now.Sub(s.writtenAt) < echoTime {
@@ -211,6 +217,7 @@
 		"exposure": state.Exposure, "elapsed_ms": state.Elapsed.Milliseconds(), "old": state.Old, "barred": state.Barred, "reason": state.Reason,
 	}
 	if _, err := o.opts.KV.CompareAndSwap(ctx, o.opts.Prefix+e.Service, text, e.Revision, 0); err != nil {
+		s.notBefore = time.Now().Add(retryDelay)
 		entry["error"] = err.Error()
 		logger.Warn(entry, "state of a rollout not written")
 		return false
@@ -243,6 +250,7 @@
 	defer cancel()
 	current, err := o.opts.KV.Get(ctx, name)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		s.notBefore = time.Now().Add(retryDelay)
 		return
 	}
 	if err != nil {
@@ -250,6 +258,7 @@
 	}
 	if !bytes.Equal(current.Value, value) {
 		if _, err := o.opts.KV.CompareAndSwap(ctx, name, value, current.Version, 0); err != nil {
+			s.notBefore = time.Now().Add(retryDelay)
 			logger.Warn(fields{"service": service, "error": err.Error()}, "status of a rollout not written")
 			return
 		}
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -154,6 +154,9 @@
 	if state.Phase != s.phase {
 		s.phase, s.phaseSeen = state.Phase, now
 	}
+	if state.Phase.Terminal() {
+		clear(s.peers) // their counts are not needed any more
+	}
 	if state.Order == s.order {
 		s.heardAge(state.Elapsed, now)
 	}
