--- a/internal/canary/owner.go
+++ b/internal/canary/owner.go
@@ -89,7 +89,7 @@
 	lostSince time.Time // when the store's loss of the state was seen
 	delay     time.Duration
 	notBefore time.Time // of the next write, after a failed one
-	unknown   Order // logged
+	unknown   Order     // logged
 }
 
 // statusKey identifies a status in one era of the store.
