--- a/internal/forward/meters.go
+++ b/internal/forward/meters.go
@@ -18,6 +18,7 @@
 	retries  metric.Int64Counter
 	takeUps  metric.Int64Counter
 	admitted metric.Int64Counter
+	rollout  metric.Int64Counter
 }
 
 var outcomeLabels = map[fleet.Outcome]metric.MeasurementOption{
@@ -45,6 +46,7 @@
 		resumed:  counter("wasabigate.forward.resumed", "{stream}", "Streams that went on at another backend server."),
 		takeUps:  counter("wasabigate.forward.take_ups", "{request}", "Requests for the rest of a stream, by service and refusal."),
 		admitted: counter("wasabigate.forward.admissions", "{request}", "Less urgent requests while servers are short of room, by service and decision."),
+		rollout:  counter("wasabigate.forward.rollout_choices", "{attempt}", "Attempts in services whose software versions are rolled out by orders, by service and reason of the choice."),
 		retries:  counter("wasabigate.forward.retries", "{retry}", "Retries that were asked for, by service and decision of the budget."),
 	}
 }
@@ -74,3 +76,11 @@
 	}
 	m.admitted.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
 }
+
+// countRollout counts an attempt by the reason for its software version.
+func (m *meters) countRollout(service, reason string) {
+	if reason == "" {
+		reason = "stream"
+	}
+	m.rollout.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("reason", reason)))
+}
