admission: workspaces that send rare requests get the share there is room for

Cause: a workspace without a request for ten seconds is forgotten, and a new one started with a whole credit. Change: a workspace that is unknown in a shortage gets at least the share of all, and its first credits go evenly through 0 to 1. Nothing else changes: workspaces known before the shortage, and all while there is none, are decided as before.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -60,6 +60,11 @@
 	share      float64 // admitted of all offers, at divided
 	limit      float64 // fair number of offers of a workspace, in decayed offers
 	sorted     []float64
+	// firstCredit is the credit of the latest workspace that was unknown
+	// in a shortage. It goes evenly through 0 to 1:
+	// with a whole credit for each, 0.66 of the requests of 1,000 workspaces that send one in
+	// 20 s were admitted instead of 0.3, since each is forgotten in between.
+	firstCredit float64
 }
 
 // offers is what a workspace offered lately.
@@ -87,8 +92,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	o := g.workspaces[workspace]
-	if o == nil {
+	unknown := o == nil
+	if unknown {
 		o = &offers{credit: 1, decayedAt: now}
+		if g.share < 1 {
+			g.firstCredit = math.Mod(g.firstCredit+math.Phi, 1)
+			o.credit = g.firstCredit
+		}
 		g.workspaces[workspace] = o
 	}
 	o.decay(now)
@@ -99,6 +109,9 @@
 	share = 1
 	if g.share < 1 {
 		share = max(minAdmitted, min(1, g.limit/o.count))
+		if unknown {
+			share = max(share, g.share)
+		}
 	}
 	o.credit = min(maxCredit, o.credit+share)
 	if o.credit < 1 {
