--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -25,7 +25,7 @@
 	store := &memoryStore{}
 	promising := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 	for _, code := range []verdict.Code{
-		verdict.CodeRateLimited, verdict.CodeOverloaded, verdict.CodeNoBackendServer, verdict.CodeWeightsMismatch, verdict.CodeStaleDocument, verdict.CodeDraining,
+		verdict.CodeRateLimited, verdict.CodeOverloaded, verdict.CodeNoRoom, verdict.CodeNoBackendServer, verdict.CodeWeightsMismatch, verdict.CodeStaleDocument, verdict.CodeDraining,
 		verdict.CodeStoreUnavailable, verdict.CodeQuarantined, verdict.CodeBackendFailed, verdict.CodeTimeout, verdict.CodeInternal, verdict.CodeStreamLost,
 	} {
 		for _, v := range []verdict.Verdict{verdict.MayHaveRun, verdict.Ran, verdict.NotRun} {
--- a/internal/httpapi/status_test.go
+++ b/internal/httpapi/status_test.go
@@ -19,7 +19,7 @@
 // A request that may have run is not answered with a status that promises the contrary,
 // whatever the code of its failure.
 func TestStatusPromisesNotRunOnlyIfSo(t *testing.T) {
-	for _, code := range []verdict.Code{verdict.CodeOverloaded, verdict.CodeNoBackendServer, verdict.CodeDraining, verdict.CodeRateLimited, verdict.CodeWeightsMismatch, verdict.CodeStoreUnavailable, verdict.CodeQuarantined} {
+	for _, code := range []verdict.Code{verdict.CodeOverloaded, verdict.CodeNoRoom, verdict.CodeNoBackendServer, verdict.CodeDraining, verdict.CodeRateLimited, verdict.CodeWeightsMismatch, verdict.CodeStoreUnavailable, verdict.CodeQuarantined} {
 		for _, v := range []verdict.Verdict{verdict.MayHaveRun, verdict.Ran, verdict.NotRun} {
 			server, _ := newServer(failingHandler{verdict.New(v, code, "failed")})
 			recorder := httptest.NewRecorder()
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -272,3 +272,67 @@
 		})
 	}
 }
+
+// Requests without a home go to the faster of two engines, also with a longer queue there, and
+// more so on routes that limit the gaps of streams.
+func TestFasterServerIsChosen(t *testing.T) {
+	q := queryFor("")
+	for _, c := range []struct {
+		name             string
+		slow, fast       float64
+		running, targets int // requests that the fast server runs more; routes with a limit of gaps
+		want             string
+	}{
+		{"faster", 0.6, 1.6, 0, 0, "e1"},
+		{"faster, with more requests", 0.6, 1.6, 60, 0, "e1"},
+		{"faster, but overcrowded", 0.6, 1.6, 2000, 0, "e0"},
+		{"a little faster, with more requests", 0.9, 1, 30, 0, "e0"},
+		{"a little faster, with more requests, gaps limited", 0.9, 1, 30, 1, "e1"},
+		{"speeds not known", 0, 0, 1, 1, "e0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			servers := engines(2)
+			servers[0].Speed, servers[1].Speed, servers[1].Running = c.slow, c.fast, c.running
+			q.TargetGap = time.Duration(c.targets) * 100 * time.Millisecond
+			if choice, _ := Pick(q, servers); choice.Server.ID != c.want {
+				t.Errorf("goes to %s, want %s: %+v", choice.Server.ID, c.want, choice)
+			}
+		})
+	}
+}
+
+// Homes must be in proportion to speed within the bounds, so that slow engines get fewer
+// requests but their memory is used. Without speeds, homes are those of equal speeds, so that
+// no parts move when speeds begin to be used.
+func TestHomesBySpeed(t *testing.T) {
+	servers, plain := engines(12), engines(12)
+	total := 0.0
+	for i := range servers {
+		servers[i].Speed = []float64{0.3, 0.6, 1, 2}[i%4]
+		total += min(maxHomeWeight, max(minHomeWeight, servers[i].Speed))
+	}
+	const parts = 12_000
+	homes := make(map[*Server]int)
+	for i := range parts {
+		d := decision{Query: queryFor(fmt.Sprint("part", i))}
+		usable, _ := d.filter(servers)
+		homes[d.homeOf(usable)]++
+		usual, _ := d.filter(plain)
+		before := d.homeOf(usual)
+		for _, s := range usual {
+			s.Speed = 1
+		}
+		if after := d.homeOf(usual); after != before {
+			t.Fatalf("part %d moves from %s to %s with equal speeds", i, before.ID, after.ID)
+		}
+		for _, s := range usual {
+			s.Speed = 0
+		}
+	}
+	for s, n := range homes {
+		want := parts * min(maxHomeWeight, max(minHomeWeight, s.Speed)) / total
+		if float64(n) < 0.85*want || float64(n) > 1.15*want {
+			t.Errorf("%s of speed %f is the home of %d parts, want %f", s.ID, s.Speed, n, want)
+		}
+	}
+}
