--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 )
@@ -165,3 +166,21 @@
 // A gateway that is one of many sees few requests of each workspace. They must get the share
 // for which there is room, too.
 func TestOccasionalRequests(t *testing.T) { checkShare(t, 10, 0.3, 400*time.Second) }
+
+// Requests of many connections ask one gate. The race detector must find nothing, and every
+// share must be within its bounds.
+func TestConcurrentAdmissions(t *testing.T) {
+	gate, now := NewGate(), time.Unix(1000, 0)
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			for n := range 2000 {
+				_, share := gate.Admit(fmt.Sprint("w", (i+n)%5), Room{Servers: 10, Occupancy: 0.6}, now.Add(time.Duration(n)*time.Millisecond))
+				if share < minAdmitted || share > 1 {
+					t.Errorf("share %f", share)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,3 +168,27 @@
 // Speeds are used only if a fifth of the servers differ, so that a single disrupted server
 // among equal ones gets as many requests as the others.
 func TestDisruptedServerAmongEqualOnes(t *testing.T) { checkDisruption(t, repeated(12, 1)) }
+
+// Streams record intervals while other requests are placed and lists change. The race detector
+// must find nothing, and no server may get a speed out of bounds.
+func TestConcurrentIntervalsAndViews(t *testing.T) {
+	p := newPaceTest(repeated(4, 0.6, 1, 1.6)...)
+	var group sync.WaitGroup
+	for i, interval := range p.intervals {
+		group.Go(func() {
+			for n := range 200 {
+				p.fleet.RecordInterval(fmt.Sprint("e", i), interval, 1)
+				at := start.Add(time.Duration(n) * speedInterval)
+				for _, server := range p.fleet.View(p.snapshot, "lm", "m", at) {
+					if server.Speed != 0 && (server.Speed < minSpeed || server.Speed > maxSpeed) {
+						t.Errorf("%s has speed %f", server.ID, server.Speed)
+					}
+				}
+				if n%50 == 0 {
+					p.fleet.Prune(p.snapshot)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
