--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -102,6 +102,7 @@
 		HTTPAddress:     r.text("http_address"),
 		ReadyAddress:    r.text("ready_address"),
 		MemoryLimit:     r.size("memory_limit"),
+		DescriptorLimit: r.integer("descriptor_limit"),
 		WeightsDeadline: r.duration("weights_deadline"),
 		OrderLease:      r.duration("order_lease"),
 		Retries:         buildRetries(r),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -96,6 +96,7 @@
 	HTTPAddress     string
 	ReadyAddress    string
 	MemoryLimit     int64         // bytes; 0: none
+	DescriptorLimit int64         // file descriptors; 0: the system's limit
 	WeightsDeadline time.Duration // time after which replaced weights are no longer used; 0: none
 	OrderLease      time.Duration // time for which one gateway alone may send orders
 	Retries         RetrySettings
