--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -285,15 +285,35 @@
 // Close implements io.Closer.
 func (nonRewindableReader) Close() error { return nil }
 
-// ReadBody reads the complete response body and closes it.
-func ReadBody(response *Response) ([]byte, error) {
+// firstReadBytes is the size of the buffer with which ReadBody begins.
+const firstReadBytes = 2 << 10
+
+// ReadBody reads the complete response body and closes it. admit, which may be nil, is called
+// with the size of the buffer before it grows; its error ends the reading and is returned.
+func ReadBody(response *Response, admit func(bytes int64) error) ([]byte, error) {
 	defer closeBody(response.Body)
-	content, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read response body")
-	}
-	if len(content) > MaxBodyBytes {
-		return nil, errors.Errorf("response body larger than %d bytes", MaxBodyBytes)
+	content := make([]byte, 0, firstReadBytes)
+	for {
+		n, err := response.Body.Read(content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		if len(content) > MaxBodyBytes {
+			return nil, errors.Errorf("response body larger than %d bytes", MaxBodyBytes)
+		}
+		if err == io.EOF {
+			return content, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read response body")
+		}
+		if len(content) < cap(content) {
+			continue
+		}
+		next := min(2*cap(content), MaxBodyBytes+firstReadBytes)
+		if admit != nil {
+			if err := admit(int64(next)); err != nil {
+				return nil, err
+			}
+		}
+		content = append(make([]byte, 0, next), content...)
 	}
-	return content, nil
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -52,7 +52,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := ReadBody(response); err != nil {
+			if _, err := ReadBody(response, nil); err != nil {
 				t.Fatal(err)
 			}
 			if want := fmt.Sprintln(method, "/a/b?q=1", "client.example", "kept", "w", body, []string{}, []string{}); got != want {
@@ -126,7 +126,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := ReadBody(response); err != nil {
+	if _, err := ReadBody(response, nil); err != nil {
 		t.Fatal(err)
 	}
 	call.RequestID = "r2" // with the first id it would be sent on another connection
@@ -182,14 +182,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if content, err := ReadBody(response); err == nil {
+	if content, err := ReadBody(response, nil); err == nil {
 		t.Errorf("truncated response %q was accepted", content)
 	}
 }
 
 func TestResponseTooLarge(t *testing.T) {
 	response := &Response{Body: io.NopCloser(strings.NewReader(strings.Repeat("x", MaxBodyBytes+1)))}
-	if _, err := ReadBody(response); err == nil {
+	if _, err := ReadBody(response, nil); err == nil {
 		t.Error("a response above the size limit was accepted")
 	}
 }
@@ -259,7 +259,7 @@
 					continue
 				}
 				served++
-				body, err := ReadBody(response)
+				body, err := ReadBody(response, nil)
 				if want := bodyOf(n); err != nil || string(body) != want {
 					t.Errorf("call %d: got %q, %v, want %q", n, body, err, want)
 				}
@@ -284,7 +284,7 @@
 			failed++
 			continue
 		}
-		if _, err := ReadBody(response); err != nil {
+		if _, err := ReadBody(response, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/backend/hostile_test.go
+++ b/internal/backend/hostile_test.go
@@ -62,7 +62,7 @@
 			defer cancel()
 			response, err := NewClient(testCodec{}).Do(ctx, callTo(address, http.MethodPost, "x"))
 			if err == nil {
-				_, err = ReadBody(response)
+				_, err = ReadBody(response, nil)
 			}
 			if err == nil || ctx.Err() != nil {
 				t.Errorf("got error %v, context %v, want an error before the deadline", err, ctx.Err())
@@ -128,7 +128,7 @@
 			response, err := NewClient(testCodec{}).Do(t.Context(), callTo(address, http.MethodPost, "x"))
 			var body []byte
 			if err == nil {
-				body, err = ReadBody(response)
+				body, err = ReadBody(response, nil)
 			}
 			if c.whole != (err == nil) || c.whole && string(body) != "body" {
 				t.Errorf("got %q, %v, want whole %v", body, err, c.whole)
@@ -172,7 +172,7 @@
 	go func() {
 		response, err := NewClient(testCodec{}).Do(ctx, callTo(address, http.MethodPost, "x"))
 		if err == nil {
-			_, err = ReadBody(response)
+			_, err = ReadBody(response, nil)
 		}
 		ended <- err
 	}()
--- /dev/null
+++ b/internal/clientbody/response.go
@@ -0,0 +1,82 @@
+package clientbody
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wasabigate/wasabigate/internal/clientconn"
+	"github.com/wasabigate/wasabigate/internal/clientmem"
+	"github.com/wasabigate/wasabigate/internal/clock"
+)
+
+// ErrNoRoom means that there is no memory for a response.
+var ErrNoRoom = errors.New("no memory for the response")
+
+var errUnread = errors.New("the client does not read the response")
+
+// Response accounts for a response that is read as a whole and written to a client. It is used by
+// one goroutine.
+type Response struct {
+	listener string
+	account  *clientmem.Account
+	control  *http.ResponseController
+	item     *clientmem.Item
+}
+
+// NewResponse returns the account of a response that will be written to w.
+func (d Reader) NewResponse(w http.ResponseWriter) *Response {
+	return &Response{listener: d.Listener, account: d.Account, control: http.NewResponseController(w)}
+}
+
+// Admit waits for memory for the first bytes of the response. It returns ErrNoRoom if there is none.
+func (p *Response) Admit(ctx context.Context, bytes int64) error {
+	if p == nil || p.account == nil || p.item == nil && bytes <= clientmem.SmallBytes {
+		return nil
+	}
+	now := time.Now()
+	if p.item == nil {
+		p.item = p.account.NewItem(func() { _ = p.control.SetWriteDeadline(time.Unix(1, 0)) }, now)
+		p.item.SetEvictable(false, now)
+	}
+	for end := now.Add(roomTimeout); !p.item.Resize(bytes, now); now = time.Now() {
+		if now.After(end) {
+			clientconn.Count(p.listener, clientconn.ReasonAnswerMemory)
+			return ErrNoRoom
+		}
+		if err := clock.Sleep(ctx, roomInterval); err != nil {
+			return errors.Wrap(err, "wait for memory for the response")
+		}
+	}
+	return nil
+}
+
+// Write writes the body. It returns an error if the client reads too slowly.
+func (p *Response) Write(w http.ResponseWriter, body []byte) error {
+	now := time.Now()
+	p.item.SetEvictable(true, now)
+	for written := 0; ; now = time.Now() {
+		if !p.item.Progress(int64(written), now) {
+			return p.unread(errUnread)
+		}
+		if written == len(body) {
+			return nil
+		}
+		_ = p.control.SetWriteDeadline(now.Add(stallTimeout)) // an error shows in the write
+		n, err := w.Write(body[written:min(len(body), written+writeBytes)])
+		written += n
+		if err != nil {
+			return p.unread(err)
+		}
+	}
+}
+
+func (p *Response) unread(err error) error {
+	clientconn.Count(p.listener, clientconn.ReasonUnread)
+	return err
+}
+
+// Release drops the response.
+func (p *Response) Release() { p.item.Release() }
--- a/internal/config/daemon_table.go
+++ b/internal/config/daemon_table.go
@@ -99,7 +99,7 @@
 	{Section: sectionGateway, Key: "memory_limit", Type: TypeSize, Default: "0B", Min: "0B", Max: "1024GiB",
 		Doc: "Memory of the process; 0B: no limit."},
 	{Section: sectionGateway, Key: "descriptor_limit", Type: TypeInteger, Unit: "descriptors", Default: "0", Min: "0", Max: "10000000",
-		Doc: "File descriptors of the process, half of which may be clients' connections; 0: the limit that the system sets."},
+		Doc: "File descriptors of the process, two fifths of which may be clients' connections; 0: the limit that the system sets."},
 	{Section: sectionGateway, Key: "weights_deadline", Type: TypeDuration, Default: "0s", Min: "0s", Max: "24h",
 		Doc: "Time after which weights that were replaced are not used any more; 0s: no limit."},
 	{Section: sectionGateway, Key: "order_lease", Type: TypeDuration, Default: "3s", Min: "1s", Max: "10m",
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -44,6 +44,9 @@
 	Header   http.Header // end-to-end headers, without those that the gateway sets itself
 	Body     []byte
 	Snapshot *deployment.Snapshot
+	// AdmitResponse waits for memory for the first bytes of a response that is read as a
+	// whole; nil: no bound. Its error is clientbody.ErrNoRoom or that of ctx.
+	AdmitResponse func(ctx context.Context, bytes int64) error
 
 	Route     *deployment.Route     // set by match
 	Deadline  time.Time             // set by match
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/clientbody"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
@@ -104,7 +105,15 @@
 
 // readWhole reads a response that is not a stream to its end.
 func (r *activeRequest) readWhole(ctx context.Context, attempt *fleet.Attempt, resp *backend.Response, success bool) (*Response, *verdict.Error) {
-	body, err := backend.ReadBody(resp)
+	var admit func(int64) error
+	if r.req.AdmitResponse != nil {
+		admit = func(bytes int64) error { return r.req.AdmitResponse(ctx, bytes) }
+	}
+	body, err := backend.ReadBody(resp, admit)
+	if errors.Is(err, clientbody.ErrNoRoom) {
+		r.endAttempt(attempt, fleet.Succeeded) // the server is not to blame
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "no memory for the response")
+	}
 	if err != nil {
 		r.checkCrash(ctx, time.Time{})
 		return nil, r.asTimeout(ctx, r.handleBadResponse(attempt, resp, err))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,8 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/clientconn"
+	"github.com/wasabigate/wasabigate/internal/clientmem"
 	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -58,13 +60,17 @@
 	// memoryFraction is the fraction of the memory limit that is set as the Go
 	// runtime's soft limit; the rest is for kernel buffers and stacks.
 	memoryFraction = 0.7
+	// clientFraction is the fraction of the memory limit for what is held for clients. Half of
+	// the limit is left for the gateway's own state and for garbage; see clientmem for what may
+	// be held beyond the account while it is being dropped.
+	clientFraction = 0.4
 	// unlistedPeerTTL is how long a gateway that the store does not list still shares
 	// the workspaces' rates after it was last seen in an exchange.
 	unlistedPeerTTL = 2 * time.Second
 	// readHeaderTimeout is how long a client may take to send a request's headers.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long an unused client connection stays open if the configuration
-	// does not limit that. It exceeds readHeaderTimeout; see idleConn.
+	// does not limit that. It exceeds readHeaderTimeout; see clientconn.
 	idleTimeout = 5 * time.Minute
 )
 
@@ -96,6 +102,7 @@
 	limits   *limits
 	exchange *peering.Exchange
 	ingress  *ingress
+	memory   *clientmem.Account // of what is held for clients
 	// quarantine is shared with the other gateways through exchange.
 	quarantine   *quarantine.Quarantine
 	crashes      *savedCrashes
@@ -164,6 +171,7 @@
 		cache:    kvcache.NewDirectory(),
 		streams:  streamversion.NewDecider(),
 		dialer:   rpc.NewDialer(nil),
+		memory:   clientmem.New(int64(float64(settings.Gateway.MemoryLimit) * clientFraction)),
 	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
 	g.limits = newLimits(settings, g.dialer)
@@ -214,7 +222,7 @@
 		},
 	})
 	g.keeper = g.newKeeper()
-	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain())
+	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain(), g.memory)
 	return g
 }
 
@@ -304,12 +312,12 @@
 		return err
 	}
 	g.startBackground(ctx, background, group)
-	clients := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	readiness := &http.Server{Handler: g.ingress.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	admin := &http.Server{Handler: adminHandler(metricsHandler), ReadHeaderTimeout: readHeaderTimeout}
-	serveHTTP(group, clients, idleListener{open.clients, g.idleLimit})
-	serveHTTP(group, readiness, open.readiness)
-	serveHTTP(group, admin, open.admin)
+	clients := g.newClientServer()
+	readiness := newSmallServer(g.ingress.readinessHandler())
+	admin := newSmallServer(adminHandler(metricsHandler))
+	serveHTTP(group, clients, g.boundClients(open.clients, clients))
+	serveHTTP(group, readiness, boundSmall(open.readiness, listenerReadiness, readiness))
+	serveHTTP(group, admin, boundSmall(open.admin, listenerAdmin, admin))
 	logger.Info(fields{"name": g.settings.Daemon.Name, "zone": g.settings.Daemon.AvailabilityZone, "clients": g.settings.Gateway.HTTPAddress}, "gateway started")
 	select {
 	case <-ctx.Done():
@@ -410,7 +418,8 @@
 	if err := g.newOperatorService().register(mux); err != nil {
 		return err
 	}
-	group.Go(func() error { return rpc.Serve(ctx, listener, mux, nil, logRPCError) })
+	bounded := clientconn.Listen(listener, clientconn.Options{Name: listenerRPC, MaxConns: g.share(rpcShare)})
+	group.Go(func() error { return rpc.Serve(ctx, bounded, mux, nil, logRPCError) })
 	return nil
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -14,6 +14,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/backend"
+	"github.com/wasabigate/wasabigate/internal/clientbody"
+	"github.com/wasabigate/wasabigate/internal/clientmem"
 	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/follower"
@@ -53,13 +55,15 @@
 	handler        forward.Handler
 	echo           *echo.Echo
 	requestMetrics requestMetrics
+	bodies         clientbody.Reader
 	draining       atomic.Bool  // each response closes its connection
 	refusing       atomic.Bool  // new requests are refused
 	running        atomic.Int64 // accepted requests without a complete response
 }
 
-func newIngress(f *follower.Follower, headers Headers, handler forward.Handler) *ingress {
+func newIngress(f *follower.Follower, headers Headers, handler forward.Handler, account *clientmem.Account) *ingress {
 	in := &ingress{follower: f, headers: headers, handler: handler, echo: echo.New(), requestMetrics: newRequestMetrics()}
+	in.bodies = clientbody.Reader{Listener: listenerClients, Account: account}
 	in.echo.HideBanner = true
 	in.echo.HidePort = true
 	in.echo.Any("/*", in.forward)
@@ -133,21 +137,25 @@
 		return in.writeError(w, req, errStopping())
 	}
 	defer in.running.Add(-1)
-	var err error
-	req.Body, err = readBody(w, r, req.Snapshot.Config)
+	body, held, err := in.bodies.Read(w, r, bodyLimit(req.Snapshot.Config))
 	if err != nil {
 		return in.writeError(w, req, err)
 	}
+	defer held.Release()
+	req.Body = body
 	// The body may have come slowly: what was known at the head of the request is out of date.
 	if in.refusing.Load() {
 		return in.writeError(w, req, errStopping())
 	}
 	req.Snapshot = in.follower.Snapshot()
+	answer := in.bodies.NewResponse(w)
+	defer answer.Release()
+	req.AdmitResponse = answer.Admit
 	response, err := in.handler.Handle(r.Context(), req)
 	if err != nil {
 		return in.writeError(w, req, err)
 	}
-	in.writeResponse(r.Context(), w, req, response)
+	in.writeResponse(r.Context(), w, req, response, answer)
 	return nil
 }
 
@@ -171,28 +179,16 @@
 	}
 }
 
-// readBody reads the whole body, so that a retry can send it again.
-func readBody(w http.ResponseWriter, r *http.Request, current *deployment.Config) ([]byte, error) {
-	limit := int64(defaultBodyBytes)
+// bodyLimit returns the largest size of a request's body.
+func bodyLimit(current *deployment.Config) int64 {
 	if current != nil && current.Limits.BodyBytes > 0 {
-		limit = current.Limits.BodyBytes
+		return current.Limits.BodyBytes
 	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body has more than %d bytes", limit)
-	}
-	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "the body can't be read")
-	}
-	return body, nil
+	return defaultBodyBytes
 }
 
 // writeResponse writes a backend server's response to the client.
-func (in *ingress) writeResponse(ctx context.Context, w http.ResponseWriter, req *forward.Request, response *forward.Response) {
+func (in *ingress) writeResponse(ctx context.Context, w http.ResponseWriter, req *forward.Request, response *forward.Response, answer *clientbody.Response) {
 	header := w.Header()
 	removeHopByHop(response.Header)
 	for name, values := range response.Header {
@@ -201,7 +197,7 @@
 	if response.Events == nil {
 		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 		w.WriteHeader(response.Status)
-		_, err := w.Write(response.Body)
+		err := answer.Write(w, response.Body)
 		in.logResponse(req, response.Status, err)
 		return
 	}
--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -29,7 +29,7 @@
 		verdict.CodeStoreUnavailable, verdict.CodeQuarantined, verdict.CodeBackendFailed, verdict.CodeTimeout, verdict.CodeInternal, verdict.CodeStreamLost,
 	} {
 		for _, v := range []verdict.Verdict{verdict.MayHaveRun, verdict.Ran, verdict.NotRun} {
-			in := newIngress(follower.New(platform.Store(store), store, nil), testHeaders{}, failingHandler{verdict.New(v, code, "failed")})
+			in := newIngress(follower.New(platform.Store(store), store, nil), testHeaders{}, failingHandler{verdict.New(v, code, "failed")}, nil)
 			recorder := httptest.NewRecorder()
 			in.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/x", nil))
 			if slices.Contains(promising, recorder.Code) != (v == verdict.NotRun) {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -49,6 +49,7 @@
 	CodeNotFound         Code = "not_found"
 	CodeModelNotFound    Code = "model_not_found"
 	CodeTooLarge         Code = "request_too_large"
+	CodeSlowRequest      Code = "request_too_slow"
 	CodeCostAboveBurst   Code = "cost_above_burst"
 	CodeRateLimited      Code = "rate_limit_exceeded"
 	CodeOverloaded       Code = "overloaded"
@@ -79,6 +80,7 @@
 	CodeNotFound:         http.StatusNotFound,
 	CodeModelNotFound:    http.StatusNotFound,
 	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeSlowRequest:      http.StatusRequestTimeout,
 	CodeCostAboveBurst:   http.StatusBadRequest,
 	CodeRateLimited:      http.StatusTooManyRequests,
 	CodeOverloaded:       http.StatusServiceUnavailable,
