clientconn: idle connections give way when there are too many

Cause: after the crowd of unread responses, connections that were idle after a request held all slots; the test's configuration has no idle time-out, so they stayed for five minutes and an ordinary request got none. Ruled out: memory (the account was empty) and running requests (none, by the log). Change: when the bound is reached, the connection that waited longest for its client is closed: incomplete heads, stalled bodies and writes first, then those idle for longest, each after at least a second.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -34,8 +34,8 @@
 	// perClientShare is the part of all connections that one address may open. It is large
 	// because many clients may share the address of a load balancer.
 	perClientShare = 0.75
-	// unusedAge is the age at which a connection without a complete head may be closed for
-	// a new one.
+	// unusedAge is the age at which a connection without a complete head, or without a
+	// request since its last one, may be closed for a new one when there are too many.
 	unusedAge = time.Second
 	// stalledAge is how long a body or a write to the client may make no progress before its
 	// connection may be closed for a new one.
@@ -129,22 +129,23 @@
 	return c
 }
 
-// unusedLocked returns the connection that has waited longest for the client, or has been idle for
-// nearly the time-out, so that its client does not use it again. An empty client means any.
+// unusedLocked returns the connection that has waited longest for its client, or, if there is none,
+// the one that has been idle for longest. An empty client means any.
 func (l *Listener) unusedLocked(client string, now time.Time) *conn {
 	if !l.options.HTTP || now.Before(l.nextScan) {
 		return nil
 	}
 	l.nextScan = now.Add(scanInterval)
-	idle := l.options.Limits().IdleTimeout * 9 / 10
 	var oldest *conn
 	var longest time.Duration
+	var oldestIdle bool
 	for c := range l.conns {
 		if client != "" && c.client != client {
 			continue
 		}
-		if age := c.unusedFor(now, idle); age > longest {
-			oldest, longest = c, age
+		age, idle := c.unusedFor(now)
+		if age > 0 && (oldest == nil || oldestIdle && !idle || oldestIdle == idle && age > longest) {
+			oldest, longest, oldestIdle = c, age, idle
 		}
 	}
 	if oldest != nil {
@@ -216,8 +217,8 @@
 }
 
 // unusedFor returns how long the connection has waited for the client, or 0 if it may not be
-// closed for another one. The caller holds listener.mu.
-func (c *conn) unusedFor(now time.Time, idle time.Duration) time.Duration {
+// closed for another one, and whether it is idle after a request. The caller holds listener.mu.
+func (c *conn) unusedFor(now time.Time) (age time.Duration, idle bool) {
 	age, least := now.Sub(c.since), unusedAge
 	writing, reading := c.writing.Load(), c.reading.Load()
 	switch {
@@ -226,16 +227,14 @@
 	case reading != 0:
 		age, least = now.Sub(time.Unix(0, reading)), stalledAge
 	case c.inRequest.Load():
-		return 0
-	case c.served && idle == 0:
-		return 0
-	case c.served:
-		least = idle
+		return 0, false
+	default:
+		idle = c.served
 	}
 	if age < least {
-		return 0
+		return 0, false
 	}
-	return age
+	return age, idle
 }
 
 // Read implements net.Conn.
