Bounds on routers, sidecars and RPC listeners; tests at the limits

Cause: the account covered only the gateways' client listener, and the charge of a long head outlived its connection when that closed without becoming idle. Change: RPC messages are charged from their first byte to the response; routers read bodies through clientbody and have deadlines on writes; [router] and [sidecar] get memory_limit; charges of heads end with the connection. Test changed: load_test lists the known settings of [router], which has one more.

--- a/internal/clientbody/response.go
+++ b/internal/clientbody/response.go
@@ -80,3 +80,14 @@
 
 // Release drops the response.
 func (p *Response) Release() { p.item.Release() }
+
+// WriteAll writes a body to a client, with a floor on its progress but without an account.
+func (d Reader) WriteAll(w http.ResponseWriter, body []byte) error {
+	return (&Response{listener: d.Listener, control: http.NewResponseController(w)}).Write(w, body)
+}
+
+// LimitWrite bounds the time until the next bytes are written to a client.
+func LimitWrite(w http.ResponseWriter) {
+	// An error means that there is no connection.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stallTimeout))
+}
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -27,6 +27,8 @@
 	fieldBytes = 200
 	// headFactor covers the copy that is made of a head when it is parsed.
 	headFactor = 2
+	// messageFactor covers the decoded copy of a message that is read over RPC.
+	messageFactor = 2
 	// refusalLinger is how long the rest of a refused head is read, so that the client can
 	// read the response before it is reset; lingerBytes bounds what is read.
 	refusalLinger = 300 * time.Millisecond
@@ -58,8 +60,10 @@
 	// HeadTimeout is the server's ReadHeaderTimeout. Read deadlines beyond it are those of idle
 	// connections.
 	HeadTimeout time.Duration
-	Account     *clientmem.Account
-	Limits      func() Limits // nil: the defaults
+	// Account is charged for connections, long heads and messages. With HTTP it also bounds the
+	// number of connections.
+	Account *clientmem.Account
+	Limits  func() Limits // nil: the defaults
 }
 
 // Listener accepts connections within its bounds and closes the others.
@@ -79,7 +83,7 @@
 	if options.Limits == nil {
 		options.Limits = func() Limits { return Limits{} }
 	}
-	if most := options.Account.MaxConns(); most > 0 && (options.MaxConns == 0 || most < options.MaxConns) {
+	if most := options.Account.MaxConns(); options.HTTP && most > 0 && (options.MaxConns == 0 || most < options.MaxConns) {
 		options.MaxConns = most
 	}
 	return &Listener{Listener: inner, options: options, conns: make(map[*conn]struct{}), clients: make(map[string]int)}
@@ -179,6 +183,8 @@
 	case http.StateActive:
 		c.inRequest.Store(true)
 		c.head.SetEvictable(false, time.Now())
+	case http.StateClosed:
+		c.head.Release()
 	case http.StateIdle:
 		l.mu.Lock()
 		c.since, c.served = time.Now(), true
@@ -208,9 +214,13 @@
 	since  time.Time // opened, or idle since; guarded by listener.mu
 	served bool      // has carried a request; guarded by listener.mu
 
-	writing    atomic.Int64 // when the write that is running began, in Unix nanoseconds; 0: none
-	reading    atomic.Int64 // when the last part of the body that is read arrived; 0: none is read
-	inRequest  atomic.Bool  // a head is complete and its response is not
+	writing   atomic.Int64 // when the write that is running began, in Unix nanoseconds; 0: none
+	reading   atomic.Int64 // when the last part of the body that is read arrived; 0: none is read
+	inRequest atomic.Bool  // a head is complete and its response is not
+	// Of a listener without HTTP.
+	message     atomic.Int64 // bytes read since the last write
+	messageItem atomic.Pointer[clientmem.Item]
+
 	headBytes  int64
 	headFields int64
 	head       *clientmem.Item // nil for a short head
@@ -243,7 +253,10 @@
 	if c.reading.Load() != 0 {
 		c.reading.Store(time.Now().UnixNano())
 	}
-	if n == 0 || !c.listener.options.HTTP || c.inRequest.Load() {
+	if !c.listener.options.HTTP {
+		return n, c.admitMessage(n, err)
+	}
+	if n == 0 || c.inRequest.Load() {
 		return n, err
 	}
 	c.headBytes += int64(n)
@@ -269,6 +282,28 @@
 	return n, err
 }
 
+// admitMessage charges the bytes of a message that is read over RPC: those since the last write,
+// as each message is answered before the next one. A refusal closes the connection.
+func (c *conn) admitMessage(n int, err error) error {
+	message := c.message.Add(int64(n))
+	if message <= clientmem.SmallBytes || c.listener.options.Account == nil {
+		return err
+	}
+	now := time.Now()
+	item := c.messageItem.Load()
+	if item == nil {
+		item = c.listener.options.Account.NewItem(func() { _ = c.Close() }, now)
+		c.messageItem.Store(item)
+	}
+	item.Progress(message, now)
+	if !item.Resize(messageFactor*message, now) {
+		Count(c.listener.options.Name, ReasonMessageMemory)
+		item.Release()
+		return os.ErrDeadlineExceeded
+	}
+	return err
+}
+
 const (
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	noRoom       = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -299,6 +334,10 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Store(time.Now().UnixNano())
 	defer c.writing.Store(0)
+	c.message.Store(0)
+	if item := c.messageItem.Swap(nil); item != nil {
+		item.Release()
+	}
 	return c.Conn.Write(p)
 }
 
@@ -338,6 +377,7 @@
 		c.listener.removeLocked(c)
 		c.listener.mu.Unlock()
 		c.listener.options.Account.CloseConn()
+		c.messageItem.Load().Release()
 	}
 	return c.Conn.Close()
 }
--- a/internal/clientconn/metrics.go
+++ b/internal/clientconn/metrics.go
@@ -16,14 +16,15 @@
 
 // Reasons for which clients are refused or cut off.
 const (
-	ReasonConnections  = "connections"   // too many connections
-	ReasonUnused       = "unused"        // an unused connection was closed for a new one
-	ReasonHeadSize     = "head_size"     // a head above the limit
-	ReasonHeadMemory   = "head_memory"   // no memory for a long head
-	ReasonBodyMemory   = "body_memory"   // no memory for a body
-	ReasonBodySlow     = "body_slow"     // a body without sufficient progress
-	ReasonUnread       = "unread"        // a response that the client did not read
-	ReasonAnswerMemory = "answer_memory" // no memory for a response
+	ReasonConnections   = "connections"    // too many connections
+	ReasonUnused        = "unused"         // an unused connection was closed for a new one
+	ReasonHeadSize      = "head_size"      // a head above the limit
+	ReasonHeadMemory    = "head_memory"    // no memory for a long head
+	ReasonMessageMemory = "message_memory" // no memory for a message over RPC
+	ReasonBodyMemory    = "body_memory"    // no memory for a body
+	ReasonBodySlow      = "body_slow"      // a body without sufficient progress
+	ReasonUnread        = "unread"         // a response that the client did not read
+	ReasonAnswerMemory  = "answer_memory"  // no memory for a response
 )
 
 var refused, _ = otel.Meter("wasabigate/clientconn").Int64Counter("wasabigate.clients.refused",
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -68,6 +68,7 @@
 	return RouterSettings{
 		HTTPAddress:   r.text("http_address"),
 		MaxBodyBytes:  r.size("max_body_bytes"),
+		MemoryLimit:   r.size("memory_limit"),
 		Policy:        r.text("policy"),
 		LimitWait:     r.duration("limit_wait"),
 		PrefixEntries: int(r.integer("prefix_entries")),
@@ -90,6 +91,7 @@
 		MaxConcurrent:   int(r.integer("max_concurrent")),
 		QueueLimit:      int(r.integer("queue_limit")),
 		AgeingBound:     r.duration("ageing_bound"),
+		MemoryLimit:     r.size("memory_limit"),
 		StreamRetention: r.duration("stream_buffer"),
 	}
 }
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -43,7 +43,7 @@
 			`line 14: [router] policy: "best" is not one of own, round-robin, least-loaded, prefix-hash`,
 			"line 15: [router] limit_wait: 1h is out of range: 0s to 1m",
 			`line 16: [router] max_body_bytes: "8MB" is not a size: an integer with B, KiB, MiB or GiB`,
-			"line 17: [router] speed: unknown setting: the known ones are http_address, max_body_bytes, policy, limit_wait, prefix_entries, retry_ratio, retry_window, retry_slack",
+			"line 17: [router] speed: unknown setting: the known ones are http_address, max_body_bytes, memory_limit, policy, limit_wait, prefix_entries, retry_ratio, retry_window, retry_slack",
 			"line 18: [routers] unknown section: the known ones are daemon, platform, tls, log, router, sidecar and gateway"}},
 		{"duplicate section", validSettings + "[log]\n[log]\n", nil, []string{"line 15: [log] is already defined in line 14"}},
 		{"host name as rpc address", strings.Replace(validSettings, "127.0.0.1:7400", "router:7400", 1), nil, []string{
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -67,6 +67,7 @@
 type RouterSettings struct {
 	HTTPAddress   string
 	MaxBodyBytes  int64
+	MemoryLimit   int64  // bytes; 0: none
 	Policy        string // own, round-robin, least-loaded or prefix-hash
 	LimitWait     time.Duration
 	PrefixEntries int // maximum entries of the learned prefix index
@@ -88,6 +89,7 @@
 	MaxConcurrent   int           // maximum requests sent to the backend server at once
 	QueueLimit      int           // maximum waiting requests
 	AgeingBound     time.Duration // wait after which a deferrable request counts as urgent
+	MemoryLimit     int64         // bytes; 0: none
 	StreamRetention time.Duration // how long a finished or abandoned stream can be resumed
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,8 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/wasabigate/wasabigate/internal/clientconn"
+	"github.com/wasabigate/wasabigate/internal/clientmem"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/configstore"
 	"github.com/wasabigate/wasabigate/internal/control"
@@ -34,6 +36,15 @@
 // readHeaderTimeout bounds the time in which a client must send the request header.
 const readHeaderTimeout = 10 * time.Second
 
+// idleTimeout is how long an unused connection of a caller stays open.
+const idleTimeout = 5 * time.Minute
+
+// connShare: each listener may have a third of the process's descriptors as connections.
+const connShare = 3
+
+// memoryShare is the share of the memory limit for what is held for callers and peers.
+const memoryShare = 0.4
+
 // base holds what daemons of both roles share.
 type base struct {
 	settings *config.Settings
@@ -41,6 +52,7 @@
 	dialer   *rpc.Dialer
 	tlsFiles *tlsconf.Files
 	metrics  http.Handler
+	memory   *clientmem.Account // of what is held for callers and peers; nil: no limit
 	loop     *control.Loop
 	mux      *drpcmux.Mux
 }
@@ -79,6 +91,7 @@
 		kv:       client.NewKV(settings.Platform.KeyValue, settings.Platform.Timeout),
 		dialer:   rpc.NewDialerFunc(tlsFiles.DialContext),
 		metrics:  metricsHandler,
+		memory:   clientmem.New(int64(float64(memoryLimit(settings)) * memoryShare)),
 		mux:      drpcmux.New(),
 	}
 	defer b.dialer.Close()
@@ -89,6 +102,14 @@
 	return b.serve(ctx, r)
 }
 
+// memoryLimit returns the memory of the process; 0: no limit.
+func memoryLimit(settings *config.Settings) int64 {
+	if settings.Daemon.Role == config.RoleRouter {
+		return settings.Router.MemoryLimit
+	}
+	return settings.Sidecar.MemoryLimit
+}
+
 // assemble builds the control loop and the role.
 func (b *base) assemble() (role, error) {
 	var r role
@@ -153,7 +174,13 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout, TLSConfig: b.tlsFiles.Callers()}
+	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, TLSConfig: b.tlsFiles.Callers()}
+	if httpListener != nil {
+		bounded := clientconn.Listen(httpListener, clientconn.Options{Name: "callers", HTTP: true, MaxConns: clientconn.Descriptors(0) / connShare, Account: b.memory})
+		server.ConnState = bounded.OnState
+		httpListener = bounded
+	}
+	rpcListener = clientconn.Listen(rpcListener, clientconn.Options{Name: "rpc", MaxConns: clientconn.Descriptors(0) / connShare, Account: b.memory})
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, background := errgroup.WithContext(background)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -107,6 +107,7 @@
 		Handler:  r.chain(routing, q),
 		Inflight: r.inflight,
 		Metrics:  b.metrics,
+		Memory:   b.memory,
 	})
 	return r, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -418,7 +418,7 @@
 	if err := g.newOperatorService().register(mux); err != nil {
 		return err
 	}
-	bounded := clientconn.Listen(listener, clientconn.Options{Name: listenerRPC, MaxConns: g.share(rpcShare)})
+	bounded := clientconn.Listen(listener, clientconn.Options{Name: listenerRPC, MaxConns: g.share(rpcShare), Account: g.memory})
 	group.Go(func() error { return rpc.Serve(ctx, bounded, mux, nil, logRPCError) })
 	return nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -176,8 +176,8 @@
 
 func startSystem(t *testing.T) *system { return startGateway(t, &memoryStore{}, "g1") }
 
-// startGateway starts a gateway on a store that others may share.
-func startGateway(t *testing.T, store *memoryStore, name string) *system {
+// startGateway starts a gateway on a store that others may share, with further settings.
+func startGateway(t *testing.T, store *memoryStore, name string, change ...func(*config.Settings)) *system {
 	open := &listeners{clients: listenLoopback(t), readiness: listenLoopback(t), rpc: listenLoopback(t)}
 	s := &system{store: store, done: make(chan error, 1), settings: &config.Settings{
 		Daemon: config.DaemonSettings{Name: name, AvailabilityZone: "a", RPCAddress: open.rpc.Addr().String(), DrainTimeout: 8 * time.Second},
@@ -187,6 +187,9 @@
 			Retries: config.RetrySettings{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}, LimitWait: 50 * time.Millisecond,
 		},
 	}}
+	for _, set := range change {
+		set(s.settings)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
 	s.gateway = newGateway(s.settings, Platform{
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"math"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/clientconn"
@@ -32,21 +30,11 @@
 	smallHeadBytes = 16 << 10
 )
 
-// descriptors returns the number of file descriptors that the process may have.
-func (g *Gateway) descriptors() int {
-	if limit := g.settings.Gateway.DescriptorLimit; limit > 0 {
-		return int(limit)
-	}
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-		return math.MaxInt32
-	}
-	return int(limit.Cur)
+// share returns a share of the process's descriptors.
+func (g *Gateway) share(part float64) int {
+	return int(float64(clientconn.Descriptors(g.settings.Gateway.DescriptorLimit)) * part)
 }
 
-// share returns a share of the descriptors.
-func (g *Gateway) share(part float64) int { return int(float64(g.descriptors()) * part) }
-
 // newClientServer returns the HTTP server of the clients' listener.
 func (g *Gateway) newClientServer() *http.Server {
 	return &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
--- a/internal/httpapi/call.go
+++ b/internal/httpapi/call.go
@@ -25,16 +25,17 @@
 	if req.Route.IsGeneration() {
 		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for %s %s", c.Request().Method, c.Request().URL.Path)
 	}
-	body, err := readBody(c.Response(), c.Request(), s.options.Settings.Router.MaxBodyBytes)
+	body, held, err := s.bodies.Read(c.Response(), c.Request(), s.options.Settings.Router.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
+	defer held.Release()
 	req.Call = newCall(c.Request(), req, body)
 	if req.Call.GetOnce() {
 		c.Response().Header().Set(HeaderIdempotencyKey, req.Call.GetIdempotencyKey())
 	}
 	return s.run(c, req, func(ctx context.Context, stream request.Stream) error {
-		return writeReply(ctx, c, stream)
+		return s.writeReply(ctx, c, stream)
 	})
 }
 
@@ -76,7 +77,7 @@
 }
 
 // writeReply writes the plain service's reply as the response.
-func writeReply(ctx context.Context, c echo.Context, stream request.Stream) error {
+func (s *Server) writeReply(ctx context.Context, c echo.Context, stream request.Stream) error {
 	for {
 		frame, err := stream.Next(ctx)
 		if err == io.EOF {
@@ -86,12 +87,12 @@
 			return err
 		}
 		if reply := frame.GetReply(); reply != nil {
-			return sendReply(c, reply)
+			return s.sendReply(c, reply)
 		}
 	}
 }
 
-func sendReply(c echo.Context, reply *wire.Reply) error {
+func (s *Server) sendReply(c echo.Context, reply *wire.Reply) error {
 	if status := int(reply.GetStatus()); verdict.PromisesNotRun(status) {
 		return verdict.New(verdict.Ran, verdict.CodeBackendFailed, "the service answered with status %d", status)
 	}
@@ -108,6 +109,5 @@
 		header.Set(HeaderReplayed, "true")
 	}
 	c.Response().WriteHeader(int(reply.GetStatus()))
-	_, err := c.Response().Write(reply.GetBody())
-	return err
+	return s.bodies.WriteAll(c.Response(), reply.GetBody())
 }
--- a/internal/httpapi/events.go
+++ b/internal/httpapi/events.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/wasabigate/wasabigate/internal/clientbody"
 )
 
 // eventWriter writes server-sent events and flushes after each frame.
@@ -66,6 +68,7 @@
 }
 
 func (w *eventWriter) flush() error {
+	clientbody.LimitWrite(w.response)
 	if _, err := w.response.Write(w.buffer); err != nil {
 		return err
 	}
--- a/internal/httpapi/generate.go
+++ b/internal/httpapi/generate.go
@@ -7,6 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/wasabigate/wasabigate/internal/clientbody"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/request"
 	"github.com/wasabigate/wasabigate/internal/verdict"
@@ -21,10 +22,11 @@
 	if req.ResumeToken != "" {
 		return s.resume(c, req)
 	}
-	body, err := readBody(c.Response(), c.Request(), s.options.Settings.Router.MaxBodyBytes)
+	body, held, err := s.bodies.Read(c.Response(), c.Request(), s.options.Settings.Router.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
+	defer held.Release()
 	chat := c.Request().URL.Path == pathChat
 	parsed, err := parseCompletion(body, chat)
 	if err != nil {
@@ -71,6 +73,7 @@
 		recorder.observe(frame)
 		text = append(text, frame.GetTokens().GetText()...)
 		if tail := frame.GetTail(); tail != nil {
+			clientbody.LimitWrite(c.Response())
 			return c.JSON(http.StatusOK, builder.fullCompletion(string(text), tail))
 		}
 	}
--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"hash/fnv"
-	"io"
-	"net/http"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -89,19 +87,6 @@
 	return nil
 }
 
-// readBody reads the request body, which may have at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is larger than %d bytes", limit)
-	}
-	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "the body can't be read")
-	}
-	return body, nil
-}
-
 // parseCompletion parses and validates the body of a generation path.
 func parseCompletion(body []byte, chat bool) (*completionBody, error) {
 	var parsed completionBody
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -10,6 +10,8 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"github.com/wasabigate/wasabigate/internal/clientbody"
+	"github.com/wasabigate/wasabigate/internal/clientmem"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/control"
 	"github.com/wasabigate/wasabigate/internal/credential"
@@ -44,6 +46,7 @@
 	Handler  request.Handler // the filter chain
 	Inflight *inflight.Registry
 	Metrics  http.Handler
+	Memory   *clientmem.Account // of what is held for callers; nil: no limit
 }
 
 // Server serves callers' HTTP requests.
@@ -51,11 +54,12 @@
 	options Options
 	echo    *echo.Echo
 	metrics *metrics
+	bodies  clientbody.Reader
 }
 
 // New returns a Server.
 func New(options Options) *Server {
-	s := &Server{options: options, echo: echo.New(), metrics: newMetrics()}
+	s := &Server{options: options, echo: echo.New(), metrics: newMetrics(), bodies: clientbody.Reader{Listener: "callers", Account: options.Memory}}
 	s.echo.HideBanner = true
 	s.echo.HidePort = true
 	s.echo.HTTPErrorHandler = s.handleError
