--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -27,8 +27,9 @@
 	fieldBytes = 200
 	// headFactor covers the copy that is made of a head when it is parsed.
 	headFactor = 2
-	// messageFactor covers the decoded copy of a message that is read over RPC.
-	messageFactor = 2
+	// messageFactor covers the copies of a message that is read over RPC: its buffer, which grows
+	// by doubling, the buffer before it, and the decoded message.
+	messageFactor = 4
 	// refusalLinger is how long the rest of a refused head is read, so that the client can
 	// read the response before it is reset; lingerBytes bounds what is read.
 	refusalLinger = 300 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// memoryFraction is the fraction of the memory limit that is set as the Go
 	// runtime's soft limit; the rest is for kernel buffers and stacks.
 	memoryFraction = 0.7
+	// fixedMemory is left to the pages of the program and other memory outside the Go heap,
+	// which is 16 to 20 MiB whatever the limit. It matters for limits below 80 MiB.
+	fixedMemory = 24 << 20
 	// clientFraction is the fraction of the memory limit for what is held for clients. Half of
 	// the limit is left for the gateway's own state and for garbage; see clientmem for what may
 	// be held beyond the account while it is being dropped.
@@ -118,7 +121,7 @@
 	}
 	defer flush()
 	if limit := settings.Gateway.MemoryLimit; limit > 0 {
-		debug.SetMemoryLimit(int64(float64(limit) * memoryFraction))
+		debug.SetMemoryLimit(softMemoryLimit(limit))
 	}
 	metricsHandler, err := metrics.Setup()
 	if err != nil {
@@ -131,6 +134,11 @@
 	return newGateway(settings, adapter).serve(ctx, open, metricsHandler)
 }
 
+// softMemoryLimit returns the Go runtime's soft limit in a process of the given memory.
+func softMemoryLimit(limit int64) int64 {
+	return max(limit/4, min(int64(float64(limit)*memoryFraction), limit-fixedMemory))
+}
+
 // listeners holds the open sockets of a gateway.
 type listeners struct {
 	clients   net.Listener
