--- a/internal/clientconn/metrics.go
+++ b/internal/clientconn/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/wasabigate/wasabigate/internal/clientmem"
 	"github.com/wasabigate/wasabigate/internal/logging"
 )
 
@@ -60,3 +61,17 @@
 		logger.Warn(logging.Fields{"listener": listener, "reason": reason, "count": number}, "client refused")
 	}
 }
+
+// RegisterMemoryGauge registers a gauge of what an account holds for clients.
+func RegisterMemoryGauge(account *clientmem.Account) {
+	meter := otel.Meter("wasabigate/clientconn")
+	_, err := meter.Int64ObservableGauge("wasabigate.clients.memory", metric.WithUnit("By"),
+		metric.WithDescription("Memory held for clients, of the account derived from memory_limit."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(account.Used())
+			return nil
+		}))
+	if err != nil {
+		otel.Handle(err)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,6 +95,7 @@
 		mux:      drpcmux.New(),
 	}
 	defer b.dialer.Close()
+	clientconn.RegisterMemoryGauge(b.memory)
 	r, err := b.assemble()
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,7 @@
 	g.follower = follower.New(g.store, adapter.Layout, g.onSnapshot)
 	g.limits.follower = g.follower
 	registerStateGauges(g.follower)
+	clientconn.RegisterMemoryGauge(g.memory)
 	g.quarantine = quarantine.New(g.mayProbe)
 	g.crashes = &savedCrashes{
 		quarantine: g.quarantine, store: g.store, self: settings.Daemon.RPCAddress,
