Buffers of bodies grow fourfold; crowds at routers and sidecars; soft limit there

Ruled out: the account (within its limit). Change: buffers grow fourfold, and the previous buffer is charged while the body is read. Routers and sidecars with a memory_limit set the Go runtime's soft limit as gateways do.

--- a/internal/clientbody/clientbody.go
+++ b/internal/clientbody/clientbody.go
@@ -95,19 +95,24 @@
 			item.Progress(int64(len(body)), now)
 			continue
 		}
-		next := nextSize(cap(body), r.ContentLength)
+		next := min(nextSize(cap(body), r.ContentLength), max(limit+1, int64(cap(body))+1))
 		if item == nil && next > clientmem.SmallBytes {
 			item = d.Account.NewItem(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, began)
 		}
-		if next > clientmem.SmallBytes && !item.Resize(next, now) {
+		// The present buffer stays in memory until it is collected.
+		if next > clientmem.SmallBytes && !item.Resize(next+int64(cap(body)), now) {
 			return nil, item, d.noRoom()
 		}
 		item.Progress(int64(len(body)), now)
 		body = append(make([]byte, 0, next), body...)
 	}
-	if !item.SetEvictable(false, time.Now()) {
+	now := time.Now()
+	if !item.SetEvictable(false, now) {
 		return nil, item, d.noRoom()
 	}
+	if item != nil {
+		item.Resize(int64(cap(body)), now) // less than before
+	}
 	_ = control.SetReadDeadline(time.Time{}) // also for the read that watches for the client's leaving
 	return body, item, nil
 }
@@ -121,9 +126,13 @@
 	return byRate
 }
 
+// growth is the factor by which a buffer grows. A factor of 2 leaves as much garbage as the
+// body has bytes; this one leaves a third.
+const growth = 4
+
 // nextSize returns the size to which a full buffer grows.
 func nextSize(size int, declared int64) int64 {
-	next := 2 * int64(size)
+	next := growth * int64(size)
 	if declared > int64(size) {
 		return min(next, declared)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,9 +43,6 @@
 // connShare: each listener may have a third of the process's descriptors as connections.
 const connShare = 3
 
-// memoryShare is the share of the memory limit for what is held for callers and peers.
-const memoryShare = 0.4
-
 // base holds what daemons of both roles share.
 type base struct {
 	settings *config.Settings
@@ -77,6 +75,9 @@
 	if err := logging.Setup(os.Stderr, settings.Log.Level, settings.Log.Format); err != nil {
 		return err
 	}
+	if limit := memoryLimit(settings); limit > 0 {
+		debug.SetMemoryLimit(clientmem.SoftHeapLimit(limit))
+	}
 	metricsHandler, err := metrics.Setup()
 	if err != nil {
 		return err
@@ -91,7 +92,7 @@
 		kv:       client.NewKV(settings.Platform.KeyValue, settings.Platform.Timeout),
 		dialer:   rpc.NewDialerFunc(tlsFiles.DialContext),
 		metrics:  metricsHandler,
-		memory:   clientmem.New(int64(float64(memoryLimit(settings)) * memoryShare)),
+		memory:   clientmem.ForProcess(memoryLimit(settings)),
 		mux:      drpcmux.New(),
 	}
 	defer b.dialer.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,16 +57,6 @@
 	// shutdownMargin is the part of the drain time-out reserved for the steps after the
 	// HTTP server has shut down.
 	shutdownMargin = 500 * time.Millisecond
-	// memoryFraction is the fraction of the memory limit that is set as the Go
-	// runtime's soft limit; the rest is for kernel buffers and stacks.
-	memoryFraction = 0.7
-	// fixedMemory is left to the pages of the program and other memory outside the Go heap,
-	// which is 16 to 20 MiB whatever the limit. It matters for limits below 80 MiB.
-	fixedMemory = 24 << 20
-	// clientFraction is the fraction of the memory limit for what is held for clients. Half of
-	// the limit is left for the gateway's own state and for garbage; see clientmem for what may
-	// be held beyond the account while it is being dropped.
-	clientFraction = 0.4
 	// unlistedPeerTTL is how long a gateway that the store does not list still shares
 	// the workspaces' rates after it was last seen in an exchange.
 	unlistedPeerTTL = 2 * time.Second
@@ -121,7 +111,7 @@
 	}
 	defer flush()
 	if limit := settings.Gateway.MemoryLimit; limit > 0 {
-		debug.SetMemoryLimit(softMemoryLimit(limit))
+		debug.SetMemoryLimit(clientmem.SoftHeapLimit(limit))
 	}
 	metricsHandler, err := metrics.Setup()
 	if err != nil {
@@ -134,11 +124,6 @@
 	return newGateway(settings, adapter).serve(ctx, open, metricsHandler)
 }
 
-// softMemoryLimit returns the Go runtime's soft limit in a process of the given memory.
-func softMemoryLimit(limit int64) int64 {
-	return max(limit/4, min(int64(float64(limit)*memoryFraction), limit-fixedMemory))
-}
-
 // listeners holds the open sockets of a gateway.
 type listeners struct {
 	clients   net.Listener
@@ -179,7 +164,7 @@
 		cache:    kvcache.NewDirectory(),
 		streams:  streamversion.NewDecider(),
 		dialer:   rpc.NewDialer(nil),
-		memory:   clientmem.New(int64(float64(settings.Gateway.MemoryLimit) * clientFraction)),
+		memory:   clientmem.ForProcess(settings.Gateway.MemoryLimit),
 	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
 	g.limits = newLimits(settings, g.dialer)
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -46,6 +46,8 @@
 	document string
 	// sidecar is appended to the sidecars' settings.
 	sidecar string
+	// router is appended to the routers' settings.
+	router string
 	// deadlyBody is the body of calls that end the process of a plain service; empty: none.
 	deadlyBody string
 	// certificates is the directory of the daemons' certificates; empty: plain
@@ -169,7 +171,7 @@
 		s.addService(t, p, i, settings)
 	}
 	for i := range p.routers {
-		s.addRouter(t, i, scheme, settings)
+		s.addRouter(t, p, i, scheme, settings)
 	}
 	s.vms.SetLag(p.vmListLag)
 	for _, r := range s.routers {
@@ -302,11 +304,11 @@
 	return v
 }
 
-func (s *system) addRouter(t *testing.T, i int, scheme string, settings settingsFor) {
+func (s *system) addRouter(t *testing.T, p plan, i int, scheme string, settings settingsFor) {
 	t.Helper()
 	address, httpAddress := freeAddress(), freeAddress()
 	name := fmt.Sprintf("router-%d", i)
-	text := fmt.Sprintf(settings(name, "router", address), s.peersSetting()) + "[router]\nhttp_address = " + httpAddress + "\nretry_slack = 1000\n" // faults follow the start at once
+	text := fmt.Sprintf(settings(name, "router", address), s.peersSetting()) + "[router]\nhttp_address = " + httpAddress + "\nretry_slack = 1000\n" + p.router // faults follow the start at once
 	r := &router{process: newProcess(t, name, text), url: scheme + httpAddress}
 	s.vms.Set(platform.VM{Name: name, Address: address, AvailabilityZone: "zone-1", Group: platform.GroupRouters, State: platform.VMLive})
 	s.routers = append(s.routers, r)
