clientconn: no plain response on TLS; unused RPC connections give way

Cause: a 431 or 503 for an incomplete head was written in plain text under TLS, and RPC connections that never carried anything could hold all places of that listener. Change: under TLS the connection is closed; RPC connections without a byte received give way after a second. Measured: systemtest TLS and Untrusted tests pass.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -57,7 +57,12 @@
 type Options struct {
 	Name     string // in metrics and log lines
 	MaxConns int    // 0: no limit
-	HTTP     bool   // heads are limited, and unused connections may be closed for new ones
+	// HTTP says that heads are limited, and that connections which wait for their client may be
+	// closed for new ones. Without it, only those on which nothing was received may be.
+	HTTP bool
+	// TLS says that the connections carry TLS, in which no response can be written here: a
+	// connection with a refused head is closed.
+	TLS bool
 	// HeadTimeout is the server's ReadHeaderTimeout. Read deadlines beyond it are those of idle
 	// connections.
 	HeadTimeout time.Duration
@@ -137,7 +142,7 @@
 // unusedLocked returns the connection that has waited longest for its client, or, if there is none,
 // the one that has been idle for longest. An empty client means any.
 func (l *Listener) unusedLocked(client string, now time.Time) *conn {
-	if !l.options.HTTP || now.Before(l.nextScan) {
+	if now.Before(l.nextScan) {
 		return nil
 	}
 	l.nextScan = now.Add(scanInterval)
@@ -219,6 +224,7 @@
 	reading   atomic.Int64 // when the last part of the body that is read arrived; 0: none is read
 	inRequest atomic.Bool  // a head is complete and its response is not
 	// Of a listener without HTTP.
+	received    atomic.Bool  // anything
 	message     atomic.Int64 // bytes read since the last write
 	messageItem atomic.Pointer[clientmem.Item]
 
@@ -233,6 +239,9 @@
 	age, least := now.Sub(c.since), unusedAge
 	writing, reading := c.writing.Load(), c.reading.Load()
 	switch {
+	case !c.listener.options.HTTP && c.received.Load():
+		return 0, false // a call may be running
+	case !c.listener.options.HTTP:
 	case writing != 0:
 		age, least = now.Sub(time.Unix(0, writing)), stalledAge
 	case reading != 0:
@@ -286,6 +295,9 @@
 // admitMessage charges the bytes of a message that is read over RPC: those since the last write,
 // as each message is answered before the next one. A refusal closes the connection.
 func (c *conn) admitMessage(n int, err error) error {
+	if n > 0 && !c.received.Load() {
+		c.received.Store(true)
+	}
 	message := c.message.Add(int64(n))
 	if message <= clientmem.SmallBytes || c.listener.options.Account == nil {
 		return err
@@ -322,6 +334,9 @@
 func (c *conn) refuse(reason, response string) error {
 	Count(c.listener.options.Name, reason)
 	c.head.Release()
+	if c.listener.options.TLS {
+		return os.ErrDeadlineExceeded
+	}
 	deadline := time.Now().Add(refusalLinger)
 	_ = c.Conn.SetDeadline(deadline) // an error shows in the write
 	if _, err := io.WriteString(c.Conn, response); err == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,7 +178,7 @@
 	}
 	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, TLSConfig: b.tlsFiles.Callers()}
 	if httpListener != nil {
-		bounded := clientconn.Listen(httpListener, clientconn.Options{Name: "callers", HTTP: true, MaxConns: clientconn.Descriptors(0) / connShare, Account: b.memory})
+		bounded := clientconn.Listen(httpListener, clientconn.Options{Name: "callers", HTTP: true, TLS: server.TLSConfig != nil, MaxConns: clientconn.Descriptors(0) / connShare, Account: b.memory})
 		server.ConnState = bounded.OnState
 		httpListener = bounded
 	}
