--- a/internal/backend/early_test.go
+++ b/internal/backend/early_test.go
@@ -35,7 +35,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if body, err := ReadBody(response); (err == nil) != c.whole {
+			if body, err := ReadBody(response, nil); (err == nil) != c.whole {
 				t.Errorf("got %q, %v, want whole %v", body, err, c.whole)
 			}
 		})
@@ -86,7 +86,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if body, err := ReadBody(response); (err == nil) != c.reads || c.reads && string(body) != "body" {
+			if body, err := ReadBody(response, nil); (err == nil) != c.reads || c.reads && string(body) != "body" {
 				t.Errorf("got %q, %v, want whole %v", body, err, c.reads)
 			}
 			close(ended)
--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -105,7 +105,7 @@
 			response, err := client.Do(ctx, call)
 			var body []byte
 			if err == nil {
-				body, err = ReadBody(response)
+				body, err = ReadBody(response, nil)
 			} else if verdict.From(err).Verdict != verdict.MayHaveRun {
 				t.Fatalf("%s: %v, though it was sent", id, err)
 			}
--- a/internal/backend/status_test.go
+++ b/internal/backend/status_test.go
@@ -30,7 +30,7 @@
 				call.RequestID = fmt.Sprint("r", n+1)
 				response, err := client.Do(t.Context(), call)
 				if err == nil {
-					_, err = ReadBody(response)
+					_, err = ReadBody(response, nil)
 				}
 				if failure := verdict.From(err); valid != (err == nil) || failure != nil && (failure.Verdict != verdict.MayHaveRun || failure.Status() != http.StatusBadGateway) {
 					t.Errorf("got %v, want valid %v", err, valid)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -67,6 +67,7 @@
 type RouterSettings struct {
 	HTTPAddress   string
 	MaxBodyBytes  int64
+	MemoryLimit   int64  // bytes; 0: none
 	Policy        string // own, round-robin, least-loaded or prefix-hash
 	LimitWait     time.Duration
 	PrefixEntries int // maximum entries of the learned prefix index
@@ -88,6 +89,7 @@
 	MaxConcurrent   int           // maximum requests sent to the backend server at once
 	QueueLimit      int           // maximum waiting requests
 	AgeingBound     time.Duration // wait after which a deferrable request counts as urgent
+	MemoryLimit     int64         // bytes; 0: none
 	StreamRetention time.Duration // how long a finished or abandoned stream can be resumed
 }
 
@@ -103,6 +105,7 @@
 	HTTPAddress     string
 	ReadyAddress    string
 	MemoryLimit     int64         // bytes; 0: none
+	DescriptorLimit int64         // file descriptors; 0: the system's limit
 	WeightsDeadline time.Duration // time after which replaced weights are no longer used; 0: none
 	OrderLease      time.Duration // time for which one gateway alone may send orders
 	Retries         RetrySettings
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/backend"
 	"github.com/wasabigate/wasabigate/internal/canary"
+	"github.com/wasabigate/wasabigate/internal/clientbody"
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/eventstream"
 	"github.com/wasabigate/wasabigate/internal/fleet"
@@ -115,7 +116,15 @@
 	if success {
 		r.rollout.attempt.Events(1, time.Now())
 	}
-	body, err := backend.ReadBody(resp)
+	var admit func(int64) error
+	if r.req.AdmitResponse != nil {
+		admit = func(bytes int64) error { return r.req.AdmitResponse(ctx, bytes) }
+	}
+	body, err := backend.ReadBody(resp, admit)
+	if errors.Is(err, clientbody.ErrNoRoom) {
+		r.endAttempt(attempt, fleet.Succeeded) // the server is not to blame
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "no memory for the response")
+	}
 	if err != nil {
 		r.setRolloutOutcome(brokenOutcome(ctx, err))
 		r.checkCrash(ctx, time.Time{})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,8 @@
 
 	"github.com/wasabigate/wasabigate/internal/backend"
 	"github.com/wasabigate/wasabigate/internal/canary"
+	"github.com/wasabigate/wasabigate/internal/clientconn"
+	"github.com/wasabigate/wasabigate/internal/clientmem"
 	"github.com/wasabigate/wasabigate/internal/clock"
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -56,16 +58,13 @@
 	// shutdownMargin is the part of the drain time-out reserved for the steps after the
 	// HTTP server has shut down.
 	shutdownMargin = 500 * time.Millisecond
-	// memoryFraction is the fraction of the memory limit that is set as the Go
-	// runtime's soft limit; the rest is for kernel buffers and stacks.
-	memoryFraction = 0.7
 	// unlistedPeerTTL is how long a gateway that the store does not list still shares
 	// the workspaces' rates after it was last seen in an exchange.
 	unlistedPeerTTL = 2 * time.Second
 	// readHeaderTimeout is how long a client may take to send a request's headers.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long an unused client connection stays open if the configuration
-	// does not limit that. It exceeds readHeaderTimeout; see idleConn.
+	// does not limit that. It exceeds readHeaderTimeout; see clientconn.
 	idleTimeout = 5 * time.Minute
 )
 
@@ -101,6 +100,7 @@
 	limits   *limits
 	exchange *peering.Exchange
 	ingress  *ingress
+	memory   *clientmem.Account // of what is held for clients
 	// quarantine is shared with the other gateways through exchange.
 	quarantine   *quarantine.Quarantine
 	crashes      *savedCrashes
@@ -116,7 +116,7 @@
 	}
 	defer flush()
 	if limit := settings.Gateway.MemoryLimit; limit > 0 {
-		debug.SetMemoryLimit(int64(float64(limit) * memoryFraction))
+		debug.SetMemoryLimit(clientmem.SoftHeapLimit(limit))
 	}
 	metricsHandler, err := metrics.Setup()
 	if err != nil {
@@ -170,12 +170,14 @@
 		streams:  streamversion.NewDecider(),
 		dialer:   rpc.NewDialer(nil),
 		canary:   newTracker(settings),
+		memory:   clientmem.ForProcess(settings.Gateway.MemoryLimit),
 	}
 	g.store = adapter.Store(settings.Platform.KeyValue)
 	g.limits = newLimits(settings, g.dialer)
 	g.follower = follower.New(g.store, adapter.Layout, g.onSnapshot)
 	g.limits.follower = g.follower
 	registerStateGauges(g.follower)
+	clientconn.RegisterMemoryGauge(g.memory)
 	g.quarantine = quarantine.New(g.mayProbe)
 	g.crashes = &savedCrashes{
 		quarantine: g.quarantine, store: g.store, self: settings.Daemon.RPCAddress,
@@ -222,7 +224,7 @@
 	})
 	g.keeper = g.newKeeper()
 	g.owner = g.newCanaryOwner()
-	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain())
+	g.ingress = newIngress(g.follower, adapter.Headers, g.newChain(), g.memory)
 	return g
 }
 
@@ -314,12 +316,12 @@
 		return err
 	}
 	g.startBackground(ctx, background, group)
-	clients := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	readiness := &http.Server{Handler: g.ingress.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	admin := &http.Server{Handler: adminHandler(metricsHandler), ReadHeaderTimeout: readHeaderTimeout}
-	serveHTTP(group, clients, idleListener{open.clients, g.idleLimit})
-	serveHTTP(group, readiness, open.readiness)
-	serveHTTP(group, admin, open.admin)
+	clients := g.newClientServer()
+	readiness := newSmallServer(g.ingress.readinessHandler())
+	admin := newSmallServer(adminHandler(metricsHandler))
+	serveHTTP(group, clients, g.boundClients(open.clients, clients))
+	serveHTTP(group, readiness, boundSmall(open.readiness, listenerReadiness, readiness))
+	serveHTTP(group, admin, boundSmall(open.admin, listenerAdmin, admin))
 	logger.Info(fields{"name": g.settings.Daemon.Name, "zone": g.settings.Daemon.AvailabilityZone, "clients": g.settings.Gateway.HTTPAddress}, "gateway started")
 	select {
 	case <-ctx.Done():
@@ -423,7 +425,8 @@
 	if err := g.newOperatorService().register(mux); err != nil {
 		return err
 	}
-	group.Go(func() error { return rpc.Serve(ctx, listener, mux, nil, logRPCError) })
+	bounded := clientconn.Listen(listener, clientconn.Options{Name: listenerRPC, MaxConns: g.share(rpcShare), Account: g.memory})
+	group.Go(func() error { return rpc.Serve(ctx, bounded, mux, nil, logRPCError) })
 	return nil
 }
 
