--- a/cmd/wasabigated/main.go
+++ b/cmd/wasabigated/main.go
@@ -73,6 +73,7 @@
 			Engines: func(observe rollout.Observe) rollout.Engines { return platform.NewEngines(observe) },
 
 			RolloutStatus: platform.RolloutStatus,
+			ShortOfRoom:   platform.ShortOfRoom,
 		})
 	}
 	return daemon.Run(ctx, settings)
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -35,6 +35,7 @@
 		PieceStore:  r.text("piece_store"),
 		Timeout:     r.duration("timeout"),
 		VMListLag:   r.duration("vm_list_lag"),
+		Contracts:   r.text("contracts"),
 	}
 }
 
--- a/internal/config/daemon_table.go
+++ b/internal/config/daemon_table.go
@@ -41,6 +41,8 @@
 		Doc: "Timeout of one call."},
 	{Section: sectionPlatform, Key: "vm_list_lag", Type: TypeDuration, Default: "10s", Min: "0s", Max: "10m",
 		Doc: "Largest lag of the VM list. A lost router's shards move after this wait."},
+	{Section: sectionPlatform, Key: "contracts", Type: TypeText,
+		Doc: "Names of the platform's contracts in force, separated by commas. With pressure, gateways refuse less urgent requests while engines are short of room."},
 
 	{Section: sectionTLS, Key: "plaintext", Type: TypeBoolean, Default: "no",
 		Doc: "Allows connections without TLS, between daemons and towards callers."},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -44,6 +44,7 @@
 	PieceStore  string        // base URL of the store for KV cache; empty: none
 	Timeout     time.Duration // of one call
 	VMListLag   time.Duration // longest delay before a change shows in the VM list
+	Contracts   string        // names of the contracts in force, separated by commas
 }
 
 // TLSSettings is the section [tls]: mutual TLS 1.3 between daemons, and TLS for
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -35,7 +35,7 @@
 // than others. Retries and the rest of streams are not refused: what was done for them
 // would be lost.
 func (r *activeRequest) admit(query *placement.Query, servers []placement.Server, now time.Time) *verdict.Error {
-	if !query.Engine || r.req.Log.Attempts > 0 || r.delivered || continues(r.req) || !r.req.Snapshot.Config.LessUrgent(r.req.Route, r.service) {
+	if !r.relay.AdmitByRoom || !query.Engine || r.req.Log.Attempts > 0 || r.delivered || continues(r.req) || !r.req.Snapshot.Config.LessUrgent(r.req.Route, r.service) {
 		return nil
 	}
 	room := roomOf(servers)
--- a/internal/forward/admit_test.go
+++ b/internal/forward/admit_test.go
@@ -31,7 +31,7 @@
 	other.Name, other.Prefix, other.Priority = "other", "/other", 2
 	config.Routes = append(config.Routes, other)
 	a.snapshot = (&deployment.Snapshot{Config: config.Index(), Servers: testSnapshot(urgent).Servers}).Index()
-	a.relay = NewRelay(Relay{ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: a, Budget: &fakeBudget{left: 1000},
+	a.relay = NewRelay(Relay{AdmitByRoom: true, ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: a, Budget: &fakeBudget{left: 1000},
 		Source: func() *deployment.Snapshot { return a.snapshot }})
 	loads := make(map[string]fleet.Load)
 	for id, server := range a.snapshot.Servers {
@@ -121,3 +121,14 @@
 		})
 	}
 }
+
+// TestAdmissionIsOptional guards against refusals in deployments that do not ask for them.
+func TestAdmissionIsOptional(t *testing.T) {
+	a := newAdmissionTest(completeStream)
+	a.relay.AdmitByRoom = false
+	for range 20 {
+		if failure, _ := a.serve("/other", nil); failure != nil && failure.Code == verdict.CodeNoRoom {
+			t.Fatal(failure)
+		}
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -74,6 +74,7 @@
 	Access        *serveraccess.Access // nil: a new one with Limits
 	Streams       *streamversion.Decider
 	Canary        *canary.Tracker      // of rollouts of software versions; nil: there are none
+	AdmitByRoom   bool                 // less urgent requests are refused while engines are short of room
 	Assignments   Assignments          // nil: those of the snapshots are up to date
 	OtherGateways OtherGateways        // nil: there are none
 	Processes     Processes            // nil: servers are not asked
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 	Engines func(observe rollout.Observe) rollout.Engines
 	// RolloutStatus encodes how far the rollout of a software version is; nil: none is rolled out.
 	RolloutStatus canary.Status
+	// ShortOfRoom reports whether contracts are those of a deployment whose engines can be short
+	// of room, so that less urgent requests are refused; nil: they never are.
+	ShortOfRoom func(contracts string) bool
 }
 
 // Gateway is the gateway daemon.
@@ -258,6 +261,7 @@
 		Access:        g.access,
 		Streams:       g.streams,
 		Canary:        g.canary,
+		AdmitByRoom:   g.platform.ShortOfRoom != nil && g.platform.ShortOfRoom(g.settings.Platform.Contracts),
 		OtherGateways: g.exchange,
 		Assignments:   newAssignmentReader(g.store),
 		Outdated:      g.isIsolated,
