--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -22,7 +22,7 @@
 	minSpeed, maxSpeed = 0.3, 2.0
 	// unevenRatio is the ratio of the fastest fifth's speed to that of the slowest fifth from
 	// which speeds are used. Below it the differences come from the servers' load.
-	unevenRatio = 2.2
+	unevenRatio = 1.8
 )
 
 // pace is a moving average of the time between two events of a server's streams. It is
