canary: look at the evidence while calls to the store hang

Cause: Owner.step ran the analysis and then, in the same goroutine, the calls to the store: lease, restored states, status and state of each service, each with a time-out of 1 s. While the store hangs, a gateway found a bad version only after all of them, although its own sends are to stop at once.

Ruled out: a shorter time-out of the calls, which slow stores would exceed; the analysis in the relay, as it would cost each request.

Change: the analysis runs in a goroutine of its own, which makes no calls to the store and ends before Run returns.

--- a/internal/canary/owner.go
+++ b/internal/canary/owner.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -110,8 +111,12 @@
 	}
 }
 
-// Run advances the rollouts until ctx ends, and then releases the lease.
+// Run advances the rollouts until ctx ends, and then releases the lease. The evidence is looked at
+// in a goroutine of its own, since calls to the store may take long.
 func (o *Owner) Run(ctx context.Context) {
+	var analysis sync.WaitGroup
+	defer analysis.Wait()
+	analysis.Go(func() { o.analyze(ctx) })
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
@@ -125,12 +130,25 @@
 	}
 }
 
-// step looks at the evidence, and writes what is due.
-func (o *Owner) step(ctx context.Context, now time.Time) {
-	for service, finding := range o.opts.Tracker.Step(now) {
-		o.meters.countFinding(service)
-		logger.Warn(fields{"service": service, "reason": finding.Reason, "staleness_ms": o.opts.Staleness().Milliseconds()}, "software version found bad")
+// analyze looks at the evidence until ctx ends. It makes no calls to the store.
+func (o *Owner) analyze(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for service, finding := range o.opts.Tracker.Step(time.Now()) {
+			o.meters.countFinding(service)
+			logger.Warn(fields{"service": service, "reason": finding.Reason, "staleness_ms": o.opts.Staleness().Milliseconds()}, "software version found bad")
+		}
 	}
+}
+
+// step writes what is due.
+func (o *Owner) step(ctx context.Context, now time.Time) {
 	entries := o.opts.Entries()
 	owns := len(entries) > 0 && o.holdsLease(ctx, now)
 	for i := range entries {
