clientconn: release the charge of a message that ends while it is read

Cause: Read loaded the item of a message and resized it after Write or Close had released it. Resize put it back into the account, and nothing released it again: each such race lowered the account by up to four times the message for the life of the process.

Ruled out: the items of heads and bodies, which belong to one goroutine.

Change: a mutex guards the size and the item of a message, and Close releases them last. Eviction closes only the inner connection, as it may run while the account admits a message of another connection.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -224,9 +224,10 @@
 	reading   atomic.Int64 // when the last part of the body that is read arrived; 0: none is read
 	inRequest atomic.Bool  // a head is complete and its response is not
 	// Of a listener without HTTP.
-	received    atomic.Bool  // anything
-	message     atomic.Int64 // bytes read since the last write
-	messageItem atomic.Pointer[clientmem.Item]
+	received    atomic.Bool // anything
+	messageMu   sync.Mutex
+	message     int64           // bytes read since the last write; guarded by messageMu
+	messageItem *clientmem.Item // nil for a short message; guarded by messageMu
 
 	headBytes  int64
 	headFields int64
@@ -298,25 +299,38 @@
 	if n > 0 && !c.received.Load() {
 		c.received.Store(true)
 	}
-	message := c.message.Add(int64(n))
-	if message <= clientmem.SmallBytes || c.listener.options.Account == nil {
+	c.messageMu.Lock()
+	defer c.messageMu.Unlock()
+	c.message += int64(n)
+	if c.message <= clientmem.SmallBytes || c.listener.options.Account == nil {
 		return err
 	}
+	if c.closed.Load() {
+		return net.ErrClosed // its charge has been released
+	}
 	now := time.Now()
-	item := c.messageItem.Load()
-	if item == nil {
-		item = c.listener.options.Account.NewItem(func() { _ = c.Close() }, now)
-		c.messageItem.Store(item)
+	if c.messageItem == nil {
+		c.messageItem = c.listener.options.Account.NewItem(func() { _ = c.Conn.Close() }, now) // the server then calls Close
 	}
-	item.Progress(message, now)
-	if !item.Resize(messageFactor*message, now) {
+	c.messageItem.Progress(c.message, now)
+	if !c.messageItem.Resize(messageFactor*c.message, now) {
 		Count(c.listener.options.Name, ReasonMessageMemory)
-		item.Release()
+		c.messageItem.Release()
+		c.messageItem = nil
 		return os.ErrDeadlineExceeded
 	}
 	return err
 }
 
+// releaseMessage ends the charge of a message.
+func (c *conn) releaseMessage() {
+	c.messageMu.Lock()
+	defer c.messageMu.Unlock()
+	c.message = 0
+	c.messageItem.Release()
+	c.messageItem = nil
+}
+
 const (
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	noRoom       = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -350,9 +364,8 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Store(time.Now().UnixNano())
 	defer c.writing.Store(0)
-	c.message.Store(0)
-	if item := c.messageItem.Swap(nil); item != nil {
-		item.Release()
+	if !c.listener.options.HTTP {
+		c.releaseMessage()
 	}
 	return c.Conn.Write(p)
 }
@@ -393,7 +406,7 @@
 		c.listener.removeLocked(c)
 		c.listener.mu.Unlock()
 		c.listener.options.Account.CloseConn()
-		c.messageItem.Load().Release()
+		c.releaseMessage()
 	}
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/internal/clientconn/clientconn_test.go
@@ -0,0 +1,69 @@
+package clientconn
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/clientmem"
+)
+
+// stepConn lets a test act between the end of a read of the connection and the return of the
+// Read that wraps it.
+type stepConn struct {
+	net.Conn
+	afterRead func()
+}
+
+func (c *stepConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.afterRead != nil {
+		c.afterRead()
+	}
+	return n, err
+}
+
+func (c *stepConn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+// pipeConn returns an accepted connection and the client's end of it.
+func pipeConn(t *testing.T, l *Listener) (*conn, *stepConn, net.Conn) {
+	t.Helper()
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close() }) // may be closed already
+	inner := &stepConn{Conn: server}
+	c := l.admit(inner, time.Now())
+	if c == nil {
+		t.Fatal("not admitted")
+	}
+	return c, inner, client
+}
+
+// The charge of a message must not stay in the account when its connection is closed, or a message
+// is sent, while a part of it is being read.
+func TestMessageChargeIsReleased(t *testing.T) {
+	for name, act := range map[string]func(c *conn){
+		"close": func(c *conn) { _ = c.Close() },
+		"write": func(c *conn) { _, _ = c.Write([]byte("x")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			account := clientmem.New(16 << 20)
+			c, inner, client := pipeConn(t, Listen(nil, Options{Name: "rpc", Account: account}))
+			go func() { _, _ = io.Copy(io.Discard, client) }() // ends with the connection
+			go func() {
+				_, _ = client.Write(make([]byte, 64<<10)) // the first part is charged
+				_, _ = client.Write(make([]byte, 64<<10))
+			}()
+			buffer := make([]byte, 64<<10)
+			if _, err := c.Read(buffer); err != nil {
+				t.Fatal(err)
+			}
+			inner.afterRead = func() { act(c) }
+			_, _ = c.Read(buffer) // it may fail
+			_ = c.Close()
+			if used := account.Used(); used != 0 {
+				t.Errorf("%d bytes are accounted for without a connection", used)
+			}
+		})
+	}
+}
