clientconn: a head that has just begun is not an unused connection

Cause: the age of a connection that may be closed for a new one counted from its opening or its last response until its next head was complete. A client that used a connection after a second or more lost its request if the connections ran out while the head arrived, or just after it. Also, Read could mark a body as being read after its end, so that the connection of a running request could be closed as stalled after 2 s.

Ruled out: requests with a complete head; OnState marks them as running.

Change: the age counts from the first bytes of a head, and a connection with a part of a head no longer counts as idle. The mark of a body is changed only if it is still set.

The change of the mark has no test: the race needs two goroutines within a few instructions.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -192,9 +192,7 @@
 	case http.StateClosed:
 		c.head.Release()
 	case http.StateIdle:
-		l.mu.Lock()
-		c.since, c.served = time.Now(), true
-		l.mu.Unlock()
+		c.setIdle(true)
 		c.headBytes, c.headFields = 0, 0
 		c.head.Release()
 		c.head = nil
@@ -217,8 +215,8 @@
 	client   string
 	closed   atomic.Bool
 
-	since  time.Time // opened, or idle since; guarded by listener.mu
-	served bool      // has carried a request; guarded by listener.mu
+	since time.Time // opened, idle since, or since when a head arrives; guarded by listener.mu
+	idle  bool      // nothing has arrived since the last request; guarded by listener.mu
 
 	writing   atomic.Int64 // when the write that is running began, in Unix nanoseconds; 0: none
 	reading   atomic.Int64 // when the last part of the body that is read arrived; 0: none is read
@@ -234,6 +232,13 @@
 	head       *clientmem.Item // nil for a short head
 }
 
+// setIdle notes that a request has ended, or that a head has begun to arrive.
+func (c *conn) setIdle(idle bool) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.since, c.idle = time.Now(), idle
+}
+
 // unusedFor returns how long the connection has waited for the client, or 0 if it may not be
 // closed for another one, and whether it is idle after a request. The caller holds listener.mu.
 func (c *conn) unusedFor(now time.Time) (age time.Duration, idle bool) {
@@ -250,7 +255,7 @@
 	case c.inRequest.Load():
 		return 0, false
 	default:
-		idle = c.served
+		idle = c.idle
 	}
 	if age < least {
 		return 0, false
@@ -261,8 +266,8 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.reading.Load() != 0 {
-		c.reading.Store(time.Now().UnixNano())
+	if last := c.reading.Load(); last != 0 {
+		c.reading.CompareAndSwap(last, time.Now().UnixNano()) // the body may have ended meanwhile
 	}
 	if !c.listener.options.HTTP {
 		return n, c.admitMessage(n, err)
@@ -270,6 +275,9 @@
 	if n == 0 || c.inRequest.Load() {
 		return n, err
 	}
+	if c.headBytes == 0 {
+		c.setIdle(false)
+	}
 	c.headBytes += int64(n)
 	c.headFields += int64(bytes.Count(p[:n], []byte{'\n'}))
 	limit := c.listener.options.Limits().HeadBytes
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -67,3 +68,30 @@
 		})
 	}
 }
+
+// A connection on which a head has just begun to arrive must not count as one that has waited for
+// its client since it was opened or had its last request: it would be closed in the middle of a
+// request.
+func TestHeadOnWaitingConnection(t *testing.T) {
+	for _, served := range []bool{false, true} {
+		l := Listen(nil, Options{Name: "clients", HTTP: true, MaxConns: 10})
+		c, _, client := pipeConn(t, l)
+		if served {
+			l.OnState(c, http.StateActive)
+			l.OnState(c, http.StateIdle)
+		}
+		l.mu.Lock()
+		c.since = time.Now().Add(-time.Minute)
+		l.mu.Unlock()
+		go func() { _, _ = client.Write([]byte("GET / HTTP/1.1\r\n")) }() // an error shows in the read
+		if _, err := c.Read(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+		l.mu.Lock()
+		victim := l.unusedLocked("", time.Now())
+		l.mu.Unlock()
+		if victim != nil {
+			t.Errorf("a connection with a head that has just begun gives way; it had a request: %v", served)
+		}
+	}
+}
