canary: a report that was overtaken adds no counts

Cause: a gateway's reports come over two connections, as its own call and as the response to this gateway's call, so one may overtake the other. The lower counts of the overtaken one were taken for those of a new process, and all of its counts were added again, with the failures of the new version among them.

Ruled out: double merging of equal reports (no difference is added).

Change: evidence is merged only if the report's age of the order is not below that of the last merged one. Phase, requests at old servers and findings are taken as before. A process that restarts with an order that looks younger is counted once its age has caught up; its counts are cumulative, so none is lost.

Measured: reports of 10, 30, 20 and 40 responses summed up to 70, now to 40.

--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -189,3 +189,17 @@
 		_ = choice.Allows("a", "v1")
 	}
 }
+
+// A report that was overtaken by a later one of the same gateway must not add its counts again.
+func TestOvertakenReport(t *testing.T) {
+	now := time.Now()
+	tracker := trackerAt(observing(), nil, now)
+	for _, n := range []uint64{10, 30, 20, 40} {
+		evidence := NewEvidence()
+		evidence.Counts("r")[New] = Counts{Responses: n, Failures: n / 10}
+		tracker.Merge("peer", &Report{Service: "s", Serial: 1, Age: time.Duration(n) * time.Millisecond, Evidence: evidence}, now)
+	}
+	if got := tracker.services["s"].total.Counts("r")[New]; got.Responses != 40 || got.Failures != 4 {
+		t.Errorf("%d failures of %d responses are counted, not 4 of 40", got.Failures, got.Responses)
+	}
+}
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -94,6 +94,7 @@
 	at       time.Time
 	phase    Phase
 	onOld    int
+	age      time.Duration // of the last evidence
 	evidence *Evidence
 }
 
@@ -615,7 +616,12 @@
 		s.peers[peer] = p
 	}
 	p.at, p.phase, p.onOld = now, r.Phase, r.OnOld
-	s.total.merge(p.evidence, r.Evidence)
+	if r.Age >= p.age {
+		// Reports of a peer come over two connections. The counts of one that was overtaken are
+		// lower than the last ones, and would be taken for those of a new process.
+		p.age = r.Age
+		s.total.merge(p.evidence, r.Evidence)
+	}
 	if r.Finding.Bad && !s.finding.Bad {
 		s.finding = r.Finding
 		return true
