gateway, httpapi: bound the writing of error responses

Cause: only responses of servers and events had a write deadline. A client that sends refused requests one after the other and doesn't read the responses blocked the write of one of them for ever, with its goroutine and connection; the connection gave way only when all connections were taken. The router's responses to health checks and to requests for models or metrics had no deadline either.

Ruled out: http.Server.WriteTimeout, which counts from the head of a request and would cut long streams.

Change: error responses and responses that are ready at once get the write deadline of 10 s of the others.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -256,6 +256,7 @@
 		return errors.Wrap(marshalErr, "encode error body")
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	clientbody.LimitWrite(w)
 	w.WriteHeader(status)
 	_, writeErr := w.Write(body)
 	in.logError(req, status, failure, writeErr)
--- a/internal/httpapi/errors.go
+++ b/internal/httpapi/errors.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/wasabigate/wasabigate/internal/clientbody"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
@@ -74,6 +75,7 @@
 	s.metrics.errorCount.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("code", string(e.Code)), attribute.String("verdict", e.Verdict.String())))
 	setErrorHeaders(c.Response().Header(), e)
+	clientbody.LimitWrite(c.Response())
 	if err := c.JSON(e.Status(), newErrorBody(e, requestID)); err != nil {
 		logger.Debug(logging.Fields{"request_id": requestID, "error": err.Error()}, "error response not written")
 	}
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -64,10 +64,10 @@
 	s.echo.HidePort = true
 	s.echo.HTTPErrorHandler = s.handleError
 	s.echo.Use(s.metrics.recordDuration, s.closeWhenDraining)
-	s.echo.GET("/healthz", s.health)
-	s.echo.GET("/readyz", s.ready)
-	s.echo.GET("/metrics", echo.WrapHandler(options.Metrics))
-	s.echo.GET(pathModels, s.models)
+	s.echo.GET("/healthz", s.health, limitWrite)
+	s.echo.GET("/readyz", s.ready, limitWrite)
+	s.echo.GET("/metrics", echo.WrapHandler(options.Metrics), limitWrite)
+	s.echo.GET(pathModels, s.models, limitWrite)
 	for _, path := range []string{pathChat, pathCompletions} {
 		s.echo.POST(path, s.generate)
 		s.echo.GET(path, s.generate)
@@ -90,6 +90,14 @@
 	}
 }
 
+// limitWrite bounds the writing of a response that is ready at once.
+func limitWrite(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		clientbody.LimitWrite(c.Response())
+		return next(c)
+	}
+}
+
 func (s *Server) health(c echo.Context) error { return c.String(http.StatusOK, "ok\n") }
 
 func (s *Server) ready(c echo.Context) error {
