canary: a stopping gateway looks at its evidence until it has drained

Cause: the analysis ended with the owner's Run, before the drain. Failures of the last seconds were not counted, so they were missing in the reports, which go on during the drain, and the gateway's own retries could still go to a version whose failures it had seen.

Change: Analyze is apart from Run, and ends with the background work.

Measured: the tests of the analysis, of the gate and of reports pass with -race; there is no test of the drain.

--- a/internal/canary/owner.go
+++ b/internal/canary/owner.go
@@ -5,7 +5,6 @@
 	"context"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,12 +110,8 @@
 	}
 }
 
-// Run advances the rollouts until ctx ends, and then releases the lease. The evidence is looked at
-// in a goroutine of its own, since calls to the store may take long.
+// Run advances the rollouts until ctx ends, and then releases the lease.
 func (o *Owner) Run(ctx context.Context) {
-	var analysis sync.WaitGroup
-	defer analysis.Wait()
-	analysis.Go(func() { o.analyze(ctx) })
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
@@ -130,8 +125,10 @@
 	}
 }
 
-// analyze looks at the evidence until ctx ends. It makes no calls to the store.
-func (o *Owner) analyze(ctx context.Context) {
+// Analyze looks at the evidence until ctx ends, also while this gateway does not hold the lease. It is
+// apart from Run, whose calls to the store may take long, and which ends before a stopping gateway has
+// completed its requests.
+func (o *Owner) Analyze(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/canary/owner_test.go
+++ b/internal/canary/owner_test.go
@@ -60,6 +60,7 @@
 		defer close(done)
 		owner.Run(ctx)
 	}()
+	go owner.Analyze(ctx)
 	defer func() {
 		cancel()
 		<-done
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -348,7 +348,7 @@
 	}
 }
 
-// startBackground starts the background goroutines. The rollout ends with ctx, before
+// startBackground starts the background goroutines. The rollouts end with ctx, before
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
@@ -358,6 +358,7 @@
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
 	if g.owner != nil {
 		group.Go(func() error { g.owner.Run(ctx); return nil })
+		group.Go(func() error { g.owner.Analyze(background); return nil })
 	}
 }
 
