clientconn: a burst of clients takes all connections that wait

Cause: when all connections were taken, a search was made at most once in 20 ms, and each search freed one connection. Of ordinary clients that came at once while stalled clients held all connections, one in 20 ms was admitted, and the others were closed without a response.

Ruled out: searching for each new connection, which costs a pass over all connections under the listener's lock.

Change: a search keeps the connections that it found waiting, in the order of their age, and those give way until the next search, if they still wait. Idle connections still give way one for each search, as a burst would otherwise close those of ordinary clients.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -5,11 +5,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,6 +83,13 @@
 	conns    map[*conn]struct{}
 	clients  map[string]int // connections by address
 	nextScan time.Time
+	waiting  []waitingConn // found by the last search, in the order of their age
+}
+
+// waitingConn is a connection that waits for its client.
+type waitingConn struct {
+	conn *conn
+	age  time.Duration
 }
 
 // Listen returns a Listener that accepts from inner. With Options.HTTP, its
@@ -139,29 +148,56 @@
 	return c
 }
 
-// unusedLocked returns the connection that has waited longest for its client, or, if there is none,
-// the one that has been idle for longest. An empty client means any.
+// unusedLocked removes and returns the connection that has waited longest for its client, or, if
+// there is none, the one that has been idle for longest. An empty client means any. All connections
+// are searched at most once in scanInterval; those found waiting are kept for the calls until then.
+// Of idle ones, one gives way for each search, since a burst of new connections would close all of
+// them.
 func (l *Listener) unusedLocked(client string, now time.Time) *conn {
+	if c := l.nextWaitingLocked(client, now); c != nil {
+		return c
+	}
 	if now.Before(l.nextScan) {
 		return nil
 	}
 	l.nextScan = now.Add(scanInterval)
-	var oldest *conn
-	var longest time.Duration
-	var oldestIdle bool
+	l.waiting = l.waiting[:0]
+	var oldestIdle *conn
 	for c := range l.conns {
-		if client != "" && c.client != client {
-			continue
-		}
 		age, idle := c.unusedFor(now)
-		if age > 0 && (oldest == nil || oldestIdle && !idle || oldestIdle == idle && age > longest) {
-			oldest, longest, oldestIdle = c, age, idle
+		switch {
+		case age == 0 || client != "" && c.client != client:
+		case !idle:
+			l.waiting = append(l.waiting, waitingConn{c, age})
+		case oldestIdle == nil || c.since.Before(oldestIdle.since):
+			oldestIdle = c
 		}
 	}
-	if oldest != nil {
-		l.removeLocked(oldest)
+	slices.SortFunc(l.waiting, func(a, b waitingConn) int { return cmp.Compare(a.age, b.age) })
+	if c := l.nextWaitingLocked(client, now); c != nil {
+		return c
+	}
+	if oldestIdle != nil {
+		l.removeLocked(oldestIdle)
 	}
-	return oldest
+	return oldestIdle
+}
+
+// nextWaitingLocked removes and returns the connection that had waited longest at the last search
+// and still waits, or nil.
+func (l *Listener) nextWaitingLocked(client string, now time.Time) *conn {
+	for n := len(l.waiting) - 1; n >= 0; n-- {
+		c := l.waiting[n].conn
+		if client != "" && c.client != client {
+			return nil // all connections are searched next
+		}
+		l.waiting[n] = waitingConn{}
+		l.waiting = l.waiting[:n]
+		if age, idle := c.unusedFor(now); age > 0 && !idle && l.removeLocked(c) {
+			return c
+		}
+	}
+	return nil
 }
 
 // removeLocked removes a connection and reports whether it was there.
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -95,3 +95,39 @@
 		}
 	}
 }
+
+// When all connections are taken by clients that send nothing, several new ones that come at once
+// must all be admitted. Idle connections must not all be closed for them.
+func TestBurstTakesWaitingConnections(t *testing.T) {
+	l := Listen(nil, Options{Name: "clients", HTTP: true, MaxConns: 30})
+	var idle []*conn
+	for n := range 30 {
+		c, _, _ := pipeConn(t, l)
+		c.client = string(rune('a' + n)) // below the limit of one client
+		l.clients["127.0.0.1"]--
+		l.clients[c.client]++
+		if n < 10 {
+			l.OnState(c, http.StateActive)
+			l.OnState(c, http.StateIdle)
+			idle = append(idle, c)
+		}
+		c.since = time.Now().Add(-time.Minute)
+	}
+	admitted := 0
+	now := time.Now()
+	for n := range 40 {
+		_, server := net.Pipe()
+		if c := l.admit(&stepConn{Conn: server}, now.Add(time.Duration(n)*100*time.Microsecond)); c != nil {
+			admitted++
+		}
+	}
+	open := 0
+	for _, c := range idle {
+		if !c.closed.Load() {
+			open++
+		}
+	}
+	if admitted < 20 || open < 9 {
+		t.Errorf("%d of 40 connections admitted although 20 wait; %d of 10 idle ones are open", admitted, open)
+	}
+}
