--- a/internal/canary/owner.go
+++ b/internal/canary/owner.go
@@ -125,12 +125,27 @@
 	}
 }
 
-// step looks at the evidence, and writes what is due.
-func (o *Owner) step(ctx context.Context, now time.Time) {
-	for service, finding := range o.opts.Tracker.Step(now) {
-		o.meters.countFinding(service)
-		logger.Warn(fields{"service": service, "reason": finding.Reason, "staleness_ms": o.opts.Staleness().Milliseconds()}, "software version found bad")
+// Analyze looks at the evidence until ctx ends, also while this gateway does not hold the lease. It is
+// apart from Run, whose calls to the store may take long, and which ends before a stopping gateway has
+// completed its requests.
+func (o *Owner) Analyze(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for service, finding := range o.opts.Tracker.Step(time.Now()) {
+			o.meters.countFinding(service)
+			logger.Warn(fields{"service": service, "reason": finding.Reason, "staleness_ms": o.opts.Staleness().Milliseconds()}, "software version found bad")
+		}
 	}
+}
+
+// step writes what is due.
+func (o *Owner) step(ctx context.Context, now time.Time) {
 	entries := o.opts.Entries()
 	owns := len(entries) > 0 && o.holdsLease(ctx, now)
 	for i := range entries {
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -5,11 +5,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,6 +83,13 @@
 	conns    map[*conn]struct{}
 	clients  map[string]int // connections by address
 	nextScan time.Time
+	waiting  []waitingConn // found by the last search, in the order of their age
+}
+
+// waitingConn is a connection that waits for its client.
+type waitingConn struct {
+	conn *conn
+	age  time.Duration
 }
 
 // Listen returns a Listener that accepts from inner. With Options.HTTP, its
@@ -139,29 +148,56 @@
 	return c
 }
 
-// unusedLocked returns the connection that has waited longest for its client, or, if there is none,
-// the one that has been idle for longest. An empty client means any.
+// unusedLocked removes and returns the connection that has waited longest for its client, or, if
+// there is none, the one that has been idle for longest. An empty client means any. All connections
+// are searched at most once in scanInterval; those found waiting are kept for the calls until then.
+// Of idle ones, one gives way for each search, since a burst of new connections would close all of
+// them.
 func (l *Listener) unusedLocked(client string, now time.Time) *conn {
+	if c := l.nextWaitingLocked(client, now); c != nil {
+		return c
+	}
 	if now.Before(l.nextScan) {
 		return nil
 	}
 	l.nextScan = now.Add(scanInterval)
-	var oldest *conn
-	var longest time.Duration
-	var oldestIdle bool
+	l.waiting = l.waiting[:0]
+	var oldestIdle *conn
 	for c := range l.conns {
-		if client != "" && c.client != client {
-			continue
-		}
 		age, idle := c.unusedFor(now)
-		if age > 0 && (oldest == nil || oldestIdle && !idle || oldestIdle == idle && age > longest) {
-			oldest, longest, oldestIdle = c, age, idle
+		switch {
+		case age == 0 || client != "" && c.client != client:
+		case !idle:
+			l.waiting = append(l.waiting, waitingConn{c, age})
+		case oldestIdle == nil || c.since.Before(oldestIdle.since):
+			oldestIdle = c
 		}
 	}
-	if oldest != nil {
-		l.removeLocked(oldest)
+	slices.SortFunc(l.waiting, func(a, b waitingConn) int { return cmp.Compare(a.age, b.age) })
+	if c := l.nextWaitingLocked(client, now); c != nil {
+		return c
+	}
+	if oldestIdle != nil {
+		l.removeLocked(oldestIdle)
 	}
-	return oldest
+	return oldestIdle
+}
+
+// nextWaitingLocked removes and returns the connection that had waited longest at the last search
+// and still waits, or nil.
+func (l *Listener) nextWaitingLocked(client string, now time.Time) *conn {
+	for n := len(l.waiting) - 1; n >= 0; n-- {
+		c := l.waiting[n].conn
+		if client != "" && c.client != client {
+			return nil // all connections are searched next
+		}
+		l.waiting[n] = waitingConn{}
+		l.waiting = l.waiting[:n]
+		if age, idle := c.unusedFor(now); age > 0 && !idle && l.removeLocked(c) {
+			return c
+		}
+	}
+	return nil
 }
 
 // removeLocked removes a connection and reports whether it was there.
@@ -192,9 +228,7 @@
 	case http.StateClosed:
 		c.head.Release()
 	case http.StateIdle:
-		l.mu.Lock()
-		c.since, c.served = time.Now(), true
-		l.mu.Unlock()
+		c.setIdle(true)
 		c.headBytes, c.headFields = 0, 0
 		c.head.Release()
 		c.head = nil
@@ -217,22 +251,30 @@
 	client   string
 	closed   atomic.Bool
 
-	since  time.Time // opened, or idle since; guarded by listener.mu
-	served bool      // has carried a request; guarded by listener.mu
+	since time.Time // opened, idle since, or since when a head arrives; guarded by listener.mu
+	idle  bool      // nothing has arrived since the last request; guarded by listener.mu
 
 	writing   atomic.Int64 // when the write that is running began, in Unix nanoseconds; 0: none
 	reading   atomic.Int64 // when the last part of the body that is read arrived; 0: none is read
 	inRequest atomic.Bool  // a head is complete and its response is not
 	// Of a listener without HTTP.
-	received    atomic.Bool  // anything
-	message     atomic.Int64 // bytes read since the last write
-	messageItem atomic.Pointer[clientmem.Item]
+	received    atomic.Bool // anything
+	messageMu   sync.Mutex
+	message     int64           // bytes read since the last write; guarded by messageMu
+	messageItem *clientmem.Item // nil for a short message; guarded by messageMu
 
 	headBytes  int64
 	headFields int64
 	head       *clientmem.Item // nil for a short head
 }
 
+// setIdle notes that a request has ended, or that a head has begun to arrive.
+func (c *conn) setIdle(idle bool) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.since, c.idle = time.Now(), idle
+}
+
 // unusedFor returns how long the connection has waited for the client, or 0 if it may not be
 // closed for another one, and whether it is idle after a request. The caller holds listener.mu.
 func (c *conn) unusedFor(now time.Time) (age time.Duration, idle bool) {
@@ -249,7 +291,7 @@
 	case c.inRequest.Load():
 		return 0, false
 	default:
-		idle = c.served
+		idle = c.idle
 	}
 	if age < least {
 		return 0, false
@@ -260,8 +302,8 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.reading.Load() != 0 {
-		c.reading.Store(time.Now().UnixNano())
+	if last := c.reading.Load(); last != 0 {
+		c.reading.CompareAndSwap(last, time.Now().UnixNano()) // the body may have ended meanwhile
 	}
 	if !c.listener.options.HTTP {
 		return n, c.admitMessage(n, err)
@@ -269,6 +311,9 @@
 	if n == 0 || c.inRequest.Load() {
 		return n, err
 	}
+	if c.headBytes == 0 {
+		c.setIdle(false)
+	}
 	c.headBytes += int64(n)
 	c.headFields += int64(bytes.Count(p[:n], []byte{'\n'}))
 	limit := c.listener.options.Limits().HeadBytes
@@ -298,25 +343,38 @@
 	if n > 0 && !c.received.Load() {
 		c.received.Store(true)
 	}
-	message := c.message.Add(int64(n))
-	if message <= clientmem.SmallBytes || c.listener.options.Account == nil {
+	c.messageMu.Lock()
+	defer c.messageMu.Unlock()
+	c.message += int64(n)
+	if c.message <= clientmem.SmallBytes || c.listener.options.Account == nil {
 		return err
 	}
+	if c.closed.Load() {
+		return net.ErrClosed // its charge has been released
+	}
 	now := time.Now()
-	item := c.messageItem.Load()
-	if item == nil {
-		item = c.listener.options.Account.NewItem(func() { _ = c.Close() }, now)
-		c.messageItem.Store(item)
+	if c.messageItem == nil {
+		c.messageItem = c.listener.options.Account.NewItem(func() { _ = c.Conn.Close() }, now) // the server then calls Close
 	}
-	item.Progress(message, now)
-	if !item.Resize(messageFactor*message, now) {
+	c.messageItem.Progress(c.message, now)
+	if !c.messageItem.Resize(messageFactor*c.message, now) {
 		Count(c.listener.options.Name, ReasonMessageMemory)
-		item.Release()
+		c.messageItem.Release()
+		c.messageItem = nil
 		return os.ErrDeadlineExceeded
 	}
 	return err
 }
 
+// releaseMessage ends the charge of a message.
+func (c *conn) releaseMessage() {
+	c.messageMu.Lock()
+	defer c.messageMu.Unlock()
+	c.message = 0
+	c.messageItem.Release()
+	c.messageItem = nil
+}
+
 const (
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	noRoom       = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -350,9 +408,8 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Store(time.Now().UnixNano())
 	defer c.writing.Store(0)
-	c.message.Store(0)
-	if item := c.messageItem.Swap(nil); item != nil {
-		item.Release()
+	if !c.listener.options.HTTP {
+		c.releaseMessage()
 	}
 	return c.Conn.Write(p)
 }
@@ -393,7 +450,7 @@
 		c.listener.removeLocked(c)
 		c.listener.mu.Unlock()
 		c.listener.options.Account.CloseConn()
-		c.messageItem.Load().Release()
+		c.releaseMessage()
 	}
 	return c.Conn.Close()
 }
