conntrace: responses to refused uploads are not lost when a write fails

Cause: a server that refuses a long upload, with a 413 of known length for example, and closes the connection without reading the rest resets it. The next write fails, and net/http then drops the response that is ready to be read. The attempt counted as broken off by the server and as one that may have run, so a refusal with a guarantee was not retried either. Ruled out: a loss in the socket. When the server waits 5 ms before it closes, all of 100 responses arrive; the data can still be read after the reset. Change: the error of a write that fails in a body because the peer has closed is returned only after a read has failed or the connection is closed here. The upload stays recorded as incomplete, so a response without a length still breaks off.

--- a/internal/backend/early_test.go
+++ b/internal/backend/early_test.go
@@ -93,3 +93,44 @@
 		})
 	}
 }
+
+// A response with a length is not lost when its server refuses a long upload and closes the
+// connection without reading it, so that a write fails before the response has been read.
+func TestRefusalOfAnUpload(t *testing.T) {
+	for _, c := range []struct{ name, answer, body string }{
+		{"body", "HTTP/1.1 413 Too Large\r\nRequest: r1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody", "body"},
+		{"chunked body", "HTTP/1.1 413 Too Large\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body"},
+		{"no body", "HTTP/1.1 413 Too Large\r\nRequest: r1\r\nContent-Length: 0\r\n\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 512)); err == nil {
+						_, _ = io.WriteString(conn, c.answer)
+					}
+					_ = conn.Close() // with unread data, which resets the connection
+				}
+			}()
+			client := NewClient(testCodec{})
+			upload := strings.Repeat("x", 4<<20)
+			for range 10 {
+				response, err := client.Do(t.Context(), callTo(listener.Addr().String(), http.MethodPost, upload))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if body, err := ReadBody(response, nil); err != nil || response.Status != http.StatusRequestEntityTooLarge || string(body) != c.body {
+					t.Fatalf("got status %d, %q, %v", response.Status, body, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/conntrace/conn.go
+++ b/internal/conntrace/conn.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: opened}, nil
+		return &conn{Conn: opened, ended: make(chan struct{})}, nil
 	}
 }
 
@@ -35,6 +35,9 @@
 	net.Conn
 	upload upload
 
+	ended   chan struct{} // closed when a read has failed or the connection is closed
+	endOnce sync.Once
+
 	mu      sync.Mutex
 	carried []uint64 // hashes of ids
 }
--- a/internal/conntrace/upload.go
+++ b/internal/conntrace/upload.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,15 +89,35 @@
 
 func (u *upload) isComplete() bool { return u.matched == len(headEnd) && u.bodyLeft <= 0 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. If the peer closes the connection during the body, the error is
+// returned only after all that the peer sent has been read, or the connection is closed here:
+// net/http drops a response that it has not read yet when a write fails.
 func (c *conn) Write(data []byte) (int, error) {
+	n, inBody, err := c.write(data)
+	if err != nil && inBody && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		<-c.ended
+	}
+	return n, err
+}
+
+// write also reports whether the head of the request has been written.
+func (c *conn) write(data []byte) (n int, inBody bool, err error) {
 	c.upload.mu.Lock()
 	defer c.upload.mu.Unlock()
-	n, err := c.Conn.Write(data)
+	n, err = c.Conn.Write(data)
 	c.upload.add(data[:n])
-	return n, err
+	return n, c.upload.matched == len(headEnd), err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// end records that nothing more is read.
+func (c *conn) end() { c.endOnce.Do(func() { close(c.ended) }) }
+
 // Read implements net.Conn. The end of the connection is io.ErrUnexpectedEOF if a response has
 // begun and its request was not written completely.
 func (c *conn) Read(data []byte) (int, error) {
@@ -107,6 +128,9 @@
 	if err == io.EOF && c.upload.answered.Load() && c.brokeOff() {
 		err = io.ErrUnexpectedEOF
 	}
+	if err != nil {
+		c.end()
+	}
 	return n, err
 }
 
