forward: admission of a less urgent request is decided once

Cause: an attempt whose server turns out to be another process than the one that is listed ends before it counts as an attempt, and the next one asked the gate again. A request that had been admitted could be refused for lack of room, and counted as two offers of its workspace. Ruled out: retries after an attempt that was sent; they are counted and were not asked about again. Change: a request remembers that it was admitted. Result: the new test fails before the change at the first request and passes after it; the tests of forward pass.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -33,9 +33,9 @@
 
 // admit returns an error if the servers have no room for the request, which is less urgent
 // than others. Retries and the rest of streams are not refused: what was done for them
-// would be lost.
+// would be lost. Nor is a request that was admitted and whose server turned out to be gone.
 func (r *activeRequest) admit(query *placement.Query, servers []placement.Server, now time.Time) *verdict.Error {
-	if !query.Engine || r.req.Log.Attempts > 0 || r.delivered || continues(r.req) || !r.req.Snapshot.Config.LessUrgent(r.req.Route, r.service) {
+	if !query.Engine || r.admitted || r.req.Log.Attempts > 0 || r.delivered || continues(r.req) || !r.req.Snapshot.Config.LessUrgent(r.req.Route, r.service) {
 		return nil
 	}
 	room := roomOf(servers)
@@ -44,6 +44,7 @@
 		r.relay.meters.countAdmission(r.service, admitted)
 	}
 	if admitted {
+		r.admitted = true
 		return nil
 	}
 	logger.Info(fields{
--- a/internal/forward/admit_test.go
+++ b/internal/forward/admit_test.go
@@ -121,3 +121,30 @@
 		})
 	}
 }
+
+// A request that was admitted must not be refused for lack of room when the first server turns out
+// to be another process, to which nothing was sent; nor may it count as two offers.
+func TestAdmissionIsDecidedOnce(t *testing.T) {
+	a := newAdmissionTest(completeStream)
+	asked := 0
+	for _, server := range a.snapshot.Servers {
+		server.Incarnation = 1
+	}
+	a.relay.Staleness = func() time.Duration { return time.Minute }
+	a.relay.Processes = processesFunc(func(server *deployment.Server) int64 {
+		if asked++; server.ID == "f" {
+			return 1
+		}
+		return 2
+	})
+	for range 40 {
+		before := asked
+		a.relay.processes = newProcessChecks()
+		if failure, _ := a.serve("/other", nil); asked > before && failure != nil && failure.Code == verdict.CodeNoRoom {
+			t.Fatalf("refused after it was admitted and %d servers were asked", asked-before)
+		}
+	}
+	if asked == 0 {
+		t.Error("no request was admitted")
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -142,6 +142,7 @@
 	reached     int // attempts that reached a server
 	executions  int // of these, those that may have run
 	mayHaveRun  bool
+	admitted    bool               // by the gate of the service
 	serverError *Response          // a server's 5xx response, passed on if no attempt succeeds
 	lastID      string             // id of the last event that the client has received
 	delivered   bool               // the client has received events
