engine/client: closing a finished stream does not wait for a stalled engine

Cause: after the last chunk, Close reads the end marker and the end of the stream so that the connection can be reused. The sidecar closes the stream before it returns the result, so an engine that stalls between the last chunk and the marker held back a complete response. Ruled out: a wait without end. The watchdog of the sidecar and the request's deadline cancel the context of the call. Change: the connection is closed after 50 ms without the marker.

--- a/internal/engine/client/stream.go
+++ b/internal/engine/client/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
@@ -17,6 +18,9 @@
 const (
 	lineBufferBytes = 4 << 10
 	maxLineBytes    = 4 << 20
+	// endMarkerTimeout limits the wait for the end marker of a finished stream, which an engine
+	// sends together with the last chunk. After it the connection is closed.
+	endMarkerTimeout = 50 * time.Millisecond
 )
 
 var (
@@ -121,11 +125,14 @@
 }
 
 // Close implements engine.ChunkStream. It reads a finished stream past its end marker,
-// so that the connection can be reused.
+// so that the connection can be reused. The result of the generation waits for Close, so an engine
+// that stalls after the last chunk must not delay it.
 func (s *chunkStream) Close() error {
 	if errors.Is(s.err, io.EOF) {
+		timer := time.AfterFunc(endMarkerTimeout, s.cancel)
 		_, _ = s.lines.next()
 		_, _ = s.lines.next()
+		timer.Stop()
 	}
 	s.cancel()
 	return s.body.Close()
