config check: warnings and the difference from the document in force

Cause: config check reported only what makes a document invalid. Groups that nothing names, workspaces without a key, routes that no key may use and bursts too small for any request were found only in service.

Ruled out: making these faults of config.Parse, since documents that are in force would become unreadable for daemons. Changing the exit code of faults from 3 to 1, since 3 is documented and apply shares it.

New exit code 12: valid, with warnings. TestConfigCheck expected exit code 0 for a document whose only route leads to no model; it now checks that document for its two warnings, and one with a model for exit code 0.

--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -40,8 +40,11 @@
 }
 
 func TestConfigCheck(t *testing.T) {
-	runProgram(t, "", "config", "check", writeFile(t, startDocument)).expect(ExitOK, "valid: 0 models, 1 groups, 1 workspaces, 1 keys, 1 routes")
-	runProgram(t, startDocument, "config", "check", "-").expect(ExitOK, "valid")
+	clean := startDocument + "[model m]\ngroup = engines\nweights_version = v1\n"
+	runProgram(t, "", "config", "check", writeFile(t, clean)).expect(ExitOK, "valid: 1 models, 1 groups, 1 workspaces, 1 keys, 1 routes")
+	runProgram(t, clean, "config", "check", "-").expect(ExitOK, "valid")
+	runProgram(t, startDocument, "config", "check", "-").expect(ExitWarnings, "valid: 0 models, 1 groups, 1 workspaces, 1 keys, 1 routes",
+		"warning: -: line 4: [group engines] no model and no route names the group", "warning: -: line 17: [route chat] path: there is no model")
 	faulty := writeFile(t, startDocument+"[workspace x]\nrate = 0\n[modle y]\n")
 	runProgram(t, "", "config", "check", faulty).expect(ExitInvalid,
 		faulty+": line 19: [workspace x] rate: 0 is out of range",
@@ -55,6 +58,28 @@
 	runProgram(t, "", "config", "check", "none.ini").expect(ExitFailure, "none.ini")
 }
 
+// Guards against scripts that can't tell warnings from errors, and against a difference that
+// is taken from another document than the one in force or shows whole digests.
+func TestConfigCheckWarnsAndCompares(t *testing.T) {
+	env := newTestEnv(t)
+	warned := strings.Replace(startDocument, "rate = 100", "rate = 20000", 1)
+	file := writeFile(t, warned)
+	const warning = "line 9: [workspace w] rate: 20000 is more than 10 times the burst"
+	env.run("trial", "config", "check", file).expect(ExitWarnings, "valid", "warning: "+file+": "+warning)
+	env.run("trial", "config", "check", file, "--against-current").expect(ExitWarnings, "changes from revision 0", "+ [key k] sha256 = 00010203...\n")
+	env.apply("trial", startDocument)
+	env.run("trial", "config", "check", writeFile(t, startDocument), "--against-current").expect(ExitWarnings, "0 changes from revision 1\n")
+	env.run("trial", "config", "check", file, "--against-current").expect(ExitWarnings, "1 changes from revision 1\n~ [workspace w] rate: 100 -> 20000\n")
+	var out checkResult
+	env.run("trial", "config", "check", file, "--against-current", "-o", "json").expect(ExitWarnings).decode(&out)
+	if len(out.Warnings) == 0 || out.Current == nil || len(out.Current.Changes) != 1 || out.Current.Changes[0].Line != 9 {
+		t.Errorf("result in JSON: %+v", out)
+	}
+	env.kv.SetFaults(kv.Faults{Down: true})
+	env.run("trial", "config", "check", file, "--against-current", "--timeout", "300ms").expect(ExitUnavailable)
+	runProgram(t, "", "config", "check", file, "--against-current").expect(ExitUsage, "--environment is needed")
+}
+
 func TestConfigChanges(t *testing.T) {
 	env := newTestEnv(t)
 	first, second := writeFile(t, startDocument), writeFile(t, strings.Replace(startDocument, "rate = 100", "rate = 200", 1))
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -30,6 +30,7 @@
 	ExitDiffers        ExitCode = 9  // config diff found differences
 	ExitDegraded       ExitCode = 10 // status: serving, with problems
 	ExitDown           ExitCode = 11 // status: some requests can't be served
+	ExitWarnings       ExitCode = 12 // config check: valid, with warnings
 )
 
 // ExitCodes returns the exit codes with their meanings.
@@ -47,6 +48,7 @@
 		ExitDiffers:        "config diff found differences",
 		ExitDegraded:       "status: serving, with problems",
 		ExitDown:           "status: some requests can't be served",
+		ExitWarnings:       "config check: valid, with warnings",
 	}
 }
 
