config check: configurations of gateways

Cause: a configuration of gateways (op/config) could not be checked before it was written. Hidden routes, undefined targets, keys of two workspaces and target latencies above the time-out showed only in service.

Ruled out: decisions in platform/, which only translates field names and finds lines.

--- a/cmd/wasabigate/main.go
+++ b/cmd/wasabigate/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabigate/wasabigate/internal/cli"
 	"github.com/wasabigate/wasabigate/internal/load"
+	"github.com/wasabigate/wasabigate/platform"
 )
 
 func main() {
@@ -26,6 +27,8 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Extra:  []*ufcli.Command{load.Command()},
+
+		GatewayConfigs: platform.ConfigFiles{},
 	}
 	return int(program.Run(ctx, os.Args))
 }
--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -17,6 +17,8 @@
 	Stderr io.Writer
 	// Extra holds commands of other packages, such as load.
 	Extra []*cli.Command
+	// GatewayConfigs reads configurations of gateways; nil: config check takes documents only.
+	GatewayConfigs GatewayConfigs
 }
 
 // Run runs the command line and returns the exit code.
@@ -28,7 +30,7 @@
 
 func (p *Program) command() *cli.Command {
 	commands := []*cli.Command{
-		configCommand(),
+		configCommand(p.GatewayConfigs),
 		workspaceCommand(),
 		keyCommand(),
 		statusCommand(),
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -12,7 +12,6 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/wasabigate/wasabigate/internal/config"
-	"github.com/wasabigate/wasabigate/internal/config/check"
 	"github.com/wasabigate/wasabigate/internal/configstore"
 )
 
@@ -22,14 +21,15 @@
 	flagRevision       = "revision"
 )
 
-func configCommand() *cli.Command {
+func configCommand(gateways GatewayConfigs) *cli.Command {
 	revision := &cli.Uint64Flag{Name: flagRevision, Usage: "`NUMBER` of a past revision; none for the current one"}
 	return &cli.Command{
 		Name:  "config",
 		Usage: "check, apply and promote the document of an environment",
 		Commands: []*cli.Command{
 			{Name: "check", Usage: "check a document for errors and probable mistakes", ArgsUsage: "FILE",
-				Flags: []cli.Flag{&cli.BoolFlag{Name: flagAgainstCurrent, Usage: "also show the changes from the document in force"}}, Action: action(configCheck)},
+				Flags:  []cli.Flag{&cli.BoolFlag{Name: flagAgainstCurrent, Usage: "also show the changes from the document in force"}},
+				Action: action(func(ctx context.Context, s *session) error { return configCheck(ctx, s, gateways) })},
 			{Name: "diff", Usage: "compare the document in force with a file", ArgsUsage: "FILE", Flags: []cli.Flag{revision}, Action: action(configDiff)},
 			{Name: "apply", Usage: "put a document in force", ArgsUsage: "FILE",
 				Flags: []cli.Flag{&cli.Uint64Flag{Name: flagBase, Usage: "`NUMBER` of the revision that the file started from; needed once there is one"}}, Action: action(configApply)},
@@ -58,93 +58,19 @@
 // parse parses a document and sets the source file in its faults.
 func (s *session) parse(text []byte) (*config.Document, error) {
 	document, err := config.Parse(text)
+	return document, s.withSource(err)
+}
+
+// withSource sets the source file in faults.
+func (s *session) withSource(err error) error {
 	var faults config.Faults
 	if errors.As(err, &faults) {
 		for i := range faults {
 			faults[i].Source = s.command.Args().First()
 		}
-		return nil, faults
-	}
-	return document, err
-}
-
-// checkResult is the result of config check.
-type checkResult struct {
-	Digest     string `json:"digest"`
-	Models     int    `json:"models"`
-	Groups     int    `json:"groups"`
-	Workspaces int    `json:"workspaces"`
-	Keys       int    `json:"keys"`
-	Routes     int    `json:"routes"`
-	// Warnings is empty, not null, if there are none.
-	Warnings []check.Warning `json:"warnings"`
-	Current  *currentResult  `json:"against_current,omitempty"`
-}
-
-// currentResult is the difference from the document in force to the checked one.
-type currentResult struct {
-	Revision uint64         `json:"revision"` // 0 if no document is in force
-	Changes  []check.Change `json:"changes"`
-}
-
-func (c *checkResult) writeText(w io.Writer) {
-	fmt.Fprintf(w, "valid: %d models, %d groups, %d workspaces, %d keys, %d routes\ndigest %s\n",
-		c.Models, c.Groups, c.Workspaces, c.Keys, c.Routes, c.Digest)
-	for _, warning := range c.Warnings {
-		fmt.Fprintf(w, "warning: %v\n", warning)
-	}
-	if c.Current == nil {
-		return
-	}
-	fmt.Fprintf(w, "%d changes from revision %d\n", len(c.Current.Changes), c.Current.Revision)
-	for _, change := range c.Current.Changes {
-		fmt.Fprintln(w, change)
-	}
-}
-
-func configCheck(ctx context.Context, s *session) error {
-	text, err := s.readDocument()
-	if err != nil {
-		return err
-	}
-	d, err := s.parse(text)
-	if err != nil {
-		return err
-	}
-	digest := configstore.Digest(text)
-	sections := config.Sections(text)
-	out := &checkResult{Digest: hex.EncodeToString(digest[:]), Models: len(d.Models), Groups: len(d.Groups),
-		Workspaces: len(d.Workspaces), Keys: len(d.Keys), Routes: len(d.Routes), Warnings: []check.Warning{}}
-	var withdrawn func(id string) bool
-	if s.command.Bool(flagAgainstCurrent) {
-		state, err := s.currentState(ctx)
-		if err != nil {
-			return err
-		}
-		out.Current = &currentResult{Revision: state.Number(), Changes: []check.Change{}}
-		var current []config.Section
-		if state.Revision != nil {
-			current, withdrawn = config.Sections(state.Revision.Text), state.Revision.KeyWithdrawn
-		}
-		out.Current.Changes = append(out.Current.Changes, check.Compare(current, sections)...)
-	}
-	for _, warning := range check.Document(d, sections, withdrawn) {
-		warning.Source = s.command.Args().First()
-		out.Warnings = append(out.Warnings, warning)
-	}
-	if err := s.print(out); err != nil || len(out.Warnings) == 0 {
-		return err
-	}
-	return exitWith(ExitWarnings)
-}
-
-// currentState returns the state in force; its revision is nil if there is no document.
-func (s *session) currentState(ctx context.Context) (*configstore.State, error) {
-	store, err := s.store()
-	if err != nil {
-		return nil, err
+		return faults
 	}
-	return store.Read(ctx)
+	return err
 }
 
 // diffResult is the result of config diff.
--- a/internal/config/check/check.go
+++ b/internal/config/check/check.go
@@ -32,6 +32,8 @@
 // the second, which clients do not do.
 const rateToBurst = 10
 
+const rateFarAboveBurst = "%d is more than %d times the burst, %d: only requests that are spread evenly reach the rate"
+
 // minGenerationCost is the cost of the smallest generation: a prompt of one token and one
 // token of completion.
 const minGenerationCost = 2
@@ -145,7 +147,7 @@
 	section := config.KindWorkspace + " " + w.Name
 	// w.Burst is at most 10^10, so that the product does not overflow.
 	if w.Rate > rateToBurst*w.Burst {
-		c.add(Contradictory, section, "rate", "%d is more than %d times the burst, %d: most of it can't be drawn", w.Rate, rateToBurst, w.Burst)
+		c.add(Contradictory, section, "rate", rateFarAboveBurst, w.Rate, rateToBurst, w.Burst)
 	}
 	if !c.keyed[w.Name] && !c.open[w.Name] {
 		c.add(Unused, section, "", "no valid key and no open route belongs to the workspace")
--- a/internal/config/check/check_test.go
+++ b/internal/config/check/check_test.go
@@ -57,7 +57,7 @@
 		{"nothing", "", "", nil},
 		{"at the bounds", "rate = 100\nburst = 1000", "rate = 5130\nburst = 513", nil},
 		{"rate far above burst", "", "[workspace o]\nrate = 31\nburst = 3\n" + open, []string{
-			"contradictory: line 22: [workspace o] rate: 31 is more than 10 times the burst, 3: most of it can't be drawn"}},
+			"contradictory: line 22: [workspace o] rate: 31 is more than 10 times the burst, 3: only requests that are spread evenly reach the rate"}},
 		{"idle workspace", "", "[workspace o]\nrate = 1\nburst = 1\n", []string{
 			"unused: line 21: [workspace o] no valid key and no open route belongs to the workspace"}},
 		{"idle group", "", "[group spare]\nkind = service\n", []string{"unused: line 21: [group spare] no model and no route names the group"}},
