--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -16,17 +16,20 @@
 )
 
 const (
-	flagBase     = "base"
-	flagRevision = "revision"
+	flagAgainstCurrent = "against-current"
+	flagBase           = "base"
+	flagRevision       = "revision"
 )
 
-func configCommand() *cli.Command {
+func configCommand(gateways GatewayConfigs) *cli.Command {
 	revision := &cli.Uint64Flag{Name: flagRevision, Usage: "`NUMBER` of a past revision; none for the current one"}
 	return &cli.Command{
 		Name:  "config",
 		Usage: "check, apply and promote the document of an environment",
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "check a document without any connection", ArgsUsage: "FILE", Action: action(configCheck)},
+			{Name: "check", Usage: "check a document for errors and probable mistakes", ArgsUsage: "FILE",
+				Flags:  []cli.Flag{&cli.BoolFlag{Name: flagAgainstCurrent, Usage: "also show the changes from the document in force"}},
+				Action: action(func(ctx context.Context, s *session) error { return configCheck(ctx, s, gateways) })},
 			{Name: "diff", Usage: "compare the document in force with a file", ArgsUsage: "FILE", Flags: []cli.Flag{revision}, Action: action(configDiff)},
 			{Name: "apply", Usage: "put a document in force", ArgsUsage: "FILE",
 				Flags: []cli.Flag{&cli.Uint64Flag{Name: flagBase, Usage: "`NUMBER` of the revision that the file started from; needed once there is one"}}, Action: action(configApply)},
@@ -55,42 +58,19 @@
 // parse parses a document and sets the source file in its faults.
 func (s *session) parse(text []byte) (*config.Document, error) {
 	document, err := config.Parse(text)
+	return document, s.withSource(err)
+}
+
+// withSource sets the source file in faults.
+func (s *session) withSource(err error) error {
 	var faults config.Faults
 	if errors.As(err, &faults) {
 		for i := range faults {
 			faults[i].Source = s.command.Args().First()
 		}
-		return nil, faults
-	}
-	return document, err
-}
-
-// checkResult is the result of config check.
-type checkResult struct {
-	Digest     string `json:"digest"`
-	Models     int    `json:"models"`
-	Groups     int    `json:"groups"`
-	Workspaces int    `json:"workspaces"`
-	Keys       int    `json:"keys"`
-	Routes     int    `json:"routes"`
-}
-
-func (c *checkResult) writeText(w io.Writer) {
-	fmt.Fprintf(w, "valid: %d models, %d groups, %d workspaces, %d keys, %d routes\ndigest %s\n",
-		c.Models, c.Groups, c.Workspaces, c.Keys, c.Routes, c.Digest)
-}
-
-func configCheck(_ context.Context, s *session) error {
-	text, err := s.readDocument()
-	if err != nil {
-		return err
-	}
-	d, err := s.parse(text)
-	if err != nil {
-		return err
+		return faults
 	}
-	digest := configstore.Digest(text)
-	return s.print(&checkResult{hex.EncodeToString(digest[:]), len(d.Models), len(d.Groups), len(d.Workspaces), len(d.Keys), len(d.Routes)})
+	return err
 }
 
 // diffResult is the result of config diff.
