config check: name the field under which a route's target is written

Cause: a target can be written as backend or weighted_backends; warnings named weighted_backends and the line of the route for both.

Change: a field has the keys under which it can be written; the warning names the one that its section has, with its line.

Result: the tests of internal/config/... and internal/cli pass, and those of platform that match ConfigCheck or FuzzConfig.

Conclusion: warnings about targets have the right field and line.

--- a/internal/config/check/gateway.go
+++ b/internal/config/check/gateway.go
@@ -36,7 +36,9 @@
 type Gateway struct {
 	Config   *deployment.Config
 	Sections []config.Section
-	Keys     map[Field]string // keys of the fields in Sections
+	// Keys are the keys of the fields in Sections. A field that can be written under several
+	// keys is reported under the first one that its section has.
+	Keys map[Field][]string
 }
 
 // SectionNames gives out section names; the second section of a name gets a number.
@@ -70,13 +72,23 @@
 type gatewayCheck struct {
 	*findings
 	config   *deployment.Config
-	keys     map[Field]string
+	keys     map[Field][]string
 	names    SectionNames
 	targeted map[string]bool // services that get requests of a route
 }
 
 func (c *gatewayCheck) addField(kind Kind, section string, field Field, format string, args ...any) {
-	c.add(kind, section, c.keys[field], format, args...)
+	key := string(field)
+	if keys := c.keys[field]; len(keys) > 0 {
+		key = keys[0]
+		for _, other := range keys {
+			if _, found := c.positions[section].fields[other]; found {
+				key = other
+				break
+			}
+		}
+	}
+	c.add(kind, section, key, format, args...)
 }
 
 func (c *gatewayCheck) checkRoutes() {
--- a/internal/config/check/gateway_test.go
+++ b/internal/config/check/gateway_test.go
@@ -49,10 +49,6 @@
 			c.Workspaces[0].CountsTokens, c.Workspaces[0].UncachedTokens = true, 11
 		}, []string{"contradictory: [workspace w] uncached tokens: 11 is above the burst, 10: requests of unknown size are refused"}},
 	}
-	keys := make(map[Field]string)
-	for _, f := range []Field{FieldPrefix, FieldTargets, FieldAccess, FieldTargetLatency, FieldTargetGap, FieldResumable, FieldKeys, FieldRate, FieldUncachedTokens} {
-		keys[f] = string(f)
-	}
 	sections := []config.Section{{Name: "route r", Line: 2, Fields: []config.Field{{Key: "prefix", Line: 3}}}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -63,7 +59,7 @@
 			}
 			c.change(d)
 			var got []string
-			for _, w := range (&Gateway{Config: d.Index(), Sections: sections, Keys: keys}).Warnings() {
+			for _, w := range (&Gateway{Config: d.Index(), Sections: sections}).Warnings() {
 				got = append(got, string(w.Kind)+": "+w.String())
 			}
 			if !slices.Equal(got, c.want) {
