canary: a restored final state comes with its status

Cause: after a restore of the store any gateway writes a lost final state again, but only the owner wrote the status that operators read. If the restored copy has the key of an owner's lease that does not end any more, there is no owner, and the status stayed lost.

Ruled out: an owner that does not know its status (its key names the era).

Change: who restores a final state writes its status too. The state was written by compare-and-swap just before, so a newer order's status is not replaced by a gateway that does not know it.

Measured: TestStatusIsRestoredWithoutOwner fails before and passes after.

--- a/internal/canary/owner.go
+++ b/internal/canary/owner.go
@@ -176,7 +176,9 @@
 		return
 	}
 	s.lostSince = now
-	o.write(ctx, e, s, e.State, "rollout restored")
+	if o.write(ctx, e, s, e.State, "rollout restored") && e.State.Phase.Terminal() {
+		o.writeStatus(ctx, e.Service, e.State, s) // the owner's lease may have been lost with the state
+	}
 }
 
 // advance writes the next state of a service, and its status.
@@ -195,12 +197,16 @@
 	state := e.State
 	if s.written != nil && s.written.Supersedes(state) {
 		if now.Sub(s.writtenAt) < echoTime {
-			o.writeStatus(ctx, e.Service, s.written, s)
+			if o.term.Valid() {
+				o.writeStatus(ctx, e.Service, s.written, s)
+			}
 			return // the follower has not seen it yet
 		}
 		s.written = nil
 	}
-	o.writeStatus(ctx, e.Service, state, s)
+	if o.term.Valid() {
+		o.writeStatus(ctx, e.Service, state, s)
+	}
 	in, ok := o.opts.Tracker.Input(e.Service, o.opts.Gateways(), o.opts.Staleness(), now)
 	if !ok || e.Lost || !sameView(in, e) {
 		return
@@ -208,7 +214,9 @@
 	if next := Next(in); next != nil && o.term.Valid() {
 		if o.write(ctx, e, s, next, "rollout advanced") {
 			s.written, s.writtenAt = next, time.Now()
-			o.writeStatus(ctx, e.Service, next, s)
+			if o.term.Valid() {
+				o.writeStatus(ctx, e.Service, next, s)
+			}
 		}
 	}
 }
@@ -246,7 +254,7 @@
 
 // writeStatus tells operators how far an order is, if it is not known that they have been told.
 func (o *Owner) writeStatus(ctx context.Context, service string, state *State, s *ownedService) {
-	if state == nil || state.Phase == None || !o.term.Valid() {
+	if state == nil || state.Phase == None {
 		return
 	}
 	key := statusKey{serial: state.Serial, phase: state.Phase, era: o.opts.KV.Era(), known: true}
--- a/internal/canary/owner_test.go
+++ b/internal/canary/owner_test.go
@@ -88,3 +88,45 @@
 		t.Errorf("found bad after %v", took)
 	}
 }
+
+// emptyStore has no entries and takes all writes.
+type emptyStore struct {
+	hungStore
+	written map[string]bool
+}
+
+func (emptyStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{}, platform.ErrNotFound
+}
+
+func (e emptyStore) CompareAndSwap(_ context.Context, key string, _ []byte, _ platform.Version, _ platform.LeaseID) (platform.Version, error) {
+	e.written[key] = true
+	return 1, nil
+}
+
+// A gateway that restores the state of an order that has ended must tell operators too: there may
+// be no owner, since a restored store can bring back the key of a lease that has ended.
+func TestStatusIsRestoredWithoutOwner(t *testing.T) {
+	state := observing()
+	state.Phase = Completed
+	store := emptyStore{written: make(map[string]bool)}
+	owner := NewOwner(OwnerOptions{
+		Self: "g1", Lease: time.Second, KV: store, Tracker: NewTracker(Bounds{Share: 0.1}), LeaseKey: "owner", Prefix: "state/",
+		Status: func(service string, _ *State) (string, []byte, error) {
+			return "status/" + service, []byte("completed"), nil
+		},
+		Entries: func() []Entry { return []Entry{{Service: "s", Configured: true, State: state, Lost: true}} },
+		Holder:  func() string { return "g2 1" },
+	})
+	now := time.Now()
+	for range 2 {
+		owner.step(t.Context(), now)
+		now = now.Add(restoreDelay)
+	}
+	if !store.written["state/s"] {
+		t.Error("the state is not restored")
+	}
+	if !store.written["status/s"] {
+		t.Error("the status is not restored")
+	}
+}
