backend: an invalid response closes only its own connection

Cause: a response that is discarded and has no body leaves its closed connection among the idle ones, where the next request could take it. All idle connections of the transport were closed for that, those to sound servers too, so each such response of one broken server made requests to all others open new connections. Ruled out: only closing the connection. A request that gets it before the transport sees the end would count as one that may have run. Change: a request that must not repeat an id rejects a connection that has ended, as it rejects one that has carried its id, and takes another. Nothing was written then.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -174,7 +174,7 @@
 		return nil, callError(ctx, err, call.Address, trace.Connected())
 	}
 	if status := httpResponse.StatusCode; !verdict.IsFinalStatus(status) {
-		discard(transport, trace, httpResponse)
+		discard(trace, httpResponse)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s answered with status %d", call.Address, status)
 	}
 	response := &Response{
@@ -193,22 +193,18 @@
 		c.unidentified.Remove(call.Address)
 	}
 	if !answers(response, call, trace.Reused()) {
-		discard(transport, trace, httpResponse)
+		discard(trace, httpResponse)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "%s sent the answer of another request", call.Address)
 	}
 	return response, nil
 }
 
 // discard closes the connection of a response. The response may be complete, so closing its body
-// would keep the connection.
-func discard(transport *http.Transport, trace *conntrace.Trace, response *http.Response) {
+// would keep the connection. Without a body the connection is idle by now; if the transport chooses
+// it again before it learns that it is closed, the trace of that request rejects it.
+func discard(trace *conntrace.Trace, response *http.Response) {
 	trace.CloseConn()
 	closeBody(response.Body)
-	if response.ContentLength == 0 {
-		// Without a body the connection is idle by now, and would be used again
-		// before the transport learns that it is closed.
-		transport.CloseIdleConnections()
-	}
 }
 
 // send sends the request on a connection that has not carried its id before, and waits for the
--- a/internal/conntrace/conntrace.go
+++ b/internal/conntrace/conntrace.go
@@ -25,8 +25,8 @@
 func Attach(ctx context.Context) (context.Context, *Trace) { return attach(ctx, &Trace{size: -1}) }
 
 // AttachOnce is Attach for a request with an id that may be sent once on each connection of
-// Remember. If the HTTP client chooses one that has carried the id, the connection is closed
-// before anything is written to it, and Rejected tells so. The request needs no Transport; its
+// Remember. If the HTTP client chooses one that has carried the id or has ended, the connection is
+// closed before anything is written to it, and Rejected tells so. The request needs no Transport; its
 // body has size bytes.
 func AttachOnce(ctx context.Context, id string, size int) (context.Context, *Trace) {
 	return attach(ctx, &Trace{id: id, size: int64(size)})
@@ -47,14 +47,14 @@
 	if t.size >= 0 {
 		c.upload.begin(t.size)
 	}
-	if t.id != "" && !c.carry(t.id) {
+	if t.id != "" && (c.hasEnded() || !c.carry(t.id)) {
 		_ = info.Conn.Close() // its state does not matter any more
 		t.conn, t.rejected = nil, true
 	}
 }
 
 // Rejected reports whether the request was not sent because its connection had carried its
-// id. Whatever the HTTP client returned is not the request's response.
+// id or had ended. Whatever the HTTP client returned is not the request's response.
 func (t *Trace) Rejected() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/conntrace/upload.go
+++ b/internal/conntrace/upload.go
@@ -118,6 +118,15 @@
 // end records that nothing more is read.
 func (c *conn) end() { c.endOnce.Do(func() { close(c.ended) }) }
 
+func (c *conn) hasEnded() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Read implements net.Conn. The end of the connection is io.ErrUnexpectedEOF if a response has
 // begun and its request was not written completely.
 func (c *conn) Read(data []byte) (int, error) {
