canary: a finding in Seal brings no requests back to old servers

Cause (review): a gateway that found the new version bad after it had reported no requests at old servers began some there, while the owner wrote that the order was completed, at which old servers stop without draining. Ruled out: keeping them for stale gateways, which the owner no longer counts. Change: requests are refused as not run until the state shows how the order ended.

--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// A finding in Seal must not bring requests back to old servers: the owner may be writing that the
+// order is completed.
+func TestFindingInSeal(t *testing.T) {
+	now := time.Now()
+	tracker := trackerAt(&State{Serial: 1, Order: observing().Order, Phase: Seal, Old: []string{"v1"}}, nil, now)
+	tracker.services["s"].finding = Finding{Bad: true}
+	choice, _ := tracker.Choose("s", "r", 0, now)
+	if choice.Allows("a", "v1") || choice.Allows("b", "v2") || tracker.Allows("s", "v1", 0) {
+		t.Errorf("%+v", choice)
+	}
+}
+
 // A share must not be spent on a server of the new version that is listed but down.
 func TestExposedServersAreReachable(t *testing.T) {
 	now := time.Now()
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -271,10 +271,11 @@
 }
 
 // mayUseOld reports whether any attempt may be made at the old versions. In Seal they are about
-// to be stopped. A gateway that is cut off uses them once the owner no longer counts it among
-// those it has heard of.
-func (st *standing) mayUseOld(bad bool, staleness time.Duration) bool {
-	return st.phase != Seal || bad || staleness > maxStaleness+reportTTL
+// to be stopped, also if the new version was found bad since the last report: the owner may
+// write that the order is completed before it learns of the finding. A gateway that is cut off
+// uses them once the owner no longer counts it among those it has heard of.
+func (st *standing) mayUseOld(staleness time.Duration) bool {
+	return st.phase != Seal || staleness > maxStaleness+reportTTL
 }
 
 // oldChoice is the choice of an attempt that may not use the new version.
@@ -288,7 +289,7 @@
 	case st.new != "" && st.newGone:
 		reason = "no_new_server"
 	}
-	if !st.mayUseOld(bad, staleness) {
+	if !st.mayUseOld(staleness) {
 		return Choice{Reason: "sealed"}
 	}
 	return Choice{versions: st.old, Reason: reason}
@@ -300,7 +301,7 @@
 	case st.open:
 		return true
 	case slices.Contains(st.old, version):
-		return st.mayUseOld(bad, staleness)
+		return st.mayUseOld(staleness)
 	case version == st.new && st.new != "":
 		return st.mayUseNew(bad, staleness)
 	}
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -224,7 +224,7 @@
 		return Choice{}, false
 	}
 	s.gate.refund(route)
-	if !s.standing.mayUseOld(s.finding.Bad, 0) {
+	if !s.standing.mayUseOld(0) {
 		return Choice{}, false
 	}
 	return Choice{versions: s.standing.old, Reason: "no_new_server"}, true
