--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -16,6 +16,10 @@
 	minIntervals = 5
 	// minPacedServers is the number of servers with a known pace from which they are compared.
 	minPacedServers = 5
+	// paceTTL is the time without events after which a pace is forgotten. Placement may send a
+	// server that was disrupted when its streams ended nothing more; a server that really is
+	// slow gets a few requests and is found slow again.
+	paceTTL = 30 * time.Second
 	// speedInterval is the time between two comparisons of a service's servers.
 	speedInterval = 100 * time.Millisecond
 	// minSpeed and maxSpeed bound a relative speed.
@@ -31,25 +35,32 @@
 type pace struct {
 	ms        float64
 	intervals int
+	latest    time.Time // event
 }
 
-func (p *pace) add(interval time.Duration, events int) {
+func (p *pace) add(interval time.Duration, events int, now time.Time) {
+	if now.Sub(p.latest) >= paceTTL {
+		*p = pace{}
+	}
+	p.latest = now
 	ms := float64(min(interval, time.Duration(events)*maxInterval)) / float64(time.Millisecond) / float64(events)
 	p.intervals++
 	p.ms += (ms - p.ms) * max(paceSmoothing, 1/float64(p.intervals))
 }
 
-func (p *pace) known() bool { return p.intervals >= minIntervals && p.ms > 0 }
+func (p *pace) known(now time.Time) bool {
+	return p.intervals >= minIntervals && p.ms > 0 && now.Sub(p.latest) < paceTTL
+}
 
 // RecordInterval records that a server's stream brought a number of events, and the time
 // since the ones before.
-func (f *Fleet) RecordInterval(id string, interval time.Duration, events int) {
+func (f *Fleet) RecordInterval(id string, interval time.Duration, events int, now time.Time) {
 	if events <= 0 || interval < 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state(id).pace.add(interval, events)
+	f.state(id).pace.add(interval, events, now)
 }
 
 // speeds compares the paces of a service's servers.
@@ -71,7 +82,7 @@
 	v.updated = now
 	known := v.scratch[:0]
 	for i := range servers {
-		if p := &servers[i].state.pace; p.known() {
+		if p := &servers[i].state.pace; p.known(now) {
 			known = append(known, p.ms)
 		}
 	}
@@ -84,13 +95,13 @@
 	median, fifth := known[len(known)/2], len(known)/5
 	v.uneven = known[len(known)-1-fifth] >= unevenRatio*known[fifth]
 	for i := range servers {
-		servers[i].state.setSpeed(median)
+		servers[i].state.setSpeed(median, now)
 	}
 }
 
-func (s *serverState) setSpeed(medianMs float64) {
+func (s *serverState) setSpeed(medianMs float64, now time.Time) {
 	s.speed = 0
-	if s.pace.known() {
+	if s.pace.known(now) {
 		s.speed = min(maxSpeed, max(minSpeed, medianMs/s.pace.ms))
 	}
 }
--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -46,7 +46,7 @@
 		p.now = p.now.Add(10 * time.Millisecond)
 		for i, interval := range p.intervals {
 			for !p.next[i].After(p.now) {
-				p.fleet.RecordInterval(fmt.Sprint("e", i), interval, 1)
+				p.fleet.RecordInterval(fmt.Sprint("e", i), interval, 1, p.now)
 				p.next[i] = p.next[i].Add(interval)
 			}
 		}
@@ -92,12 +92,12 @@
 	p := newPaceTest(repeated(4, 0.6, 1, 1.6)...)
 	p.run(2*time.Second, never)
 	before := p.fleet.servers["e1"].pace.ms
-	p.fleet.RecordInterval("e1", -time.Second, 1)
-	p.fleet.RecordInterval("e1", time.Second, 0)
+	p.fleet.RecordInterval("e1", -time.Second, 1, p.now)
+	p.fleet.RecordInterval("e1", time.Second, 0, p.now)
 	if after := p.fleet.servers["e1"].pace.ms; after != before {
 		t.Errorf("malformed intervals change the pace from %f to %f ms", before, after)
 	}
-	p.fleet.RecordInterval("e1", time.Minute, 1)
+	p.fleet.RecordInterval("e1", time.Minute, 1, p.now)
 	step := p.fleet.servers["e1"].pace.ms - before
 	if bound := paceSmoothing * float64(maxInterval/time.Millisecond); step <= 0 || step > bound {
 		t.Errorf("one outlier changes the pace by %f ms, want at most %f", step, bound)
@@ -140,6 +140,17 @@
 	}
 }
 
+// A server whose streams ended while it was disrupted must not be left out for ever.
+func TestPaceIsForgottenWithoutEvents(t *testing.T) {
+	p := newPaceTest(repeated(4, 0.6, 1, 1.6)...)
+	p.run(2*time.Second, never)
+	p.next[0] = p.now.Add(time.Hour) // no events
+	p.run(paceTTL+time.Second, never)
+	if speed := p.speed(0); speed != 0 {
+		t.Errorf("speed %f", speed)
+	}
+}
+
 // checkDisruption disrupts one of the servers by a factor of 2.5 for 3 s. It must be known as
 // slow within 1 s, and as usual within 2 s after the disruption. Its speed counts as slow if it
 // is nearer to that of the disruption, 0.4 of the usual, than to the usual one.
@@ -177,7 +188,7 @@
 	for i, interval := range p.intervals {
 		group.Go(func() {
 			for n := range 200 {
-				p.fleet.RecordInterval(fmt.Sprint("e", i), interval, 1)
+				p.fleet.RecordInterval(fmt.Sprint("e", i), interval, 1, p.now)
 				at := start.Add(time.Duration(n) * speedInterval)
 				for _, server := range p.fleet.View(p.snapshot, "lm", "m", at) {
 					if server.Speed != 0 && (server.Speed < minSpeed || server.Speed > maxSpeed) {
--- a/internal/forward/placement_bench_test.go
+++ b/internal/forward/placement_bench_test.go
@@ -72,7 +72,7 @@
 func recordUnevenSpeeds(f *fleet.Fleet, engines int) {
 	for i := range engines {
 		for range 20 {
-			f.RecordInterval(fmt.Sprint("e", i), []time.Duration{83, 50, 31}[i%3]*time.Millisecond, 1)
+			f.RecordInterval(fmt.Sprint("e", i), []time.Duration{83, 50, 31}[i%3]*time.Millisecond, 1, time.Now())
 		}
 	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -64,7 +64,7 @@
 	s.watchdog.reset()
 	now := time.Now()
 	if !s.latest.IsZero() {
-		s.active.relay.Fleet.RecordInterval(s.call.ServerID, now.Sub(s.latest), batch.Count)
+		s.active.relay.Fleet.RecordInterval(s.call.ServerID, now.Sub(s.latest), batch.Count, now)
 	}
 	s.latest = now
 	s.active.rollout.attempt.Events(batch.Count, now)
