forward, quarantine: log how checks for crashes end, and when probes are due

Each check whether a server's process has ended is logged with the request, its hash, the stage, the age of the send, the outcome and the time it took, and counted by outcome. Probes are logged with the servers that ended, the time since they were due and the turn, and their end is logged.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -70,14 +70,23 @@
 	crash := quarantine.Crash{
 		Server: processName(server), Sent: r.sent, Ended: now, Stage: stage, Parts: r.parts,
 	}
-	go r.relay.recordIfEnded(server.Address, &crash)
+	entry := fields{
+		logging.FieldRequest: r.req.ID, "server": r.req.Log.Server, "incarnation": server.Incarnation, "address": server.Address,
+		"sent_age_ms": now.Sub(r.sent).Milliseconds(), "stage": stage.String(), "request": r.parts[len(r.parts)-1].String(),
+	}
+	go r.relay.recordIfEnded(server.Address, &crash, entry)
 }
 
-// recordIfEnded records a crash if no process serves the server's address.
-func (r *Relay) recordIfEnded(address string, crash *quarantine.Crash) {
-	if r.processEnded(crash.Server, address) {
+// recordIfEnded records a crash if no process serves the server's address. It logs entry with
+// the outcome.
+func (r *Relay) recordIfEnded(address string, crash *quarantine.Crash, entry fields) {
+	ended := r.processEnded(crash.Server, address)
+	if ended {
 		r.Quarantine.RecordCrash(*crash, time.Now())
 	}
+	r.meters.countCrashCheck(ended)
+	entry["ended"], entry["after_ms"] = ended, time.Since(crash.Ended).Milliseconds()
+	logger.Info(entry, "connection broke; checked whether its server's process ended")
 }
 
 // processName names the process of a server.
--- a/internal/forward/meters.go
+++ b/internal/forward/meters.go
@@ -19,6 +19,7 @@
 	takeUps  metric.Int64Counter
 	admitted metric.Int64Counter
 	rollout  metric.Int64Counter
+	checks   metric.Int64Counter
 }
 
 var outcomeLabels = map[fleet.Outcome]metric.MeasurementOption{
@@ -47,6 +48,7 @@
 		takeUps:  counter("wasabigate.forward.take_ups", "{request}", "Requests for the rest of a stream, by service and refusal."),
 		admitted: counter("wasabigate.forward.admissions", "{request}", "Less urgent requests while servers are short of room, by service and decision."),
 		rollout:  counter("wasabigate.forward.rollout_choices", "{attempt}", "Attempts in services whose software versions are rolled out by orders, by service and reason of the choice."),
+		checks:   counter("wasabigate.forward.crash_checks", "{request}", "Requests whose connection broke, by whether the server's process was seen to end."),
 		retries:  counter("wasabigate.forward.retries", "{retry}", "Retries that were asked for, by service and decision of the budget."),
 	}
 }
@@ -63,6 +65,11 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("decision", decision)))
 }
 
+// countCrashCheck counts a check whether a server's process has ended.
+func (m *meters) countCrashCheck(ended bool) {
+	m.checks.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("ended", ended)))
+}
+
 // countTakeUp counts a request for the rest of a stream.
 func (m *meters) countTakeUp(service string, refusal streamversion.Refusal) {
 	m.takeUps.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("refusal", refusal.String())))
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/metric"
@@ -80,6 +81,14 @@
 	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, part.describe()+" no longer blamed")
 }
 
-func logProbe(part Part) {
-	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, "probe of a blamed "+part.describe())
+func logProbe(part Part, b *blame, now time.Time) {
+	logger.Info(logging.Fields{
+		logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.newest,
+		"due_age_ms": now.Sub(b.until).Milliseconds(), "turn": turnOf(b, now),
+	}, "probe of a blamed "+part.describe())
+}
+
+// logProbeEnd logs the end of a probe.
+func logProbeEnd(part Part) {
+	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, "probe of a blamed "+part.describe()+" ended")
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -97,6 +97,18 @@
 	stages
 )
 
+// String returns the stage as logs show it.
+func (s Stage) String() string {
+	switch s {
+	case Waiting:
+		return "waiting"
+	case Streaming:
+		return "streaming"
+	default:
+		return "beginning"
+	}
+}
+
 // startTime is the time after its first event in which a response still counts as a possible
 // cause of its server's end.
 const startTime = 500 * time.Millisecond
@@ -224,7 +236,7 @@
 	case result.Probe:
 		q.probes[result.Part] = now.Add(probeTurn)
 		q.meters.count(q.meters.probes)
-		logProbe(result.Part)
+		logProbe(result.Part, q.blamed[result.Part], now)
 	case result.Held:
 		q.meters.count(q.meters.held)
 	}
@@ -244,19 +256,22 @@
 	if b.asked.IsZero() {
 		b.asked = now // all gateways to which requests come begin with the first turn
 	}
-	since := now.Sub(b.asked)
-	if !q.elect(part, int64(since/probeTurn)) {
-		return probeTurn - since%probeTurn
+	if !q.elect(part, turnOf(b, now)) {
+		return probeTurn - now.Sub(b.asked)%probeTurn
 	}
 	return 0
 }
 
+// turnOf returns the number of the turn to send a probe, from 0.
+func turnOf(b *blame, now time.Time) int64 { return int64(now.Sub(b.asked) / probeTurn) }
+
 // EndProbe ends a probe of which neither success nor crash was recorded.
 func (q *Quarantine) EndProbe(part Part, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if _, ok := q.probes[part]; ok {
 		q.probes[part] = now.Add(probePause)
+		logProbeEnd(part)
 	}
 }
 
