forward: watch for 5 s whether a server ends after a connection broke

A crash counted only if the server's address refused connections at once or 50 ms later. A process that breaks a connection and then takes 60 ms to end, or that is back at once, was not seen to end: its request was never blamed, and a probe that ended a server had no outcome, so that the next came a second later.

Ruled out: a longer single pause, as a crash is then known late where the process ends at once; asking the server which process it is, as one that is writing its memory to a file accepts connections and does not answer; taking each broken connection for a crash, as it says nothing of the request.

The check is made after 0, 0.2, 0.7, 2 and 5 s, and looks at the store's list too: a later process under the same id or at the same address tells of the end of the one before. Requests that wait for the same process share the checks; at most 32 wait. A server that is asked to leave ends for that.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -11,9 +11,6 @@
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
-// crashCheckTimeout bounds the check whether a server's process has ended.
-const crashCheckTimeout = time.Second
-
 // quarantineParts returns the shared parts of a request's prompt, and the request itself.
 func quarantineParts(service string, req *Request) []quarantine.Part {
 	shared := req.Shared()
@@ -74,13 +71,13 @@
 		logging.FieldRequest: r.req.ID, "server": r.req.Log.Server, "incarnation": server.Incarnation, "address": server.Address,
 		"sent_age_ms": now.Sub(r.sent).Milliseconds(), "stage": stage.String(), "request": r.parts[len(r.parts)-1].String(),
 	}
-	go r.relay.recordIfEnded(server.Address, &crash, entry)
+	relay := r.relay
+	relay.ends.watch(server, func(ended bool) { relay.recordIfEnded(ended, &crash, entry) })
 }
 
-// recordIfEnded records a crash if no process serves the server's address. It logs entry with
-// the outcome.
-func (r *Relay) recordIfEnded(address string, crash *quarantine.Crash, entry fields) {
-	ended := r.processEnded(crash.Server, address)
+// recordIfEnded records a crash if the server's process has ended. It logs entry with the
+// outcome.
+func (r *Relay) recordIfEnded(ended bool, crash *quarantine.Crash, entry fields) {
 	if ended {
 		r.Quarantine.RecordCrash(*crash, time.Now())
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -59,6 +59,7 @@
 	returns   *returns
 	gates     *gates
 	checks    *singleflight.Group // of servers that broke off, by id and incarnation
+	ends      *endWatches
 	processes *processChecks
 
 	Zone          string
@@ -116,7 +117,9 @@
 	if config.ProcessEnded == nil {
 		config.ProcessEnded = backend.ProcessEnded
 	}
-	return &config
+	relay := &config
+	relay.ends = newEndWatches(config.ProcessEnded, func() *deployment.Snapshot { return relay.Source() })
+	return relay
 }
 
 // Handle implements pipeline.Handler.
