--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -49,14 +49,15 @@
 // endProbe ends the probe that the last attempt was, if any.
 func (r *activeRequest) endProbe(now time.Time) {
 	if r.probe != 0 {
-		r.relay.Quarantine.EndProbe(r.probe, now)
+		r.relay.Quarantine.EndProbe(r.probe, false, now)
 		r.probe = 0
 	}
 }
 
 // checkCrash checks whether the process of the last attempt's server has ended, and if so,
 // records the crash. A connection that broke for another reason says nothing of the request.
-// firstEvent is the time of the response's first event, zero if none came.
+// firstEvent is the time of the response's first event, zero if none came. It must be called
+// before the attempt ends: a probe lasts until it is known what became of the server.
 func (r *activeRequest) checkCrash(ctx context.Context, firstEvent time.Time) {
 	now := time.Now()
 	server := r.req.Snapshot.Servers[r.req.Log.Server]
@@ -71,8 +72,14 @@
 		logging.FieldRequest: r.req.ID, "server": r.req.Log.Server, "incarnation": server.Incarnation, "address": server.Address,
 		"sent_age_ms": now.Sub(r.sent).Milliseconds(), "stage": stage.String(), "request": r.parts[len(r.parts)-1].String(),
 	}
-	relay := r.relay
-	relay.ends.watch(server, func(ended bool) { relay.recordIfEnded(ended, &crash, entry) })
+	relay, probe := r.relay, r.probe
+	r.probe = 0
+	relay.ends.watch(server, func(ended bool) {
+		relay.recordIfEnded(ended, &crash, entry)
+		if probe != 0 {
+			relay.Quarantine.EndProbe(probe, true, time.Now())
+		}
+	})
 }
 
 // recordIfEnded records a crash if the server's process has ended. It logs entry with the
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -32,12 +32,12 @@
 	case ctx.Err() == nil:
 		r.setRolloutOutcome(canary.Unreachable)
 	}
-	r.endAttempt(attempt, outcome)
 	if failure.Verdict != verdict.NotRun {
 		r.reached++
 		r.countExecution()
 		r.checkCrash(ctx, time.Time{})
 	}
+	r.endAttempt(attempt, outcome)
 	return r.asTimeout(ctx, failure)
 }
 
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -14,8 +14,9 @@
 	// maxRumors bounds what waits to be told, maxTold the crashes in one message.
 	maxRumors = 128
 	maxTold   = 32
-	// maxAge bounds the ages in a message; older news is of no use.
-	maxAge = forgetAfter
+	// maxAge bounds the ages in a message. The first crashes for which a part is blamed may be
+	// that old.
+	maxAge = 100 * maxHold
 	// maxServerBytes bounds the name of a server in a message.
 	maxServerBytes = 256
 )
@@ -66,7 +67,7 @@
 func (q *Quarantine) digest() uint64 {
 	digest := uint64(0)
 	for part, b := range q.blamed {
-		digest ^= uint64(PartOf(b.newest, "")) * (uint64(part) | 1)
+		digest ^= uint64(PartOf(b.last().Server, "")) * (uint64(part) | 1)
 	}
 	return digest
 }
@@ -125,10 +126,10 @@
 
 // addFindings adds the crashes for which parts are blamed.
 func (w *newsWriter) addFindings() {
-	for part := range w.quarantine.blamed {
-		open, counted := w.quarantine.evidence(part)
+	for part, b := range w.quarantine.blamed {
+		_, counted := w.quarantine.evidence(part)
 		w.addCrashes(counted)
-		w.addCrashes(open[max(0, len(open)-maxCounted):]) // from which the next probe follows
+		w.addCrashes(b.crashes[max(0, len(b.crashes)-maxCounted):]) // from which the next probe follows
 	}
 }
 
@@ -180,6 +181,7 @@
 	for server := range settled {
 		q.judgeServer(server)
 	}
+	q.forget(now) // a crash that is old counts only if a part is blamed for it
 }
 
 // mergeSuccess records another process's success if it settles any crash that is open
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -58,7 +58,7 @@
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
 func logBlamed(part Part, b *blame) {
-	logger.Warn(logging.Fields{logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.newest, "parts_in_common": len(b.common)}, part.describe()+" blamed for crashes")
+	logger.Warn(logging.Fields{logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.last().Server, "parts_in_common": len(b.common)}, part.describe()+" blamed for crashes")
 }
 
 // Describe returns what the part is, for a client's error.
@@ -83,12 +83,12 @@
 
 func logProbe(part Part, b *blame, now time.Time) {
 	logger.Info(logging.Fields{
-		logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.newest,
+		logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.last().Server,
 		"due_age_ms": now.Sub(b.until).Milliseconds(), "turn": turnOf(b, now),
 	}, "probe of a blamed "+part.describe())
 }
 
-// logProbeEnd logs the end of a probe.
-func logProbeEnd(part Part) {
-	logger.Info(logging.Fields{logging.FieldQuarantined: part.String()}, "probe of a blamed "+part.describe()+" ended")
+// logProbeEnd logs that a probe has ended without an outcome.
+func logProbeEnd(part Part, broke bool) {
+	logger.Info(logging.Fields{logging.FieldQuarantined: part.String(), "connection_broke": broke}, "probe of a blamed "+part.describe()+" without an outcome")
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,7 +11,8 @@
 // two parts that were lost at the same servers, one explains the other; see isExplained.
 //
 // From time to time one gateway sends one of the held requests as a probe. Its success
-// ends the blame; another crash doubles the time until the next probe.
+// ends the blame; another crash makes the time until the next probe much longer, so that
+// probes of a part that goes on crashing servers end few of them.
 package quarantine
 
 import (
@@ -34,16 +35,25 @@
 	minWaitingRequests = 4
 	// maxCounted bounds the crashes that count against a part.
 	maxCounted = 8
-	// firstHold is the time from a crash to the first probe. Each probe that crashes a
-	// server doubles it, up to maxHold.
-	firstHold = 20 * time.Second
-	maxHold   = 10 * time.Minute
-	// forgetAfter is how long a crash is remembered. It must cover minCrashes probes.
-	forgetAfter = (minCrashes + 1) * maxHold
+	// firstHold is the time from a crash to the first probe. Each probe that crashes a server
+	// multiplies it by holdFactor, up to maxHold, so that few servers end in a day.
+	firstHold  = 20 * time.Second
+	holdFactor = 75
+	maxHold    = 30 * time.Hour
+	// forgetAfter is how long a crash is remembered while no part is blamed for it, and
+	// forgetBlameAfter how long a blame lasts after its last crash. It must exceed maxHold.
+	forgetAfter      = 40 * time.Minute
+	forgetBlameAfter = 2 * maxHold
+	// ageRounding covers what the ages of crashes lose in messages.
+	ageRounding = time.Second
 	// probeTurn is how long a gateway is the one that may send a probe.
 	probeTurn = 5 * time.Second
-	// probePause is the time after a probe without a clear outcome until the next one.
-	probePause = time.Second
+	// probeTime bounds the time until a probe is ended.
+	probeTime = time.Minute
+	// probePause is the time after a probe that has no outcome until the next one, as when its
+	// client has left, and brokenProbePause if its connection broke.
+	probePause       = time.Second
+	brokenProbePause = firstHold
 	// maxCrashes bounds the crashes that are remembered, maxPerServer those of one server that
 	// other processes tell, but for repeated requests, maxOwnPerServer those of one server that
 	// this process has seen, and MaxParts the parts of a request that are considered.
@@ -163,12 +173,15 @@
 // blame is the finding against a part.
 type blame struct {
 	common  []Part    // that a request must have to be held back; includes the part
+	crashes []*Crash  // of requests with these parts since the last success, by time
 	until   time.Time // no probe before
 	servers int       // that ended one after the other
-	newest  string    // server that ended last
 	asked   time.Time // when a request first came that could have been the probe; zero: none
 }
 
+// last returns the newest crash.
+func (b *blame) last() *Crash { return b.crashes[len(b.crashes)-1] }
+
 // Quarantine holds the crashes that are known, and what follows from them. It is safe for
 // concurrent use.
 type Quarantine struct {
@@ -234,7 +247,7 @@
 	}
 	switch {
 	case result.Probe:
-		q.probes[result.Part] = now.Add(probeTurn)
+		q.probes[result.Part] = now.Add(probeTime)
 		q.meters.count(q.meters.probes)
 		logProbe(result.Part, q.blamed[result.Part], now)
 	case result.Held:
@@ -265,14 +278,20 @@
 // turnOf returns the number of the turn to send a probe, from 0.
 func turnOf(b *blame, now time.Time) int64 { return int64(now.Sub(b.asked) / probeTurn) }
 
-// EndProbe ends a probe of which neither success nor crash was recorded.
-func (q *Quarantine) EndProbe(part Part, now time.Time) {
+// EndProbe ends a probe of which neither success nor crash was recorded. broke says whether its
+// connection broke, so that it may have crashed its server.
+func (q *Quarantine) EndProbe(part Part, broke bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, ok := q.probes[part]; ok {
-		q.probes[part] = now.Add(probePause)
-		logProbeEnd(part)
+	if _, ok := q.probes[part]; !ok {
+		return
+	}
+	pause := probePause
+	if broke {
+		pause = brokenProbePause
 	}
+	q.probes[part] = now.Add(pause)
+	logProbeEnd(part, broke)
 }
 
 // RecordCrash records a crash that this process has seen.
@@ -281,6 +300,7 @@
 	defer q.mu.Unlock()
 	crash.Parts = slices.Clone(limitParts(crash.Parts))
 	crash.Proven = slices.ContainsFunc(crash.Parts, func(p Part) bool { return p.IsRequest() && q.proven.has(p, now) })
+	q.forget(now)
 	if q.add(&crash, maxOwnPerServer, now) {
 		q.meters.count(q.meters.crashes)
 		q.spread(&rumor{crash: &crash})
@@ -321,7 +341,7 @@
 // known that point to a cause as much. The caller holds the lock.
 func (q *Quarantine) add(crash *Crash, perServer int, now time.Time) bool {
 	key := keyOf(crash)
-	if _, ok := q.known[key]; ok || len(crash.Parts) == 0 || now.Sub(crash.Ended) > forgetAfter {
+	if _, ok := q.known[key]; ok || len(crash.Parts) == 0 || now.Sub(crash.Ended) > maxAge {
 		return false
 	}
 	server := q.servers[crash.Server]
@@ -339,9 +359,8 @@
 			return false
 		}
 	}
-	q.forget(now)
 	if len(q.crashes) >= maxCrashes {
-		q.removeOldest()
+		q.remove(max(0, slices.IndexFunc(q.crashes, func(c *Crash) bool { return !q.isEvidence(c, time.Time{}) })))
 	}
 	q.known[key] = struct{}{}
 	q.crashes = append(q.crashes, crash)
@@ -375,22 +394,36 @@
 
 // forget removes the crashes that are too old. The caller holds the lock.
 func (q *Quarantine) forget(now time.Time) {
-	for len(q.crashes) > 0 && now.Sub(q.crashes[0].Ended) > forgetAfter {
-		q.removeOldest()
+	for i := 0; i < len(q.crashes) && now.Sub(q.crashes[i].Ended) > forgetAfter; {
+		if q.isEvidence(q.crashes[i], now.Add(-forgetBlameAfter)) {
+			i++
+		} else {
+			q.remove(i)
+		}
 	}
 }
 
-func (q *Quarantine) removeOldest() {
-	oldest := q.crashes[0]
-	q.crashes = slices.Delete(q.crashes, 0, 1)
-	delete(q.known, keyOf(oldest))
-	if server := q.servers[oldest.Server]; server != nil {
+// isEvidence reports whether a part is blamed because of a crash, or a probe led to it, and the
+// last crash of that part came after since. The caller holds the lock.
+func (q *Quarantine) isEvidence(crash *Crash, since time.Time) bool {
+	return len(q.blamed) > 0 && slices.ContainsFunc(crash.Parts, func(part Part) bool {
+		b := q.blamed[part]
+		return b != nil && b.last().Ended.After(since) && slices.Contains(b.crashes, crash)
+	})
+}
+
+// remove removes a crash. The caller holds the lock.
+func (q *Quarantine) remove(index int) {
+	crash := q.crashes[index]
+	q.crashes = slices.Delete(q.crashes, index, index+1)
+	delete(q.known, keyOf(crash))
+	if server := q.servers[crash.Server]; server != nil {
 		if server.crashes--; server.crashes == 0 {
-			delete(q.servers, oldest.Server)
+			delete(q.servers, crash.Server)
 		}
 	}
-	for _, part := range oldest.Parts {
-		rest := slices.DeleteFunc(q.byPart[part], func(c *Crash) bool { return c == oldest })
+	for _, part := range crash.Parts {
+		rest := slices.DeleteFunc(q.byPart[part], func(c *Crash) bool { return c == crash })
 		if q.byPart[part] = rest; len(rest) == 0 {
 			delete(q.byPart, part)
 			delete(q.success, part)
