gateway: one gateway sends the probe of a request that crashes servers

A request that comes to several at the same moment, or is sent again at once after a failure, ends as many servers.

Ruled out: one gateway a turn, as in a large fleet a request that comes each second would wait for half an hour for its probe; telling the others of a probe that was sent, as they may send theirs meanwhile.

A gateway creates a key in the platform's store before it sends a probe, with the part and its last crash. Routers have no such claim yet.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -31,8 +31,12 @@
 }
 
 // checkQuarantine returns the error of a request that is held back, or nil.
-func (r *activeRequest) checkQuarantine(now time.Time) *verdict.Error {
+func (r *activeRequest) checkQuarantine(ctx context.Context, now time.Time) *verdict.Error {
 	decision := r.relay.Quarantine.Check(r.parts, now)
+	if decision.Probe && r.relay.ClaimProbe != nil && !r.relay.ClaimProbe(ctx, &decision) {
+		decision.Held, decision.Probe = true, false
+		decision.RetryAfter = r.relay.Quarantine.EndProbe(decision.Part, quarantine.ProbeClaimed, time.Now())
+	}
 	if decision.Probe {
 		r.probe = decision.Part
 	}
@@ -49,7 +53,7 @@
 // endProbe ends the probe that the last attempt was, if any.
 func (r *activeRequest) endProbe(now time.Time) {
 	if r.probe != 0 {
-		r.relay.Quarantine.EndProbe(r.probe, false, now)
+		r.relay.Quarantine.EndProbe(r.probe, quarantine.ProbeUnsent, now)
 		r.probe = 0
 	}
 }
@@ -77,7 +81,7 @@
 	relay.ends.watch(server, func(ended bool) {
 		relay.recordIfEnded(ended, &crash, entry)
 		if probe != 0 {
-			relay.Quarantine.EndProbe(probe, true, time.Now())
+			relay.Quarantine.EndProbe(probe, quarantine.ProbeBroke, time.Now())
 		}
 	})
 }
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -123,3 +123,30 @@
 		t.Errorf("%d calls, %v; want one call and an error that says it may have run", calls, err)
 	}
 }
+
+// A probe that another gateway has claimed is held back.
+func TestHeldProbeOfAnotherGateway(t *testing.T) {
+	q := quarantine.New(nil)
+	at := time.Now().Add(-time.Minute)
+	parts := []quarantine.Part{quarantine.PartOf("s", "bad")}
+	for i := range 3 {
+		at = at.Add(time.Second)
+		q.RecordCrash(quarantine.Crash{Server: strconv.Itoa(i), Sent: at, Ended: at, Parts: parts}, at)
+	}
+	f := &fakeBackend{steps: []step{{status: http.StatusOK, body: "id: 1\ndata: a\n\n"}}}
+	claimed := true
+	relay := NewRelay(Relay{
+		Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{}, Quarantine: q, ProcessEnded: neverEnded,
+		ClaimProbe: func(_ context.Context, probe *quarantine.Decision) bool { return !claimed && probe.ProbeID != "" },
+	})
+	relay.Source = func() *deployment.Snapshot { return testSnapshot(testRoute(deployment.Stream, true)) }
+	_, err := serve(relay, promptRequest("r1", "bad"))
+	if failure := verdict.From(err); failure.Code != verdict.CodeQuarantined || failure.Verdict != verdict.NotRun || failure.RetryAfter <= 0 || len(f.calls) != 0 {
+		t.Errorf("%d calls, %v; want none and an error that says not run", len(f.calls), err)
+	}
+	claimed = false
+	q.EndProbe(parts[0], quarantine.ProbeUnsent, time.Now().Add(-time.Minute))
+	if _, err := serve(relay, promptRequest("r2", "bad")); len(f.calls) != 1 {
+		t.Errorf("the probe is not sent: %v", err)
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -80,6 +80,9 @@
 	OtherGateways OtherGateways        // nil: there are none
 	Processes     Processes            // nil: servers are not asked
 	Staleness     func() time.Duration // of snapshots; nil: they are up to date
+	// ClaimProbe reports whether this gateway may send the probe of a blamed part, after other
+	// gateways were ruled out; nil: it may.
+	ClaimProbe func(ctx context.Context, probe *quarantine.Decision) bool
 	// Outdated reports whether snapshots may have been out of date for longer than
 	// streamversion.ViewMargin; nil: they never are.
 	Outdated func() bool
@@ -254,7 +257,7 @@
 // attempt sends the request to the best server that it has not tried yet.
 func (r *activeRequest) attempt(ctx context.Context) (*Response, *verdict.Error) {
 	now := time.Now()
-	if held := r.checkQuarantine(now); held != nil {
+	if held := r.checkQuarantine(ctx, now); held != nil {
 		return nil, held
 	}
 	r.findOrigin(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,6 +258,7 @@
 		Backend:       backend.NewClient(g.platform.Headers),
 		Budget:        g.budget,
 		Quarantine:    g.quarantine,
+		ClaimProbe:    (&probeClaims{store: g.store, self: g.settings.Daemon.RPCAddress}).claim,
 		Access:        g.access,
 		Streams:       g.streams,
 		Canary:        g.canary,
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -96,7 +96,7 @@
 	case frame.GetTokens() != nil && a.firstToken.IsZero():
 		a.firstToken = time.Now()
 	case frame.GetTail() != nil, frame.GetReply() != nil && frame.GetReply().Status < http.StatusInternalServerError:
-		a.end(false)
+		a.end(quarantine.ProbeUnsent)
 		a.quarantine.RecordSuccess(a.parts, time.Now())
 	case frame.GetFailure() != nil:
 		a.failed(dispatch.FailureError(frame.GetFailure()))
@@ -106,7 +106,7 @@
 // failed records a failure of the attempt.
 func (a *attempt) failed(err *verdict.Error) {
 	now := time.Now()
-	a.end(err.Verdict != verdict.NotRun)
+	a.end(probeEnd(err))
 	stage, possible := quarantine.StageAt(a.began, a.firstToken, now)
 	if err.Crashed == 0 || !possible {
 		return
@@ -116,11 +116,18 @@
 	}, now)
 }
 
-// end ends the probe that the attempt may be. broke says whether it failed and may have run.
-// Calls after the first have no effect.
-func (a *attempt) end(broke bool) {
+// probeEnd returns how a probe that failed has ended.
+func probeEnd(err *verdict.Error) quarantine.ProbeEnd {
+	if err.Verdict == verdict.NotRun {
+		return quarantine.ProbeUnsent
+	}
+	return quarantine.ProbeBroke
+}
+
+// end ends the probe that the attempt may be. Calls after the first have no effect.
+func (a *attempt) end(end quarantine.ProbeEnd) {
 	if !a.ended && a.probe != 0 {
-		a.quarantine.EndProbe(a.probe, broke, time.Now())
+		a.quarantine.EndProbe(a.probe, end, time.Now())
 	}
 	a.ended = true
 }
@@ -142,6 +149,6 @@
 
 // Close implements request.Stream.
 func (s *stream) Close(cancel bool) {
-	s.attempt.end(false)
+	s.attempt.end(quarantine.ProbeUnsent)
 	s.Stream.Close(cancel)
 }
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -89,6 +89,8 @@
 }
 
 // logProbeEnd logs that a probe has ended without an outcome.
-func logProbeEnd(part Part, broke bool) {
-	logger.Info(logging.Fields{logging.FieldQuarantined: part.String(), "connection_broke": broke}, "probe of a blamed "+part.describe()+" without an outcome")
+func logProbeEnd(part Part, end ProbeEnd) {
+	logger.Info(logging.Fields{
+		logging.FieldQuarantined: part.String(), "connection_broke": end == ProbeBroke, "claimed_by_another": end == ProbeClaimed,
+	}, "probe of a blamed "+part.describe()+" without an outcome")
 }
--- a/internal/quarantine/probes_test.go
+++ b/internal/quarantine/probes_test.go
@@ -16,7 +16,7 @@
 		gateway := r.gateways[r.random.IntN(len(r.gateways))]
 		if decision := gateway.Check(request, r.now); !decision.Held {
 			if decision.Probe {
-				gateway.EndProbe(decision.Part, true, r.now)
+				gateway.EndProbe(decision.Part, ProbeBroke, r.now)
 			}
 			gateway.RecordCrash(Crash{Server: fmt.Sprint("s", len(ends)), Sent: r.now, Ended: r.now.Add(20 * time.Millisecond), Parts: request}, r.now.Add(100*time.Millisecond))
 			ends = append(ends, r.now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -51,9 +51,11 @@
 	// probeTime bounds the time until a probe is ended.
 	probeTime = time.Minute
 	// probePause is the time after a probe that has no outcome until the next one, as when its
-	// client has left, and brokenProbePause if its connection broke.
-	probePause       = time.Second
-	brokenProbePause = firstHold
+	// client has left, brokenProbePause if its connection broke, and claimedProbePause if
+	// another process had claimed it.
+	probePause        = time.Second
+	brokenProbePause  = firstHold
+	claimedProbePause = probeTurn
 	// maxCrashes bounds the crashes that are remembered, maxPerServer those of one server that
 	// other processes tell, but for repeated requests, maxOwnPerServer those of one server that
 	// this process has seen, and MaxParts the parts of a request that are considered.
@@ -156,8 +158,23 @@
 	Part       Part          // the blamed part; set if Held or Probe
 	RetryAfter time.Duration // when Held: the time until the next probe
 	Probe      bool          // the request tests whether its part still crashes servers
+	// ProbeID, of a probe, is the same at all processes that know of the same last crash. Only
+	// one of them should send a probe with it.
+	ProbeID string
 }
 
+// ProbeEnd is how a probe without a success or a crash ended.
+type ProbeEnd uint8
+
+// How a probe ends without an outcome.
+const (
+	ProbeUnsent  ProbeEnd = iota // it was not sent, was refused or its client left
+	ProbeBroke                   // its connection broke, so that it may have crashed its server
+	ProbeClaimed                 // another process sends it
+)
+
+var probePauses = [...]time.Duration{ProbeUnsent: probePause, ProbeBroke: brokenProbePause, ProbeClaimed: claimedProbePause}
+
 // crashKey identifies a crash, so that a report that comes twice counts once.
 type crashKey struct {
 	server string
@@ -247,6 +264,7 @@
 	}
 	switch {
 	case result.Probe:
+		result.ProbeID = result.Part.String() + "/" + PartOf(q.blamed[result.Part].last().Server, "").String()
 		q.probes[result.Part] = now.Add(probeTime)
 		q.meters.count(q.meters.probes)
 		logProbe(result.Part, q.blamed[result.Part], now)
@@ -278,20 +296,16 @@
 // turnOf returns the number of the turn to send a probe, from 0.
 func turnOf(b *blame, now time.Time) int64 { return int64(now.Sub(b.asked) / probeTurn) }
 
-// EndProbe ends a probe of which neither success nor crash was recorded. broke says whether its
-// connection broke, so that it may have crashed its server.
-func (q *Quarantine) EndProbe(part Part, broke bool, now time.Time) {
+// EndProbe ends a probe of which neither success nor crash was recorded. It returns the time
+// until the next one.
+func (q *Quarantine) EndProbe(part Part, end ProbeEnd, now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, ok := q.probes[part]; !ok {
-		return
-	}
-	pause := probePause
-	if broke {
-		pause = brokenProbePause
+	if _, ok := q.probes[part]; ok {
+		q.probes[part] = now.Add(probePauses[end])
+		logProbeEnd(part, end)
 	}
-	q.probes[part] = now.Add(pause)
-	logProbeEnd(part, broke)
+	return probePauses[end]
 }
 
 // RecordCrash records a crash that this process has seen.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -160,7 +160,7 @@
 		if d := q.Check(partsOf("P"), at); !d.Held {
 			t.Fatalf("a second probe beside probe %d", i)
 		}
-		q.EndProbe(PartOf("service", "P"), true, at)
+		q.EndProbe(PartOf("service", "P"), ProbeBroke, at)
 		q.RecordCrash(Crash{Server: fmt.Sprint("p", i), Sent: at, Ended: at, Parts: partsOf("P")}, at)
 		wait = min(holdFactor*wait, maxHold)
 	}
@@ -180,12 +180,12 @@
 	if d := q.Check(partsOf("P"), at); !d.Probe {
 		t.Fatalf("no probe: %+v", d)
 	}
-	q.EndProbe(PartOf("service", "P"), false, at)
+	q.EndProbe(PartOf("service", "P"), ProbeUnsent, at)
 	at = at.Add(probePause)
 	if d := q.Check(partsOf("P"), at); !d.Probe {
 		t.Errorf("no other probe after %v: %+v", probePause, d)
 	}
-	q.EndProbe(PartOf("service", "P"), true, at)
+	q.EndProbe(PartOf("service", "P"), ProbeBroke, at)
 	if d := q.Check(partsOf("P"), at.Add(brokenProbePause-time.Millisecond)); !d.Held {
 		t.Errorf("a probe within %v after one that broke: %+v", brokenProbePause, d)
 	}
--- a/internal/quarantine/replay_test.go
+++ b/internal/quarantine/replay_test.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		if req.probe != 0 {
-			r.gateways[req.gateway].EndProbe(req.probe, true, r.now)
+			r.gateways[req.gateway].EndProbe(req.probe, ProbeBroke, r.now)
 		}
 		r.reports = append(r.reports, simReport{gateway: req.gateway, crash: crash, at: r.now.Add(time.Duration(r.random.IntN(60)) * time.Millisecond)})
 	}
