streamversion: a version that a gateway does not know yet is not gone

Another operator's report: one machine was out of step while servers of a new software version joined; streams of these servers broke, were taken up at that machine and went on at another version (ORDER). That was not found here: a take-up goes on by the entry as the store has it after the request came, or by what another gateway says, never by the gateway's own view. A cut between gateways alone was not run.

Found on the way: such a gateway told the client that the version of its stream is gone for good, without a Retry-After, when another gateway knew the version and its own assignment did not have it yet. It reads the entry in the store now before it says so; if the store does not answer, the client may come back.

forward.TestTakeUpOfAVersionThatIsNotKnownYet failed before in two of its three cases.

--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -65,23 +65,34 @@
 // rest of one that this process does not know: in the assignment of streams as it is in the
 // store, and at the other gateways.
 func (r *activeRequest) findOrigin(ctx context.Context) {
-	decision := r.decideSoftware(r.req.Snapshot)
-	if decision.Refusal == streamversion.NotConfirmed && continues(r.req) {
-		assignment, era, err := r.relay.Assignments.Read(ctx, r.service)
-		if err == nil {
-			r.confirmed = &readAssignment{assignment: assignment, era: era}
-			decision = r.decideSoftware(r.req.Snapshot)
-		} else {
-			logger.Warn(fields{logging.FieldRequest: r.req.ID, "service": r.service, "error": err.Error()}, "assignment of streams not read")
-		}
+	if !continues(r.req) {
+		return
 	}
+	decision := r.confirmDecision(ctx)
 	unknown := decision.Refusal == streamversion.UnknownOrigin || decision.Refusal == streamversion.NotConfirmed
-	if !unknown || !continues(r.req) || r.relay.OtherGateways == nil || originOf(r.req) == "" {
+	if !unknown || r.relay.OtherGateways == nil || originOf(r.req) == "" {
 		return
 	}
 	if software, known := r.relay.OtherGateways.AskOrigin(ctx, r.service, originOf(r.req)); known {
 		r.relay.Streams.RecordBegin(r.service, originOf(r.req), software, time.Now())
+		_ = r.confirmDecision(ctx) // the version may have come since this gateway's view
+	}
+}
+
+// confirmDecision decides where the request may be sent. If that depends on the assignment of
+// streams as it is in the store, it reads it, once.
+func (r *activeRequest) confirmDecision(ctx context.Context) streamversion.Decision {
+	decision := r.decideSoftware(r.req.Snapshot)
+	if decision.Refusal != streamversion.NotConfirmed || r.confirmed != nil {
+		return decision
+	}
+	assignment, era, err := r.relay.Assignments.Read(ctx, r.service)
+	if err != nil {
+		logger.Warn(fields{logging.FieldRequest: r.req.ID, "service": r.service, "error": err.Error()}, "assignment of streams not read")
+		return decision
 	}
+	r.confirmed = &readAssignment{assignment: assignment, era: era}
+	return r.decideSoftware(r.req.Snapshot)
 }
 
 // newPool returns the state of the request's service for a decision.
--- a/internal/forward/softwareversion_test.go
+++ b/internal/forward/softwareversion_test.go
@@ -11,6 +11,7 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/kvcache"
+	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/streamversion"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
@@ -82,6 +83,50 @@
 	return f(server), nil
 }
 
+// assignmentsFunc implements Assignments.
+type assignmentsFunc func() (*streamversion.Assignment, error)
+
+func (f assignmentsFunc) Read(context.Context, string) (*streamversion.Assignment, platform.Era, error) {
+	assignment, err := f()
+	return assignment, 0, err
+}
+
+// knownOrigin are other gateways that know the version of each stream.
+type knownOrigin string
+
+func (k knownOrigin) AskOrigin(context.Context, string, string) (string, bool) {
+	return string(k), true
+}
+func (k knownOrigin) TellOrigin(string, string, string) {}
+
+// A gateway that was out of step while servers of a new software version joined does not tell
+// clients that the version of their streams is gone for good, and does not send them to another.
+func TestTakeUpOfAVersionThatIsNotKnownYet(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		read func() (*streamversion.Assignment, error)
+		gone bool
+	}{
+		{"the store has it", func() (*streamversion.Assignment, error) {
+			return streamversion.Plan(nil, map[string]int{"v1": 1, "v3": 1}, 0), nil
+		}, false},
+		{"the store does not answer", func() (*streamversion.Assignment, error) { return nil, io.ErrUnexpectedEOF }, false},
+		{"it has left", func() (*streamversion.Assignment, error) {
+			return streamversion.Plan(nil, map[string]int{"v1": 1, "v2": 1}, 0), nil
+		}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			v := newVersionTest(t, step{status: 200, body: second})
+			v.assign("v1")
+			v.relay.Assignments, v.relay.OtherGateways = assignmentsFunc(test.read), knownOrigin("v3")
+			_, err := v.begin("r2", "r1")
+			if err == nil || err.Verdict != verdict.NotRun || (err.RetryAfter <= 0) != test.gone || len(v.sentTo) > 0 {
+				t.Errorf("%+v, sent to servers of %v; refused for good: want %v", err, v.sentTo, test.gone)
+			}
+		})
+	}
+}
+
 // unnamed stands for a take-up that does not name what it resumes.
 const unnamed = "-"
 
--- a/internal/streamversion/decide.go
+++ b/internal/streamversion/decide.go
@@ -42,6 +42,9 @@
 // allows reports whether a version may get requests now.
 func (p *Pool) allows(version string) bool { return p.Allowed == nil || p.Allowed(version) }
 
+// bars reports whether a version never gets requests again.
+func (p *Pool) bars(version string) bool { return p.Barred != nil && p.Barred(version) }
+
 // beginVersion returns the version at which a stream of a slot begins: that of the slot, or
 // while that one may get no requests, a former one. Until the slot is settled no gateway takes
 // the origin of its streams for known.
@@ -142,7 +145,11 @@
 		return begin(s.ID, pool)
 	}
 	if version, known := d.Origin(s.Service, s.Origin); known {
-		return pin(version, pool)
+		decision := pin(version, pool)
+		if decision.Refusal == VersionGone && !pool.Confirmed && !pool.bars(version) { // it may have come since the assignment
+			decision.Refusal, decision.RetryAfter = NotConfirmed, absentDelay
+		}
+		return decision
 	}
 	version, ok := assignedOrigin(s.Origin, pool)
 	switch {
@@ -186,7 +193,7 @@
 // pin returns the decision on a stream that began at a version.
 func pin(version string, pool *Pool) Decision {
 	switch {
-	case pool.Barred != nil && pool.Barred(version):
+	case pool.bars(version):
 		return Decision{Version: version, Refusal: VersionGone}
 	case pool.Versions[version] > 0 && pool.allows(version):
 		return Decision{Version: version}
