--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -80,7 +80,7 @@
 	r.probe = 0
 	relay.ends.watch(server, func(ended bool) {
 		relay.recordIfEnded(ended, &crash, entry)
-		if probe != 0 {
+		if probe != 0 && !ended {
 			relay.Quarantine.EndProbe(probe, quarantine.ProbeBroke, time.Now())
 		}
 	})
