quarantine: a request that another one explains is sent once, as a probe

Of parts and requests that were lost at the same servers only one is blamed, as the other may be sound; the other one went on freely, and when the servers came back at once all of its copies were sent.

Such a request is blamed too now, but its probe is due at once: one gateway sends one, and its success clears it everywhere. A part of a prompt that is explained is still not blamed, as many prompts share it.

quarantine.TestTwoRequestsThatCrashTheSameServers fails before (5 of 10 requests are sent at once).

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -28,19 +28,26 @@
 	return parts
 }
 
-// judge decides whether a part is blamed. The caller holds the lock.
+// judge decides whether a part is blamed. A whole request that another part explains is blamed
+// too, but its probe is due at once: if it is as bad, only the probe ends a server. Prompts of
+// many requests may share an explained part of a prompt, so that one is not blamed. The caller
+// holds the lock.
 func (q *Quarantine) judge(part Part) {
 	before := q.blamed[part]
 	open, counted := q.evidence(part)
-	if len(counted) < minCrashes || q.isExplained(part, open, counted) {
+	explained := len(counted) >= minCrashes && q.isExplained(part, open, counted)
+	if len(counted) < minCrashes || explained && !part.IsRequest() {
 		if before != nil {
 			delete(q.blamed, part)
 			logCleared(part)
 		}
 	} else {
-		now := &blame{common: q.common(part, counted), servers: len(counted)}
+		now := &blame{common: q.common(part, counted), servers: len(counted), explained: explained}
 		now.crashes = q.lostWith(part, now.common)
-		now.until = holdUntil(now.crashes)
+		now.until = now.last().Ended
+		if !explained {
+			now.until = holdUntil(now.crashes)
+		}
 		if before != nil && before.until.Equal(now.until) {
 			now.asked = before.asked
 		}
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -58,7 +58,7 @@
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
 func logBlamed(part Part, b *blame) {
-	logger.Warn(logging.Fields{logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.last().Server, "parts_in_common": len(b.common)}, part.describe()+" blamed for crashes")
+	logger.Warn(logging.Fields{logging.FieldQuarantined: part.String(), "servers": b.servers, "last_server": b.last().Server, "parts_in_common": len(b.common), "explained": b.explained}, part.describe()+" blamed for crashes")
 }
 
 // Describe returns what the part is, for a client's error.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -201,7 +201,9 @@
 	crashes []*Crash  // of requests with these parts since the last success, by time
 	until   time.Time // no probe before
 	servers int       // that ended one after the other
-	asked   time.Time // when a request first came that could have been the probe; zero: none
+	// explained is whether another part explains the crashes, so that this one may be sound.
+	explained bool
+	asked     time.Time // when a request first came that could have been the probe; zero: none
 }
 
 // last returns the newest crash.
--- /dev/null
+++ b/internal/quarantine/together_test.go
@@ -0,0 +1,46 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Of two requests that were lost at the same servers, one may be sound. It is sent once, and again
+// once that has succeeded; if it crashes a server as well, it is held back.
+func TestTwoRequestsThatCrashTheSameServers(t *testing.T) {
+	one, two := []Part{lookup("one")}, []Part{lookup("two")}
+	for _, sound := range []bool{false, true} {
+		t.Run(fmt.Sprint("sound ", sound), func(t *testing.T) {
+			q := New(nil)
+			for i := range 4 {
+				at := second(float64(i))
+				for _, parts := range [][]Part{one, two} {
+					q.RecordCrash(Crash{Server: fmt.Sprint("s", i), Sent: at, Ended: at.Add(time.Millisecond), Parts: parts}, at)
+				}
+			}
+			at := second(4)
+			var sent []Part
+			for range 5 {
+				for _, parts := range [][]Part{one, two} {
+					if d := q.Check(parts, at); !d.Held {
+						sent = append(sent, parts[0])
+					}
+				}
+			}
+			if len(sent) != 1 {
+				t.Fatalf("%d of 10 requests were sent at once, want one", len(sent))
+			}
+			at = at.Add(50 * time.Millisecond)
+			if sound {
+				q.RecordSuccess(sent, at)
+			} else {
+				q.RecordCrash(Crash{Server: "p", Sent: second(4), Ended: at, Parts: sent}, at)
+			}
+			at = at.Add(time.Second)
+			if held := q.Check(sent, at).Held; held == sound {
+				t.Errorf("after the outcome the request is held back: %v", held)
+			}
+		})
+	}
+}
