quarantine: a request that is sent again at once counts in turn at all gateways

A request that ends servers before they respond, beside streams that are lost there too, counts if each was sent after the end of the server before. News of an end makes it seem later by the time that the message takes, so that the next attempt of the same request, sent within a millisecond, seems to be sent before it.

The times of whole requests are compared with 25 ms to spare. Ruled out: the same for parts of prompts, as many requests with a popular part are sent within 25 ms before a zone fails.

Measured: quarantine.TestEndsThatOthersSawAreInTurn fails without the spare time.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -134,28 +134,28 @@
 		}
 	}
 	together := part.IsRequest() && !slices.ContainsFunc(open, func(c *Crash) bool { return c.Proven })
-	if counted = countInTurn(furthest, together); len(counted) >= minCrashes {
+	if counted = countInTurn(furthest, together, 0); len(counted) >= minCrashes {
 		return furthest, counted
 	}
-	enough := minWaitingCrashes
+	enough, shift := minWaitingCrashes, time.Duration(0)
 	if together {
-		enough = minWaitingRequests
+		enough, shift = minWaitingRequests, newsShift
 	}
-	if all := countInTurn(open, false); len(all) >= enough {
+	if all := countInTurn(open, false, shift); len(all) >= enough {
 		return open, all
 	}
 	return furthest, counted
 }
 
 // countInTurn sorts crashes by time and returns those that count; together says whether
-// those under requests that were sent together do.
-func countInTurn(crashes []*Crash, together bool) (counted []*Crash) {
+// those under requests that were sent together do. Their times are exact but for shift.
+func countInTurn(crashes []*Crash, together bool, shift time.Duration) (counted []*Crash) {
 	slices.SortFunc(crashes, func(a, b *Crash) int { return a.Ended.Compare(b.Ended) })
 	for _, crash := range crashes {
 		if len(counted) == maxCounted {
 			break
 		}
-		follows := len(counted) == 0 || together || !crash.Sent.Before(counted[len(counted)-1].Ended)
+		follows := len(counted) == 0 || together || !crash.Sent.Before(counted[len(counted)-1].Ended.Add(-shift))
 		if follows && !ofServer(counted, crash.Server) {
 			counted = append(counted, crash)
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -44,8 +44,11 @@
 	// forgetBlameAfter how long a blame lasts after its last crash. It must exceed maxHold.
 	forgetAfter      = 40 * time.Minute
 	forgetBlameAfter = 2 * maxHold
-	// ageRounding covers what the ages of crashes lose in messages.
+	// ageRounding covers what the ages of crashes lose in messages. newsShift is how much later
+	// a crash seems to be at those that are told of it: a request that is sent again at once
+	// seems to be sent before the end of the first server.
 	ageRounding = time.Second
+	newsShift   = 25 * time.Millisecond
 	// probeTurn is how long a gateway is the one that may send a probe.
 	probeTurn = 5 * time.Second
 	// probeTime bounds the time until a probe is ended.
--- a/internal/quarantine/together_test.go
+++ b/internal/quarantine/together_test.go
@@ -44,3 +44,25 @@
 		})
 	}
 }
+
+// A request that ends servers before they respond, beside streams, and is sent again at once is
+// blamed, whoever saw the ends: news of them takes a while.
+func TestEndsThatOthersSawAreInTurn(t *testing.T) {
+	parts := []Part{lookup("one")}
+	gateways := []*Quarantine{New(nil), New(nil)}
+	at := second(1)
+	for i := range 4 {
+		server := fmt.Sprint("s", i)
+		saw, other := gateways[i%2], gateways[1-i%2]
+		ended := at.Add(10 * time.Millisecond)
+		saw.RecordCrash(Crash{Server: server, Sent: at, Ended: ended, Parts: parts}, ended)
+		saw.RecordCrash(Crash{Server: server, Sent: at, Ended: ended, Stage: Streaming, Parts: []Part{lookup(fmt.Sprint("sound", i))}}, ended)
+		other.Merge(saw.News(other.Digest(), ended), ended.Add(5*time.Millisecond))
+		at = ended.Add(time.Millisecond)
+	}
+	for i, q := range gateways {
+		if !q.Check(parts, at.Add(time.Second)).Held {
+			t.Errorf("gateway %d does not hold the request back", i)
+		}
+	}
+}
