platform: an empty list of tenants lets nobody in

Whether requests need keys was told by the number of tenants, and an empty list and no list at all were the same after decoding.

The presence of the list is decoded now and decides. The check of a configuration against the one in force warns of what is opened and of the last key that goes.

--- a/internal/cli/configcheck.go
+++ b/internal/cli/configcheck.go
@@ -12,6 +12,7 @@
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/config/check"
 	"github.com/wasabigate/wasabigate/internal/configstore"
+	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
 
@@ -147,37 +148,41 @@
 	}
 	c := parsed.Config
 	out := &gatewayResult{Version: c.Version, Routes: len(c.Routes), Services: len(c.Services), Workspaces: len(c.Workspaces)}
+	warnings := parsed.Warnings()
 	if s.command.Bool(flagAgainstCurrent) {
-		revision, current, err := s.currentGateways(ctx, gateways)
+		current, err := s.currentGateways(ctx, gateways)
 		if err != nil {
 			return err
 		}
-		out.Current = newCurrentResult(revision, current, parsed.Sections)
+		out.Current = newCurrentResult(current.Config.Version, current.Sections, parsed.Sections)
+		if current.Config.Version > 0 {
+			warnings = append(warnings, parsed.AccessWarnings(current.Config)...)
+		}
 	}
-	out.setWarnings(s, parsed.Warnings())
+	out.setWarnings(s, warnings)
 	return s.printFindings(out, &out.findings)
 }
 
-// currentGateways returns the version and the sections of the gateways' configuration in
-// force, or 0 if there is none.
-func (s *session) currentGateways(ctx context.Context, gateways GatewayConfigs) (uint64, []config.Section, error) {
+// currentGateways returns the gateways' configuration in force, or one of version 0 if there is
+// none.
+func (s *session) currentGateways(ctx context.Context, gateways GatewayConfigs) (*check.Gateway, error) {
 	url, err := s.requiredFlag(flagKeyValue)
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	text, err := gateways.Current(ctx, url)
 	if errors.Is(err, platform.ErrNotFound) {
-		return 0, nil, nil
+		return &check.Gateway{Config: (&deployment.Config{}).Index()}, nil
 	}
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "read the gateways' configuration")
+		return nil, errors.Wrap(err, "read the gateways' configuration")
 	}
 	current, err := gateways.Parse(text)
 	if err != nil {
 		// Not returned as Faults, which would count as those of the checked file.
-		return 0, nil, fail(ExitFailure, "", "the gateways' configuration in force is invalid: %v", err)
+		return nil, fail(ExitFailure, "", "the gateways' configuration in force is invalid: %v", err)
 	}
-	return current.Config.Version, current.Sections, nil
+	return current, nil
 }
 
 // printFindings prints a result. The exit code says whether there are warnings.
--- a/internal/config/check/check.go
+++ b/internal/config/check/check.go
@@ -19,6 +19,7 @@
 	Unused        Kind = "unused"        // the entry can never match a request
 	Undefined     Kind = "undefined"     // the entry names something that is not defined
 	Contradictory Kind = "contradictory" // limits contradict each other
+	Opened        Kind = "opened"        // what the configuration in force closes
 )
 
 // Warning is a finding that does not make a configuration invalid.
--- a/internal/config/check/gateway.go
+++ b/internal/config/check/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 
 	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -20,6 +21,8 @@
 	FieldTargetGap      Field = "target gap"
 	FieldResumable      Field = "resumable"
 	FieldKeys           Field = "keys"
+	FieldIsolated       Field = "isolated"
+	FieldWorkspaces     Field = "workspaces"
 	FieldRate           Field = "rate"
 	FieldUncachedTokens Field = "uncached tokens"
 )
@@ -29,6 +32,8 @@
 	KindRoute     = "route"
 	KindService   = "service"
 	KindWorkspace = "workspace"
+	// General is the section of the fields outside of the others.
+	General = "configuration"
 )
 
 // Gateway is a configuration of gateways with its text divided into sections. There is one
@@ -68,6 +73,43 @@
 	return c.sorted()
 }
 
+// AccessWarnings returns the warnings about what the configuration opens that the one in force
+// closes, and about the last key that it takes away, ordered by line.
+func (g *Gateway) AccessWarnings(inForce *deployment.Config) []Warning {
+	c := &gatewayCheck{findings: newFindings(g.Sections), config: g.Config, keys: g.Keys, names: make(SectionNames)}
+	switch {
+	case inForce.NeedsKeys() && !g.Config.NeedsKeys():
+		c.addField(Opened, General, FieldWorkspaces, "there is none: each route takes requests without a key, while the version in force asks for keys")
+	case hasKeys(inForce) && !hasKeys(g.Config):
+		c.addField(Unused, General, FieldWorkspaces, "no key is left: only public routes take requests")
+	}
+	for i := range g.Config.Routes {
+		route := &g.Config.Routes[i]
+		section := c.names.Next(KindRoute, route.Name)
+		before := inForce.Route(route.Host, route.Prefix)
+		if route.Public && g.Config.NeedsKeys() && inForce.NeedsKeys() && before != nil && !before.Public {
+			c.addField(Opened, section, FieldAccess, "the version in force asks for a key")
+		}
+	}
+	isolated := make(map[string]bool)
+	for i := range inForce.Workspaces {
+		isolated[inForce.Workspaces[i].Name] = inForce.Workspaces[i].Isolated
+	}
+	for i := range g.Config.Workspaces {
+		w := &g.Config.Workspaces[i]
+		section := c.names.Next(KindWorkspace, w.Name)
+		if isolated[w.Name] && !w.Isolated {
+			c.addField(Opened, section, FieldIsolated, "the version in force isolates the workspace")
+		}
+	}
+	return c.sorted()
+}
+
+// hasKeys reports whether any workspace has a key.
+func hasKeys(c *deployment.Config) bool {
+	return slices.ContainsFunc(c.Workspaces, func(w deployment.Workspace) bool { return len(w.Keys) > 0 })
+}
+
 // gatewayCheck is the state of Gateway.Warnings.
 type gatewayCheck struct {
 	*findings
@@ -94,10 +136,6 @@
 func (c *gatewayCheck) checkRoutes() {
 	type match struct{ host, prefix string }
 	first := make(map[match]string)
-	hasKeys := false
-	for i := range c.config.Workspaces {
-		hasKeys = hasKeys || len(c.config.Workspaces[i].Keys) > 0
-	}
 	for i := range c.config.Routes {
 		route := &c.config.Routes[i]
 		section := c.names.Next(KindRoute, route.Name)
@@ -110,7 +148,7 @@
 		} else {
 			first[key] = section
 		}
-		if !route.Public && c.config.NeedsKeys() && !hasKeys {
+		if !route.Public && c.config.NeedsKeys() && !hasKeys(c.config) {
 			c.addField(Unused, section, FieldAccess, "no key may use the route")
 		}
 		c.checkTargets(section, route)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -42,6 +42,9 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
+	// Closed is whether requests require an API key, except on public routes, although no
+	// workspace may be left that has one.
+	Closed bool
 
 	routesByHost map[string][]*Route // longest prefix first
 	services     map[string]*Service
@@ -215,7 +218,7 @@
 func (c *Config) Workspace(key KeyDigest) *Workspace { return c.keys[key] }
 
 // NeedsKeys reports whether requests require an API key, except on public routes.
-func (c *Config) NeedsKeys() bool { return len(c.Workspaces) > 0 }
+func (c *Config) NeedsKeys() bool { return c.Closed || len(c.Workspaces) > 0 }
 
 // KVStores returns the KV cache stores.
 func (c *Config) KVStores() []*KVStore { return c.stores }
