kvcache: requests without a workspace leave the salt of one that is isolated

Workspaces got another salt for each set of isolated ones, but a request without a workspace kept the one that all had used while none was isolated.

The group that shares belongs to the configuration now and holds for all but isolated workspaces.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -45,6 +45,10 @@
 	// Closed is whether requests require an API key, except on public routes, although no
 	// workspace may be left that has one.
 	Closed bool
+	// SharingGroup names what all but isolated workspaces share KV cache under, and requests
+	// without a workspace. It differs for each set of isolated workspaces: engines may hold what a
+	// workspace made before it was isolated. Set by Index.
+	SharingGroup string
 
 	routesByHost map[string][]*Route // longest prefix first
 	services     map[string]*Service
@@ -118,15 +122,11 @@
 
 // Workspace is a customer with its API keys and limits.
 type Workspace struct {
-	Name        string
-	Keys        []KeyDigest
-	HasPriority bool
-	Priority    int  // overrides that of the route
-	Isolated    bool // shares no KV cache with other workspaces
-	// SharingGroup is equal for workspaces that may share KV cache. It differs for each set of
-	// isolated workspaces: engines may hold what a workspace made before it was isolated. Set
-	// by Config.Index.
-	SharingGroup   string
+	Name           string
+	Keys           []KeyDigest
+	HasPriority    bool
+	Priority       int   // overrides that of the route
+	Isolated       bool  // shares no KV cache with other workspaces
 	CountsTokens   bool  // the rate limit is in tokens, else in requests
 	UncachedTokens int64 // counted for a request with an unknown number of tokens
 	Rate           int64 // per second; 0: no limit
@@ -169,9 +169,8 @@
 		}
 	}
 	c.keys = make(map[KeyDigest]*Workspace)
-	group := sharingGroup(c.Workspaces)
+	c.SharingGroup = sharingGroup(c.Workspaces)
 	for i := range c.Workspaces {
-		c.Workspaces[i].SharingGroup = group
 		for _, key := range c.Workspaces[i].Keys {
 			c.keys[key] = &c.Workspaces[i]
 		}
--- a/internal/forward/instruct_test.go
+++ b/internal/forward/instruct_test.go
@@ -59,7 +59,7 @@
 		return f.calls[len(f.calls)-1].ServerID
 	}
 	home := send()
-	salt := kvcache.Salt("m", 1, nil)
+	salt := kvcache.Salt("m", 1, &deployment.Config{}, nil)
 	if prefilling := cache.Locations(salt, "shared", time.Now()).Prefilling.ID; prefilling != home {
 		t.Errorf("%q counts as prefilling the prompt, want %q", prefilling, home)
 	}
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -41,17 +41,13 @@
 )
 
 // Salt returns a text that differs for prompts which must not share KV cache. An
-// isolated workspace has its own.
-func Salt(model string, weights uint64, workspace *deployment.Workspace) string {
+// isolated workspace has its own. The workspace, nil for none, must be one of config.
+func Salt(model string, weights uint64, config *deployment.Config, workspace *deployment.Workspace) string {
 	salt := model + "/" + strconv.FormatUint(weights, 10)
-	switch {
-	case workspace == nil:
-		return salt
-	case workspace.Isolated:
+	if workspace != nil && workspace.Isolated {
 		return salt + "/" + workspace.Name
-	default:
-		return salt + workspace.SharingGroup
 	}
+	return salt + config.SharingGroup
 }
 
 // Holder is an incarnation of an engine.
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -56,38 +56,40 @@
 }
 
 func TestSalt(t *testing.T) {
+	config := &deployment.Config{}
 	shared, isolated := &deployment.Workspace{Name: "w"}, &deployment.Workspace{Name: "w", Isolated: true}
 	salts := map[string]bool{}
-	for _, salt := range []string{Salt("m", 1, shared), Salt("m", 2, shared), Salt("n", 1, shared), Salt("m", 1, isolated)} {
+	for _, salt := range []string{Salt("m", 1, config, shared), Salt("m", 2, config, shared), Salt("n", 1, config, shared), Salt("m", 1, config, isolated)} {
 		salts[salt] = true
 	}
 	if len(salts) != 4 {
 		t.Errorf("prompts that must not share KV cache have the same salt: %v", salts)
 	}
-	if Salt("m", 1, shared) != Salt("m", 1, &deployment.Workspace{Name: "v"}) || Salt("m", 1, shared) != Salt("m", 1, nil) {
+	if Salt("m", 1, config, shared) != Salt("m", 1, config, &deployment.Workspace{Name: "v"}) || Salt("m", 1, config, shared) != Salt("m", 1, config, nil) {
 		t.Error("workspaces that are not isolated have different salts")
 	}
 }
 
-// What a workspace made before it was isolated is not used by others afterwards, and what
-// others made is not used by it.
+// What a workspace made before it was isolated is not used by others afterwards, nor by requests
+// without a workspace, and what others made is not used by it.
 func TestSaltsOfAWorkspaceThatBecomesIsolated(t *testing.T) {
+	const none = "none"
 	salts := func(isolated ...string) map[string]string {
 		config := &deployment.Config{}
 		for _, name := range []string{"a", "b", "c"} {
 			config.Workspaces = append(config.Workspaces, deployment.Workspace{Name: name, Isolated: slices.Contains(isolated, name)})
 		}
 		config.Index()
-		byName := make(map[string]string)
+		byName := map[string]string{none: Salt("m", 1, config, nil)}
 		for i := range config.Workspaces {
-			byName[config.Workspaces[i].Name] = Salt("m", 1, &config.Workspaces[i])
+			byName[config.Workspaces[i].Name] = Salt("m", 1, config, &config.Workspaces[i])
 		}
 		return byName
 	}
 	for _, change := range []struct{ before, after []string }{{nil, []string{"a"}}, {[]string{"b"}, []string{"a", "b"}}, {[]string{"b"}, []string{"a"}}, {[]string{"a"}, nil}} {
 		before, after := salts(change.before...), salts(change.after...)
-		for _, maker := range []string{"a", "b", "c"} {
-			for _, user := range []string{"a", "b", "c"} {
+		for _, maker := range []string{"a", "b", "c", none} {
+			for _, user := range []string{"a", "b", "c", none} {
 				isolated := slices.Contains(change.after, maker) || slices.Contains(change.after, user) || slices.Contains(change.before, maker)
 				if maker != user && isolated && before[maker] == after[user] {
 					t.Errorf("%v isolated, then %v: %s uses what %s made", change.before, change.after, user, maker)
