forward: an attempt takes its workspace from the configuration in force

Each attempt takes the workspace from the configuration in force; one that is gone counts as isolated. The salt follows from that configuration also if the service was removed from it.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -216,6 +216,28 @@
 // Workspace returns the workspace that holds the key, or nil.
 func (c *Config) Workspace(key KeyDigest) *Workspace { return c.keys[key] }
 
+// Successor returns the workspace, of an earlier configuration, as it is in this one. If it is
+// not there any more, it counts as isolated.
+func (c *Config) Successor(earlier *Workspace) *Workspace {
+	if earlier == nil {
+		return nil
+	}
+	var now *Workspace
+	for i := range c.Workspaces {
+		if w := &c.Workspaces[i]; w == earlier {
+			return w
+		} else if w.Name == earlier.Name && (now == nil || !now.Isolated) {
+			now = w
+		}
+	}
+	if now == nil {
+		left := *earlier
+		left.Isolated = true
+		now = &left
+	}
+	return now
+}
+
 // NeedsKeys reports whether requests require an API key, except on public routes.
 func (c *Config) NeedsKeys() bool { return c.Closed || len(c.Workspaces) > 0 }
 
--- a/internal/forward/instruct.go
+++ b/internal/forward/instruct.go
@@ -38,7 +38,7 @@
 	return func(weights uint64) placement.Shared {
 		shared, ok := byWeights[weights]
 		if !ok {
-			salt := kvcache.Salt(r.req.Model, weights, r.req.Snapshot.Config, r.req.Workspace)
+			salt := kvcache.Salt(r.req.Model, weights, r.sharing, r.req.Workspace)
 			locations := r.relay.Cache.Locations(salt, last, now)
 			shared.Stored, shared.Prefilling = locations.Stored, locations.Prefilling.ID
 			for i, holder := range locations.Holders {
@@ -81,7 +81,7 @@
 func (r *activeRequest) setEngineFields(call *backend.Call, choice *placement.Choice, now time.Time) {
 	call.Priority, call.HasPriority = enginePriority(r.req), true
 	call.WeightsVersion = choice.Server.Weights
-	call.CacheSalt = kvcache.Salt(r.req.Model, choice.Server.Weights, r.req.Snapshot.Config, r.req.Workspace)
+	call.CacheSalt = kvcache.Salt(r.req.Model, choice.Server.Weights, r.sharing, r.req.Workspace)
 	if len(r.req.Shared()) == 0 || choice.Server.Weights == 0 {
 		return
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -135,7 +135,7 @@
 	if r.Canary != nil {
 		r.Canary.Arrive(service, req.Route.Name)
 	}
-	active := &activeRequest{relay: r, req: req, service: service, lastID: req.LastEventID, parts: quarantineParts(service, req)}
+	active := &activeRequest{relay: r, req: req, service: service, lastID: req.LastEventID, sharing: req.Snapshot.Config, parts: quarantineParts(service, req)}
 	return active.serve(ctx)
 }
 
@@ -158,6 +158,7 @@
 	server      *deployment.Server // of the last attempt
 	software    *string            // version of the software whose events the client gets; nil: it has got none
 	confirmed   *readAssignment    // nil: none was read
+	sharing     *deployment.Config // that tells who shares KV cache; the request's workspace is one of it
 	parts       []quarantine.Part
 	sent        time.Time            // when the last attempt was sent
 	probe       quarantine.Part      // the last attempt is a probe of it; 0: it is none
@@ -338,9 +339,17 @@
 }
 
 // refreshSnapshot takes the current snapshot for an attempt, unless the service has been
-// removed from the configuration. The filters before may have waited.
+// removed from the configuration. The filters before may have waited. The workspace is taken
+// from it too, as it may have become isolated since the request arrived.
 func (r *activeRequest) refreshSnapshot() {
-	if current := r.relay.Source(); current.Ready() && current.Config.Service(r.service) != nil {
+	current := r.relay.Source()
+	if !current.Ready() {
+		return
+	}
+	if current.Config != r.sharing {
+		r.sharing, r.req.Workspace = current.Config, current.Config.Successor(r.req.Workspace)
+	}
+	if current.Config.Service(r.service) != nil {
 		r.req.Snapshot = current
 	}
 }
