follower: what a server wrote later stands against a late write

An entry was applied if the store's revision was higher; the server's own count was compared only after a restore of the store.

An entry with an earlier incarnation, or with a smaller sequence of the same one, is ignored, also if the server has left within a minute. If such entries still come 5 s later, the count has started over, and they are applied.

--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -26,7 +26,10 @@
 	removeAt map[string]time.Time // when to remove servers that are not listed again
 	departed map[string]departure // servers that were removed
 	held     map[string]heldServer
-	leaving  *leavingServers
+	// overtaken is when the first of the entries of a server came that it had written before
+	// the known one.
+	overtaken map[string]time.Time
+	leaving   *leavingServers
 	// graceUntil is until when servers that disappeared in an outage may be kept.
 	graceUntil time.Time
 	weights    map[string]deployment.WeightsTarget
@@ -41,18 +44,19 @@
 
 func newState() state {
 	return state{
-		applied:  make(map[string]platform.Version),
-		latest:   make(map[string]platform.Event),
-		servers:  make(map[string]*deployment.Server),
-		removeAt: make(map[string]time.Time),
-		departed: make(map[string]departure),
-		held:     make(map[string]heldServer),
-		leaving:  newLeavingServers(),
-		weights:  make(map[string]deployment.WeightsTarget),
-		gateways: make(map[string]platform.Version),
-		streams:  make(map[string]*streamversion.Assignment),
-		rollouts: make(map[string]*deployment.Rollout),
-		former:   make(map[string][]canary.Order),
+		applied:   make(map[string]platform.Version),
+		latest:    make(map[string]platform.Event),
+		servers:   make(map[string]*deployment.Server),
+		removeAt:  make(map[string]time.Time),
+		departed:  make(map[string]departure),
+		held:      make(map[string]heldServer),
+		overtaken: make(map[string]time.Time),
+		leaving:   newLeavingServers(),
+		weights:   make(map[string]deployment.WeightsTarget),
+		gateways:  make(map[string]platform.Version),
+		streams:   make(map[string]*streamversion.Assignment),
+		rollouts:  make(map[string]*deployment.Rollout),
+		former:    make(map[string][]canary.Order),
 	}
 }
 
@@ -133,7 +137,7 @@
 	case item.Config != nil:
 		return st.applyConfig(item.Config)
 	case item.Server != nil:
-		return st.applyServer(item.Server)
+		return !st.isOvertaken(item.Server, now) && st.applyServer(item.Server)
 	case item.Weights.Model != "":
 		return st.applyWeights(item.Weights, now)
 	}
@@ -187,6 +191,7 @@
 // lists those that were held long enough. It reports whether the state changed.
 func (st *state) removeExpired(now time.Time) bool {
 	changed := st.listHeld(now)
+	st.forgetOvertaken(now)
 	st.leaving.prune(st.servers, now)
 	for id, deadline := range st.removeAt {
 		if !now.Before(deadline) {
