gateway: the age of target weights outlasts all gateways

A gateway that sees a version being named writes eight keys to the platform's store, under leases that end after one to eight eighths of the deadline. A gateway that starts and gets no report within a second takes the version for as old as the keys that are left allow, and for older than the deadline if there is none. No clock is compared.

--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/wasabigate/wasabigate/internal/canary"
@@ -47,9 +48,12 @@
 	Config   *Config
 	Servers  map[string]*Server       // by id
 	Weights  map[string]WeightsTarget // by model
-	Gateways []Gateway
-	Leader   string         // value of the lease key of the gateway that runs the rollout; empty: none
-	Crashes  platform.Entry // what gateways know of requests that crash servers; Version 0: nothing
+	// WeightsAges is how long ago target versions were named at most, by WeightsAgeKey, for those
+	// that were named lately while a gateway ran.
+	WeightsAges map[string]time.Duration
+	Gateways    []Gateway
+	Leader      string         // value of the lease key of the gateway that runs the rollout; empty: none
+	Crashes     platform.Entry // what gateways know of requests that crash servers; Version 0: nothing
 	// Streams assigns the streams of services to software versions, by service.
 	Streams map[string]*streamversion.Assignment
 	// Rollouts are the rollouts of software versions, by service.
@@ -83,6 +87,11 @@
 	Since   time.Time
 }
 
+// WeightsAgeKey returns the key of a target version in Snapshot.WeightsAges.
+func WeightsAgeKey(model string, version uint64) string {
+	return model + "/" + strconv.FormatUint(version, 10)
+}
+
 // maxVersions bounds the versions that are kept. Servers with older ones are gone or get
 // no requests.
 const maxVersions = 16
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -56,10 +56,13 @@
 const (
 	GatewayPrefix = KeyPrefix + "gateways/" // followed by the RPC address, a slash, and the incarnation
 	LeaderKey     = KeyPrefix + "orders/leader"
-	CrashesKey    = KeyPrefix + "crashes"  // what crashes backend servers, for gateways that start
-	ProbePrefix   = KeyPrefix + "probes/"  // followed by the ID of a probe of a request that crashes servers
-	StreamsPrefix = KeyPrefix + "streams/" // followed by the name of a service
-	CanaryPrefix  = KeyPrefix + "canary/"  // followed by the name of a service
+	CrashesKey    = KeyPrefix + "crashes" // what crashes backend servers, for gateways that start
+	ProbePrefix   = KeyPrefix + "probes/" // followed by the ID of a probe of a request that crashes servers
+	// WeightsAgePrefix is followed by a model, a target version of its weights and a time in
+	// milliseconds. Such a key is there if the version was named less than that time ago.
+	WeightsAgePrefix = KeyPrefix + "weights/"
+	StreamsPrefix    = KeyPrefix + "streams/" // followed by the name of a service
+	CanaryPrefix     = KeyPrefix + "canary/"  // followed by the name of a service
 	// CanaryOwnerPrefix is the prefix of the lease key, which is no service's.
 	CanaryOwnerPrefix = CanaryPrefix + "owner/"
 	CanaryOwnerKey    = CanaryOwnerPrefix + "lease"
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -31,32 +32,34 @@
 	overtaken map[string]time.Time
 	leaving   *leavingServers
 	// graceUntil is until when servers that disappeared in an outage may be kept.
-	graceUntil time.Time
-	weights    map[string]deployment.WeightsTarget
-	gateways   map[string]platform.Version // by key, the version of the registration
-	leader     string
-	crashes    platform.Entry
-	streams    map[string]*streamversion.Assignment // by service
-	rollouts   map[string]*deployment.Rollout       // by service
-	former     map[string][]canary.Order            // orders that were replaced, by service
-	owner      string                               // of the rollouts
+	graceUntil  time.Time
+	weights     map[string]deployment.WeightsTarget
+	weightsAges map[string]struct{}         // keys that tell the age of target versions
+	gateways    map[string]platform.Version // by key, the version of the registration
+	leader      string
+	crashes     platform.Entry
+	streams     map[string]*streamversion.Assignment // by service
+	rollouts    map[string]*deployment.Rollout       // by service
+	former      map[string][]canary.Order            // orders that were replaced, by service
+	owner       string                               // of the rollouts
 }
 
 func newState() state {
 	return state{
-		applied:   make(map[string]platform.Version),
-		latest:    make(map[string]platform.Event),
-		servers:   make(map[string]*deployment.Server),
-		removeAt:  make(map[string]time.Time),
-		departed:  make(map[string]departure),
-		held:      make(map[string]heldServer),
-		overtaken: make(map[string]time.Time),
-		leaving:   newLeavingServers(),
-		weights:   make(map[string]deployment.WeightsTarget),
-		gateways:  make(map[string]platform.Version),
-		streams:   make(map[string]*streamversion.Assignment),
-		rollouts:  make(map[string]*deployment.Rollout),
-		former:    make(map[string][]canary.Order),
+		applied:     make(map[string]platform.Version),
+		latest:      make(map[string]platform.Event),
+		servers:     make(map[string]*deployment.Server),
+		removeAt:    make(map[string]time.Time),
+		departed:    make(map[string]departure),
+		held:        make(map[string]heldServer),
+		overtaken:   make(map[string]time.Time),
+		leaving:     newLeavingServers(),
+		weights:     make(map[string]deployment.WeightsTarget),
+		weightsAges: make(map[string]struct{}),
+		gateways:    make(map[string]platform.Version),
+		streams:     make(map[string]*streamversion.Assignment),
+		rollouts:    make(map[string]*deployment.Rollout),
+		former:      make(map[string][]canary.Order),
 	}
 }
 
@@ -68,6 +71,7 @@
 	maps.DeleteFunc(st.latest, func(key string, event platform.Event) bool {
 		return !event.Deleted && !contains(keys, key) && !fromOperator(key)
 	})
+	maps.DeleteFunc(st.weightsAges, func(key string, _ struct{}) bool { return !contains(keys, key) })
 	maps.DeleteFunc(st.gateways, func(key string, _ platform.Version) bool { return !contains(keys, key) })
 	for id := range st.servers {
 		if !contains(servers, id) {
@@ -243,6 +247,10 @@
 		// The era of the lease's key, which only its candidates read.
 	case strings.HasPrefix(event.Key, CanaryPrefix):
 		st.applyRolloutState(event)
+	case strings.HasPrefix(event.Key, WeightsAgePrefix) && event.Deleted:
+		delete(st.weightsAges, event.Key)
+	case strings.HasPrefix(event.Key, WeightsAgePrefix):
+		st.weightsAges[event.Key] = struct{}{}
 	case strings.HasPrefix(event.Key, StreamsPrefix):
 		st.applyStreams(event)
 	}
@@ -278,11 +286,31 @@
 		Streams:  maps.Clone(st.streams),
 		Rollouts: maps.Clone(st.rollouts),
 
+		WeightsAges: st.listWeightsAges(),
+
 		RolloutOwner: st.owner,
 	}
 	return s.Index()
 }
 
+// listWeightsAges returns, by WeightsAgeKey, the shortest time ago at which a target version was
+// named at most.
+func (st *state) listWeightsAges() map[string]time.Duration {
+	ages := make(map[string]time.Duration)
+	for key := range st.weightsAges {
+		at := strings.LastIndexByte(key, '/')
+		ms, err := strconv.ParseInt(key[at+1:], 10, 64)
+		if err != nil || ms <= 0 {
+			continue
+		}
+		name, age := strings.TrimPrefix(key[:at], WeightsAgePrefix), time.Duration(ms)*time.Millisecond
+		if known, ok := ages[name]; !ok || age < known {
+			ages[name] = age
+		}
+	}
+	return ages
+}
+
 // listGateways returns one gateway for each address. A restarted process has two
 // entries until the lease of the previous process ends.
 func (st *state) listGateways() []deployment.Gateway {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 	// quarantine is shared with the other gateways through exchange.
 	quarantine   *quarantine.Quarantine
 	crashes      *savedCrashes
+	weightsAges  *weightsAges
 	serverLimits *serverlimit.Limits
 	access       *serveraccess.Access
 }
@@ -186,6 +187,10 @@
 		quarantine: g.quarantine, store: g.store, self: settings.Daemon.RPCAddress,
 		snapshot: func() *deployment.Snapshot { return g.follower.Snapshot() }, gateways: g.runningGateways,
 	}
+	g.weightsAges = &weightsAges{
+		deadline: settings.Gateway.WeightsDeadline, store: g.store, self: settings.Daemon.RPCAddress,
+		snapshot: g.follower.Snapshot, gateways: g.runningGateways, merge: g.follower.MergeReports,
+	}
 	g.serverLimits = serverlimit.New(settings.Daemon.RPCAddress)
 	g.access = serveraccess.New(serveraccess.Options{
 		Source: g.follower.Snapshot, Fleet: g.fleet, Limits: g.serverLimits, Backoffs: serverbackoff.New(),
@@ -357,7 +362,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.keeper.Run, g.exchange.TellOrigins} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.weightsAges.run, g.keeper.Run, g.exchange.TellOrigins} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
