lease: a renewal during which the VM was suspended ends when it was asked for

The end on the boot clock was taken after the answer, less the time that had passed on the monotonic clock, which does not run during a suspension.

Both clocks are read when the request is sent, for grants and renewals.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -38,25 +38,32 @@
 	value    string
 	era      platform.Era     // in which the key was last known to be this term's
 	fence    platform.Version // version of the key: larger for each new holder
-	expiry   atomic.Pointer[deadline]
+	expiry   atomic.Pointer[moment]
+	clock    bootClock
 }
 
-// deadline is a time on the monotonic clock and on the boot clock, which also runs while
-// the VM is suspended.
-type deadline struct {
+// moment is a time on the monotonic clock and on the boot clock, which also runs while the VM
+// is suspended.
+type moment struct {
 	monotonic time.Time
 	boot      time.Duration
 }
 
+// bootClock reads the boot clock.
+type bootClock func() time.Duration
+
+func (c bootClock) now() moment { return moment{monotonic: time.Now(), boot: c()} }
+
 // end returns the time until which the holder may rely on a lease whose grant or renewal
-// was requested at the given time.
-func (d Duration) end(requested time.Time) *deadline {
+// was requested at the given time. The VM may have been suspended since.
+func (d Duration) end(requested moment) *moment {
 	usable := d.TTL - d.Margin
-	return &deadline{monotonic: requested.Add(usable), boot: clock.SinceBoot() - time.Since(requested) + usable}
+	return &moment{monotonic: requested.monotonic.Add(usable), boot: requested.boot + usable}
 }
 
-func (d *deadline) expired(now time.Time) bool {
-	return !now.Before(d.monotonic) || clock.SinceBoot() >= d.boot
+// reached reports whether the end of a term is reached.
+func (m *moment) reached(now moment) bool {
+	return !now.monotonic.Before(m.monotonic) || now.boot >= m.boot
 }
 
 // Candidate acquires the lease for one process. It is not safe for concurrent use.
@@ -66,11 +73,12 @@
 	self     string
 	duration Duration
 	restored restoreWait
+	clock    bootClock
 }
 
 // NewCandidate returns a Candidate for the lease on key. self names the process.
 func NewCandidate(kv platform.LeaseKV, key, self string, duration Duration) *Candidate {
-	return &Candidate{kv: kv, key: key, self: self, duration: duration, restored: restoreWait{kv: kv, key: key + eraSuffix}}
+	return &Candidate{kv: kv, key: key, self: self, duration: duration, restored: restoreWait{kv: kv, key: key + eraSuffix}, clock: clock.SinceBoot}
 }
 
 // Acquire creates the key under a new lease if it does not exist. It returns ErrHeld if
@@ -88,12 +96,12 @@
 	if err := c.restored.done(ctx, c.duration.TTL, time.Now()); err != nil {
 		return nil, err
 	}
-	requested := time.Now()
+	requested := c.clock.now()
 	id, err := c.kv.GrantLease(ctx, c.duration.TTL)
 	if err != nil {
 		return nil, err
 	}
-	t := &Term{kv: c.kv, duration: c.duration, lease: id, key: c.key, value: c.self + " " + uuid.NewString(), era: c.kv.Era()}
+	t := &Term{kv: c.kv, duration: c.duration, lease: id, key: c.key, value: c.self + " " + uuid.NewString(), era: c.kv.Era(), clock: c.clock}
 	t.expiry.Store(c.duration.end(requested))
 	if err := t.create(ctx); err != nil {
 		t.Release(ctx)
@@ -134,7 +142,7 @@
 // Renew extends the term. It returns platform.ErrNotFound if the lease has expired, or a
 // restore of the service lost it.
 func (t *Term) Renew(ctx context.Context) error {
-	requested := time.Now()
+	requested := t.clock.now()
 	if err := t.kv.RenewLease(ctx, t.lease); err != nil {
 		return err
 	}
@@ -167,7 +175,7 @@
 
 // Valid reports whether the holder may still rely on the lease. It is safe for
 // concurrent use.
-func (t *Term) Valid() bool { return !t.expiry.Load().expired(time.Now()) }
+func (t *Term) Valid() bool { return !t.expiry.Load().reached(t.clock.now()) }
 
 // Release revokes the lease, so that another process can acquire the key at once. If
 // that fails, the lease expires. A lease from before a restore of the service is left to
