logging: the level may change while others log

It is atomic now, and the log package lets all levels through.

Measured: logging.TestLevelChangesWhileOthersLog is reported as a data race with the former code.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -81,10 +82,19 @@
 	if err != nil {
 		return errors.Wrapf(err, "log level %q", level)
 	}
-	log.SetLevel(parsed)
+	minLevel.Store(int32(parsed))
 	return nil
 }
 
+// minLevel is the least level that is written. It may change while others log, other than that of
+// the log package, which lets all levels through.
+var minLevel atomic.Int32
+
+func init() {
+	minLevel.Store(int32(log.InfoLevel))
+	log.SetLevel(log.DebugLevel)
+}
+
 // Logger is the log of one component.
 type Logger struct {
 	prefix string
@@ -98,22 +108,30 @@
 
 // Debug logs a message with fields.
 func (l Logger) Debug(fields Fields, message string) {
-	log.WithFields(fields).Debug(l.prefix + message)
+	if Enabled(log.DebugLevel) {
+		log.WithFields(fields).Debug(l.prefix + message)
+	}
 }
 
 // Info logs a message with fields.
 func (l Logger) Info(fields Fields, message string) {
-	log.WithFields(fields).Info(l.prefix + message)
+	if Enabled(log.InfoLevel) {
+		log.WithFields(fields).Info(l.prefix + message)
+	}
 }
 
 // Warn logs a message with fields.
 func (l Logger) Warn(fields Fields, message string) {
-	log.WithFields(fields).Warn(l.prefix + message)
+	if Enabled(log.WarnLevel) {
+		log.WithFields(fields).Warn(l.prefix + message)
+	}
 }
 
 // Error logs a message with fields.
 func (l Logger) Error(fields Fields, message string) {
-	log.WithFields(fields).Error(l.prefix + message)
+	if Enabled(log.ErrorLevel) {
+		log.WithFields(fields).Error(l.prefix + message)
+	}
 }
 
 // Level is a log level.
@@ -124,10 +142,7 @@
 
 // Enabled reports whether lines of the level are written, so that callers can skip
 // computing costly fields.
-func Enabled(level Level) bool {
-	logger, ok := log.Log.(*log.Logger)
-	return !ok || logger.Level <= level
-}
+func Enabled(level Level) bool { return minLevel.Load() <= int32(level) }
 
 // DebugLevel is the level for the details of decisions.
 const DebugLevel = log.DebugLevel
