quarantine: a probe of a blamed request does not put off that of a shared part

If no server is left for a moment, a part that sound requests share with requests that crash servers is blamed too, and held back until its probe.

A crash under a request that is blamed itself does not make the time until the next probe of a part of its prompt longer.

quarantine.TestSharedPartOfRequestsThatAreBlamed fails before: the sound request is held back for another 23 minutes.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -46,7 +46,7 @@
 		now.crashes = q.lostWith(part, now.common)
 		now.until = now.last().Ended
 		if !explained {
-			now.until = holdUntil(now.crashes)
+			now.until = q.holdUntil(part, now.crashes)
 		}
 		if before != nil && before.until.Equal(now.until) {
 			now.asked = before.asked
@@ -193,13 +193,22 @@
 	return crashes
 }
 
-// holdUntil returns the time of the next probe, from the crashes in order of time. One that came
-// firstHold or more after the one before was a probe, unless fewer than minCrashes servers had
-// ended by then.
-func holdUntil(crashes []*Crash) time.Time {
+// blamesRequest reports whether a part is a whole request that is blamed, and not explained by
+// another part. The caller holds the lock.
+func (q *Quarantine) blamesRequest(part Part) bool {
+	b := q.blamed[part]
+	return part.IsRequest() && b != nil && !b.explained
+}
+
+// holdUntil returns the time of the next probe of a part, from its crashes in order of time. One
+// that came firstHold or more after the one before was a probe, unless fewer than minCrashes
+// servers had ended by then. A probe of a request that is blamed itself tells nothing of a part of
+// its prompt. The caller holds the lock.
+func (q *Quarantine) holdUntil(part Part, crashes []*Crash) time.Time {
 	hold := firstHold
 	for i, crash := range crashes {
-		if i > 0 && crash.Ended.Sub(crashes[i-1].Ended) >= firstHold-ageRounding && countServers(crashes[:i]) >= minCrashes {
+		isProbe := i > 0 && crash.Ended.Sub(crashes[i-1].Ended) >= firstHold-ageRounding && countServers(crashes[:i]) >= minCrashes
+		if isProbe && (part.IsRequest() || !slices.ContainsFunc(crash.Parts, q.blamesRequest)) {
 			hold = min(maxHold, holdFactor*hold)
 		}
 	}
--- a/internal/quarantine/together_test.go
+++ b/internal/quarantine/together_test.go
@@ -66,3 +66,33 @@
 		}
 	}
 }
+
+// Two requests that crash servers share a part of their prompt with sound ones, which is blamed
+// while no server is left. That a probe of one of them ends a server does not put off the probe
+// of the part.
+func TestSharedPartOfRequestsThatAreBlamed(t *testing.T) {
+	q := New(nil)
+	shared := PartOf("s", "system")
+	requests := [][]Part{{shared, lookup("one")}, {shared, lookup("two")}}
+	at := second(0)
+	for i := range 8 {
+		at = at.Add(10 * time.Millisecond)
+		q.RecordCrash(Crash{Server: fmt.Sprint("s", i), Sent: at.Add(-time.Millisecond), Ended: at, Stage: Beginning, Parts: requests[i%2]}, at)
+	}
+	sound := []Part{shared, lookup("sound")}
+	if !q.Check(sound, at.Add(time.Second)).Held {
+		t.Fatal("the shared part is not blamed")
+	}
+	at = at.Add(firstHold)
+	if d := q.Check(requests[0], at); !d.Probe {
+		t.Fatalf("no probe: %+v", d)
+	}
+	q.RecordCrash(Crash{Server: "p", Sent: at, Ended: at.Add(10 * time.Millisecond), Stage: Beginning, Parts: requests[0]}, at.Add(time.Second))
+	at = at.Add(2 * probeTime)
+	if d := q.Check(sound, at); d.Held {
+		t.Errorf("the sound request is held back for another %v", d.RetryAfter)
+	}
+	if d := q.Check(requests[0], at); !d.Held {
+		t.Error("the request that ended a server again is sent")
+	}
+}
