--- a/internal/forward/endwatch_test.go
+++ b/internal/forward/endwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,29 +38,31 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				calls := 0
-				var broke time.Time
-				var listed *deployment.Server
+				var broke atomic.Pointer[time.Time]
+				var listed atomic.Pointer[deployment.Server]
+				source := func() *deployment.Snapshot {
+					snapshot := *testSnapshot(testRoute(deployment.Stream, true))
+					server := listed.Load()
+					snapshot.Servers = map[string]*deployment.Server{server.ID: server}
+					return snapshot.Index()
+				}
 				relay := NewRelay(Relay{
-					Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Budget: &fakeBudget{}, Quarantine: quarantine.New(func(quarantine.Part, int64) bool { return false }),
+					Source: source, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Budget: &fakeBudget{}, Quarantine: quarantine.New(func(quarantine.Part, int64) bool { return false }),
 					Backend: backendFunc(func(context.Context, *backend.Call) (*backend.Response, error) {
 						calls++
-						broke = time.Now()
+						now := time.Now()
+						broke.Store(&now)
 						if c.list != nil {
-							changed := *listed
+							changed := *listed.Load()
 							c.list(&changed)
-							listed = &changed
+							listed.Store(&changed)
 						}
 						return nil, verdict.Wrap(io.EOF, verdict.MayHaveRun, verdict.CodeBackendFailed, "no response")
 					}),
-					ProcessEnded: func(context.Context, string) bool { return time.Since(broke) >= c.after },
+					ProcessEnded: func(context.Context, string) bool { return time.Since(*broke.Load()) >= c.after },
 				})
-				relay.Source = func() *deployment.Snapshot {
-					snapshot := *testSnapshot(testRoute(deployment.Stream, true))
-					snapshot.Servers = map[string]*deployment.Server{listed.ID: listed}
-					return snapshot.Index()
-				}
 				for i := range 4 { // one server after the other
-					listed = &deployment.Server{ID: "s" + strconv.Itoa(i), Service: "s", Address: "10.0.0.1:" + strconv.Itoa(i+1), AvailabilityZone: "z", Slots: 4, Incarnation: 7}
+					listed.Store(&deployment.Server{ID: "s" + strconv.Itoa(i), Service: "s", Address: "10.0.0.1:" + strconv.Itoa(i+1), AvailabilityZone: "z", Slots: 4, Incarnation: 7})
 					serve(relay, promptRequest(strconv.Itoa(i), "system", "bad"))
 					time.Sleep(quarantine.CrashTime + time.Second)
 				}
--- a/internal/forward/instruct_test.go
+++ b/internal/forward/instruct_test.go
@@ -45,9 +45,10 @@
 func TestRequestsFollowPrefillingEngine(t *testing.T) {
 	f := &fakeBackend{steps: []step{{silent: true}}}
 	req := requestWithPrompt()
+	snapshot := req.Snapshot
 	cache := kvcache.NewDirectory()
 	relay := NewRelay(Relay{ProcessEnded: neverEnded,
-		Source: func() *deployment.Snapshot { return req.Snapshot },
+		Source: func() *deployment.Snapshot { return snapshot },
 		Fleet:  fleet.New(), Cache: cache, Backend: f, Budget: &fakeBudget{left: ampleRetries},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/forward/isolation_test.go
+++ b/internal/forward/isolation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -39,23 +40,25 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			req := requestWithPrompt()
-			current := withWorkspaces(req.Snapshot, 1, nil, "w", "made")
-			req.Snapshot, req.Workspace = current, nil
-			for i := range current.Config.Workspaces {
-				if w := &current.Config.Workspaces[i]; w.Name == c.workspace {
+			before := withWorkspaces(req.Snapshot, 1, nil, "w", "made")
+			var current atomic.Pointer[deployment.Snapshot]
+			current.Store(before)
+			req.Snapshot, req.Workspace = before, nil
+			for i := range before.Config.Workspaces {
+				if w := &before.Config.Workspaces[i]; w.Name == c.workspace {
 					req.Workspace = w
 				}
 			}
 			f := &fakeBackend{steps: []step{{status: 200, body: first, cut: io.ErrUnexpectedEOF}, {status: 200, body: second}}}
 			cache := kvcache.NewDirectory()
-			relay := NewRelay(Relay{ProcessEnded: neverEnded, Source: func() *deployment.Snapshot { return current }, Fleet: fleet.New(), Cache: cache, Backend: f, Budget: &fakeBudget{left: ampleRetries}})
+			relay := NewRelay(Relay{ProcessEnded: neverEnded, Source: current.Load, Fleet: fleet.New(), Cache: cache, Backend: f, Budget: &fakeBudget{left: ampleRetries}})
 			route := testRoute(deployment.Stream, true)
 			req.Route = &route
 			resp, err := relay.Handle(context.Background(), req)
 			if err != nil {
 				t.Fatal(err)
 			}
-			current = withWorkspaces(current, 2, c.after, c.left...)
+			current.Store(withWorkspaces(before, 2, c.after, c.left...))
 			for err == nil {
 				_, err = resp.Events.Next(context.Background())
 			}
@@ -63,15 +66,15 @@
 			if len(f.calls) != 2 || err != io.EOF {
 				t.Fatalf("%d calls, %v; want two", len(f.calls), err)
 			}
-			before, after := &f.calls[0].Instructions, &f.calls[1].Instructions
-			if same := before.CacheSalt == after.CacheSalt; same != c.sameSalt {
-				t.Errorf("salt %q, then %q", before.CacheSalt, after.CacheSalt)
+			former, latter := &f.calls[0].Instructions, &f.calls[1].Instructions
+			if same := former.CacheSalt == latter.CacheSalt; same != c.sameSalt {
+				t.Errorf("salt %q, then %q", former.CacheSalt, latter.CacheSalt)
 			}
-			if !c.sameSalt && after.FetchFrom != "" {
-				t.Errorf("fetches from %s under the new salt", after.FetchFrom)
+			if !c.sameSalt && latter.FetchFrom != "" {
+				t.Errorf("fetches from %s under the new salt", latter.FetchFrom)
 			}
-			if after.Workspace != c.workspace {
-				t.Errorf("sent for workspace %q", after.Workspace)
+			if latter.Workspace != c.workspace {
+				t.Errorf("sent for workspace %q", latter.Workspace)
 			}
 		})
 	}
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -146,13 +147,11 @@
 
 func testRelay(steps []step, retries int) (Handler, *fakeBackend) {
 	f := &fakeBackend{steps: steps}
-	relay := NewRelay(Relay{ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries}})
-	withSource := func(req *Request) *Relay {
-		relay.Source = func() *deployment.Snapshot { return req.Snapshot }
-		return relay
-	}
+	var current atomic.Pointer[deployment.Snapshot]
+	relay := NewRelay(Relay{ProcessEnded: neverEnded, Source: current.Load, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries}})
 	return handlerFunc(func(ctx context.Context, req *Request) (*Response, error) {
-		return Match{}.Handle(ctx, req, withSource(req))
+		current.Store(req.Snapshot)
+		return Match{}.Handle(ctx, req, relay)
 	}), f
 }
 
@@ -279,11 +278,12 @@
 // that has begun to drain since gets no new work.
 func TestLaterAttemptsUseTheCurrentBelief(t *testing.T) {
 	route := testRoute(deployment.Stream, true)
-	current := testSnapshot(route)
+	var current atomic.Pointer[deployment.Snapshot]
+	current.Store(testSnapshot(route))
 	f := &fakeBackend{steps: []step{{status: 200, body: first, cut: io.ErrUnexpectedEOF}, {status: 200, body: second}}}
 	relay := NewRelay(Relay{ProcessEnded: neverEnded,
 		Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: ampleRetries},
-		Source: func() *deployment.Snapshot { return current },
+		Source: current.Load,
 	})
 	req := testRequest(route)
 	req.Route = &route
@@ -291,13 +291,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	current = testSnapshot(route) // a published snapshot is immutable
-	for id, server := range current.Servers {
+	next := testSnapshot(route) // a published snapshot is immutable
+	for id, server := range next.Servers {
 		draining := *server
 		draining.Draining = id != "e"
-		current.Servers[id] = &draining
+		next.Servers[id] = &draining
 	}
-	current.Index()
+	current.Store(next.Index())
 	for err == nil {
 		_, err = resp.Events.Next(context.Background())
 	}
--- a/internal/forward/softwareversion_test.go
+++ b/internal/forward/softwareversion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	t       *testing.T
 	route   deployment.Route
 	current *deployment.Snapshot
+	shown   atomic.Pointer[deployment.Snapshot] // current, for goroutines of the relay
 	backend *fakeBackend
 	budget  *fakeBudget
 	relay   *Relay
@@ -39,7 +41,7 @@
 	v := &versionTest{t: t, route: testRoute(deployment.Stream, true), backend: &fakeBackend{steps: steps}, budget: &fakeBudget{left: ampleRetries}}
 	v.current = testSnapshot(v.route)
 	v.relay = NewRelay(Relay{ProcessEnded: neverEnded, Fleet: fleet.New(), Cache: kvcache.NewDirectory(), Backend: v, Budget: v.budget,
-		Source: func() *deployment.Snapshot { return v.current }})
+		Source: v.shown.Load})
 	v.change(func(server *deployment.Server) {
 		server.Incarnation = 1
 		server.Software = []string{"v1", "v2"}[(server.ID[0]-'a')%2]
@@ -56,6 +58,7 @@
 		next.Servers[id] = &changed
 	}
 	v.current = next.Index()
+	v.shown.Store(v.current)
 }
 
 // assign assigns all streams to a software version.
--- a/internal/forward/watchdog_test.go
+++ b/internal/forward/watchdog_test.go
@@ -17,10 +17,11 @@
 // relayTo returns a relay of a request to f. If the servers respond, they have done so to
 // another request shortly after this one is sent.
 func relayTo(f *fakeBackend, req *Request, retries int, serversRespond bool) *Relay {
+	snapshot := req.Snapshot
 	relay := NewRelay(Relay{
 		ProcessEnded: neverEnded,
 		Fleet:        fleet.New(), Cache: kvcache.NewDirectory(), Backend: f, Budget: &fakeBudget{left: retries},
-		Source: func() *deployment.Snapshot { return req.Snapshot },
+		Source: func() *deployment.Snapshot { return snapshot },
 	})
 	if serversRespond {
 		for id := range req.Snapshot.Servers {
