--- a/internal/matrixtest/cluster_test.go
+++ b/internal/matrixtest/cluster_test.go
@@ -73,7 +73,10 @@
 	}
 	c.view = c.fullView()
 	for i := range routerCount {
-		c.routers = append(c.routers, c.newRouter(i))
+		router := c.newRouter(i)
+		c.mu.Lock() // the routers that run look for their peers
+		c.routers = append(c.routers, router)
+		c.mu.Unlock()
 	}
 	c.publish()
 	c.awaitServing(c.servers()...)
--- a/internal/sidecar/latecrash/latecrash_test.go
+++ b/internal/sidecar/latecrash/latecrash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,13 +39,14 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var broke time.Time
+				var broke atomic.Pointer[time.Time]
+				sinceBreak := func() time.Duration { return time.Since(*broke.Load()) }
 				q := quarantine.New(nil)
 				filter := New(Options{
 					Server: "desk", Quarantine: q, Leaving: func() bool { return c.leaving },
-					Ended: func(context.Context) bool { return time.Since(broke) >= c.endsAfter },
+					Ended: func(context.Context) bool { return sinceBreak() >= c.endsAfter },
 					Incarnation: func() uint64 {
-						if time.Since(broke) > 100*time.Millisecond {
+						if sinceBreak() > 100*time.Millisecond {
 							return c.incarnation
 						}
 						return 1
@@ -52,7 +54,8 @@
 				})
 				request := &wire.ExecuteRequest{Route: "orders", Workspace: "w", Call: &wire.Call{Method: "POST", Path: "/x", Body: []byte("deadly")}}
 				handler := pipeline.Chain[*job.Job, job.Outcome](pipeline.HandlerFunc[*job.Job, job.Outcome](func(context.Context, *job.Job) (job.Outcome, error) {
-					broke = time.Now()
+					now := time.Now()
+					broke.Store(&now)
 					return nil, c.err
 				}), job.Filter(filter))
 				for range 3 {
