limit, platform: a workspace gets the fraction of its rate

A configuration's rate_per_s of 0.5 was cut to 0 on the wire's side: with a burst, everything was refused once the burst was used up; without one, the workspace had no limit at all. 1.5 became 1.

The rate is a number with a fraction in the deployment, and whole tokens and millionths for the limiter, which reckons in millionths of a token per second. Nothing that gateways tell each other changes, so that former and new ones share buckets. A change of the shard table or of the configuration keeps the fraction of a token that a bucket below its burst has earned: dropping it at each change starves a rate below one change's interval.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -59,8 +59,11 @@
 // Workspace is a section [workspace NAME].
 type Workspace struct {
 	Name  string
-	Rate  int64 // tokens per second
+	Rate  int64 // whole tokens per second
 	Burst int64 // tokens
+	// RateMicros are the millionths of a token per second that the rate is above Rate. Only
+	// configurations of gateways have rates with a fraction.
+	RateMicros int64
 	// MaxClass is the highest class that the workspace's requests may have.
 	MaxClass Class
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -129,7 +129,7 @@
 	Isolated       bool  // shares no KV cache with other workspaces
 	CountsTokens   bool  // the rate limit is in tokens, else in requests
 	UncachedTokens int64 // counted for a request with an unknown number of tokens
-	Rate           int64 // per second; 0: no limit
+	Rate           float64 // per second; 0: no limit
 	Burst          int64
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	// confirmTimeout is the staleness beyond which a suspended limiter resumes
 	// without waiting for the store.
 	confirmTimeout = follower.MaxPollInterval + time.Second
+	// microsPerToken is the number of millionths in a token.
+	microsPerToken = 1_000_000
 )
 
 // limits enforces the workspaces' rate limits together with the other gateways.
@@ -90,12 +93,21 @@
 	document := &config.Document{}
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
-		document.Workspaces = append(document.Workspaces, config.Workspace{Name: w.Name, Rate: w.Rate, Burst: max(w.Burst, 1)})
+		document.Workspaces = append(document.Workspaces, limiterWorkspace(w))
 	}
 	document.BuildIndex()
 	return &config.Revision{Number: c.Version, Document: document}
 }
 
+// limiterWorkspace returns a workspace as the limiter takes it.
+func limiterWorkspace(w *deployment.Workspace) config.Workspace {
+	micros := int64(math.Round(w.Rate * microsPerToken))
+	if w.Rate > 0 {
+		micros = max(micros, 1)
+	}
+	return config.Workspace{Name: w.Name, Rate: micros / microsPerToken, RateMicros: micros % microsPerToken, Burst: max(w.Burst, 1)}
+}
+
 // run rebalances token levels, and resumes the limiter after a pause of the process
 // once the store has confirmed which gateways are listed.
 func (l *limits) run(ctx context.Context) {
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/deployment"
+)
+
+// A rate below 1 is not cut to 0, which would refuse everything.
+func TestRatesKeepTheirFraction(t *testing.T) {
+	for _, test := range []struct {
+		rate   float64
+		whole  int64
+		micros int64
+	}{
+		{0, 0, 0},
+		{1e-9, 0, 1},
+		{0.5, 0, 500_000},
+		{1.3, 1, 300_000},
+		{2.9999999, 3, 0},
+		{130_345, 130_345, 0},
+	} {
+		got := limiterWorkspace(&deployment.Workspace{Name: "w", Rate: test.rate, Burst: 2})
+		if want := (config.Workspace{Name: "w", Rate: test.whole, RateMicros: test.micros, Burst: 2}); got != want {
+			t.Errorf("a rate of %v is %+v, want %+v", test.rate, got, want)
+		}
+	}
+}
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -16,7 +16,7 @@
 	own         share         // of the shards that this router owns
 	level       int64         // negative: debt
 	pending     int64         // taken by requests that may still return them
-	remainder   uint64        // fraction of a token, in 1/nanosPerSecond
+	remainder   uint64        // fraction of a token, in 1/unitsPerToken
 	refilled    time.Duration // time of the last refill, on the refill clock
 	lastRequest time.Duration // time of the last request, since the start of the process
 	history     history
@@ -40,8 +40,9 @@
 	return now.Sub(b.refusedAt) < overRatePeriod
 }
 
-// nanosPerSecond scales rates, which are in tokens per second.
-const nanosPerSecond = uint64(time.Second)
+// unitsPerToken is the number of units, each a millionth of a token per second for a nanosecond,
+// in a token.
+const unitsPerToken = uint64(time.Second) * microsPerToken
 
 // refill adds the tokens due since the last refill. It keeps the fraction, so
 // that no rounding error accumulates.
@@ -56,14 +57,14 @@
 		b.remainder = 0
 		return
 	}
-	hi, lo := bits.Mul64(uint64(b.own.rate), uint64(elapsed))
+	hi, lo := bits.Mul64(uint64(b.own.micros), uint64(elapsed))
 	lo, carry := bits.Add64(lo, b.remainder, 0)
 	hi += carry
-	if hi >= nanosPerSecond {
+	if hi >= unitsPerToken {
 		b.level, b.remainder = b.own.burst, 0
 		return
 	}
-	tokens, remainder := bits.Div64(hi, lo, nanosPerSecond)
+	tokens, remainder := bits.Div64(hi, lo, unitsPerToken)
 	if tokens >= uint64(room) {
 		b.level, b.remainder = b.own.burst, 0
 		return
@@ -148,13 +149,15 @@
 	b.level -= tokens
 }
 
-// resize changes the bucket's limits. It never raises the level.
+// resize changes the bucket's limits. It never raises the level. Below the burst it keeps the
+// fraction of a token, so that frequent changes don't use up a small rate.
 func (b *bucket) resize(now time.Duration, limits, own share) {
 	b.update(now)
 	b.limits = limits
 	b.own = own
-	b.level = min(b.level, own.burst)
-	b.remainder = 0
+	if b.level >= own.burst {
+		b.level, b.remainder = own.burst, 0
+	}
 	b.history.observe(own.burst - b.level)
 }
 
--- a/internal/limit/fakes_test.go
+++ b/internal/limit/fakes_test.go
@@ -91,6 +91,14 @@
 	c.peers[address].current()
 }
 
+// publish publishes a snapshot to all processes.
+func (c *cluster) publish(snapshot *control.Snapshot) {
+	for address, source := range c.sources {
+		source.Publish(snapshot)
+		c.peers[address].current()
+	}
+}
+
 // advance moves the clock of the synctest bubble while all processes send
 // heartbeats.
 func (c *cluster) advance(d time.Duration) {
--- a/internal/limit/local.go
+++ b/internal/limit/local.go
@@ -255,7 +255,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limits := share{burst: w.Burst, rate: w.Rate}
+	limits := limitsOf(w)
 	b.resize(now.refill, limits, st.held.shareOf(b.shards, limits))
 	b.level = max(b.level, min(b.level+gained, b.own.burst))
 	b.peers = b.peerLevels(st.owners)
--- a/internal/limit/peers.go
+++ b/internal/limit/peers.go
@@ -23,7 +23,7 @@
 	if !p.known || age > peerLevelMaxAge {
 		return p.own.burst
 	}
-	refill := float64(p.own.rate) * age.Seconds()
+	refill := p.own.perSecond() * age.Seconds()
 	return min(p.own.burst, p.level+int64(refill))
 }
 
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 
+	"github.com/wasabigate/wasabigate/internal/config"
 	"github.com/wasabigate/wasabigate/internal/shard"
 )
 
@@ -11,10 +12,21 @@
 
 // share is the part of a workspace's limits that belongs to a set of shards.
 type share struct {
-	burst int64 // tokens
-	rate  int64 // tokens per second
+	burst  int64 // tokens
+	micros int64 // rate in millionths of a token per second
 }
 
+// microsPerToken is the number of units of share.micros in a token per second.
+const microsPerToken = 1_000_000
+
+// limitsOf returns the limits of a workspace over all shards.
+func limitsOf(w *config.Workspace) share {
+	return share{burst: w.Burst, micros: w.Rate*microsPerToken + w.RateMicros}
+}
+
+// perSecond returns the rate in tokens per second.
+func (s share) perSecond() float64 { return float64(s.micros) / microsPerToken }
+
 // heldBy returns the shards that the router at address owns.
 func heldBy(table *shard.Table, address string) shardSet {
 	var held shardSet
@@ -51,7 +63,7 @@
 // shareOf returns the set's share of total, which is split over shards. The shares
 // of all shards add up to total.
 func (s shardSet) shareOf(shards shardSet, total share) share {
-	return share{burst: s.portion(shards, total.burst), rate: s.portion(shards, total.rate)}
+	return share{burst: s.portion(shards, total.burst), micros: s.portion(shards, total.micros)}
 }
 
 // portion returns the set's part of total, which is split evenly over shards; the
--- a/internal/limit/supply.go
+++ b/internal/limit/supply.go
@@ -91,11 +91,11 @@
 	for missing > 0 {
 		rate, step := 0.0, 0.0 // step: until the next part is full
 		for _, p := range parts {
-			if p.level >= p.own.burst || p.own.rate <= 0 {
+			if p.level >= p.own.burst || p.own.micros <= 0 {
 				continue
 			}
-			rate += float64(p.own.rate)
-			if full := float64(p.own.burst-p.level) / float64(p.own.rate); step == 0 || full < step {
+			rate += p.own.perSecond()
+			if full := float64(p.own.burst-p.level) / p.own.perSecond(); step == 0 || full < step {
 				step = full
 			}
 		}
@@ -109,7 +109,7 @@
 		missing -= rate * step
 		for i := range parts {
 			p := &parts[i]
-			p.level = min(p.own.burst, p.level+1+int64(step*float64(p.own.rate))) // rounded up, so that one part becomes full
+			p.level = min(p.own.burst, p.level+1+int64(step*p.own.perSecond())) // rounded up, so that one part becomes full
 		}
 	}
 	return time.Duration(seconds * float64(time.Second))
