limit: shards without burst get no share of the rate

A bucket is split over eight shards. With a burst below eight, some shards have no burst, so that the share of the rate that they got was lost: no refill of theirs ever fits. If one gateway owns all shards of a bucket this does not show, as it adds up the shares; with eight owners, a workspace of 8 per second and a burst of 1 got 53 grants in a minute instead of up to 480, and half a token per second 3 instead of 30.

The rate is now split over the shards that have burst.

--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -60,22 +60,31 @@
 	return shards
 }
 
+// first returns the lowest n shards of the set, or all if there are fewer.
+func (s shardSet) first(n int64) shardSet {
+	rest := s
+	for ; n > 0; n-- {
+		rest &= rest - 1
+	}
+	return s &^ rest
+}
+
 // shareOf returns the set's share of total, which is split over shards. The shares
-// of all shards add up to total.
+// of all shards add up to total. Shards without burst get no rate, as they have no room for it.
 func (s shardSet) shareOf(shards shardSet, total share) share {
-	return share{burst: s.portion(shards, total.burst), micros: s.portion(shards, total.micros)}
+	bearing := shards
+	if total.burst < shards.count() {
+		bearing = shards.first(total.burst)
+	}
+	return share{burst: s.portion(shards, total.burst), micros: s.portion(bearing, total.micros)}
 }
 
 // portion returns the set's part of total, which is split evenly over shards; the
 // remainder goes to the first shards, one each.
 func (s shardSet) portion(shards shardSet, total int64) int64 {
-	held := (s & shards).count()
-	remainder := total % shard.PerClass
-	var extra shardSet
-	for rest := shards; remainder > 0; remainder-- {
-		lowest := rest & -rest
-		extra |= lowest
-		rest &^= lowest
+	n := shards.count()
+	if n == 0 {
+		return 0
 	}
-	return held*(total/shard.PerClass) + (s & extra).count()
+	return (s&shards).count()*(total/n) + (s & shards.first(total%n)).count()
 }
--- a/internal/limit/smallrates_test.go
+++ b/internal/limit/smallrates_test.go
@@ -10,10 +10,14 @@
 	"github.com/wasabigate/wasabigate/internal/config"
 )
 
-// A workspace gets its rate also if that is a fraction of a token per second, and while the shard
-// table changes.
+// A workspace gets its rate also if that is a fraction of a token per second, if its burst is
+// smaller than the number of shards, and while the shard table changes.
 func TestSmallRatesAreGranted(t *testing.T) {
 	const attempts, interval = 3000, 20 * time.Millisecond
+	var eight []string
+	for i := range 8 {
+		eight = append(eight, fmt.Sprint("router", i))
+	}
 	for _, test := range []struct {
 		name    string
 		owners  []string
@@ -21,8 +25,10 @@
 		changes bool // of the shard table's epoch, each second
 	}{
 		{"half a token per second", []string{"a"}, config.Workspace{RateMicros: 500_000, Burst: 1}, false},
+		{"half a token per second, eight owners", eight, config.Workspace{RateMicros: 500_000, Burst: 1}, false},
 		{"half a token per second, while the table changes", []string{"a"}, config.Workspace{RateMicros: 500_000, Burst: 1}, true},
 		{"one and a half", []string{"a"}, config.Workspace{Rate: 1, RateMicros: 500_000, Burst: 2}, false},
+		{"eight tokens per second, eight owners", eight, config.Workspace{Rate: 8, Burst: 1}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
