gateway: a rate without a burst allows what it brings in a second

A configuration with rate_per_s and no burst got a burst of 1. In tokens every request costs more than that and was refused for good; in requests only those passed that come evenly spread.

Without a burst, a workspace may now use at once what its rate brings in a second, at least 1.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -125,17 +125,26 @@
 	Name           string
 	Keys           []KeyDigest
 	HasPriority    bool
-	Priority       int   // overrides that of the route
-	Isolated       bool  // shares no KV cache with other workspaces
-	CountsTokens   bool  // the rate limit is in tokens, else in requests
-	UncachedTokens int64 // counted for a request with an unknown number of tokens
+	Priority       int     // overrides that of the route
+	Isolated       bool    // shares no KV cache with other workspaces
+	CountsTokens   bool    // the rate limit is in tokens, else in requests
+	UncachedTokens int64   // counted for a request with an unknown number of tokens
 	Rate           float64 // per second; 0: no limit
-	Burst          int64
+	Burst          int64   // 0: see Capacity
 }
 
 // Limited reports whether the workspace has a rate limit.
 func (w *Workspace) Limited() bool { return w.Rate > 0 || w.Burst > 0 }
 
+// Capacity returns the most that the workspace may use at once: its burst, or what the rate brings
+// in a second if there is none. It is at least 1, without which nothing could be served.
+func (w *Workspace) Capacity() int64 {
+	if w.Burst > 0 {
+		return w.Burst
+	}
+	return max(1, int64(w.Rate))
+}
+
 // KeyDigest is the SHA-256 of an API key.
 type KeyDigest [sha256.Size]byte
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -105,7 +105,7 @@
 	if w.Rate > 0 {
 		micros = max(micros, 1)
 	}
-	return config.Workspace{Name: w.Name, Rate: micros / microsPerToken, RateMicros: micros % microsPerToken, Burst: max(w.Burst, 1)}
+	return config.Workspace{Name: w.Name, Rate: micros / microsPerToken, RateMicros: micros % microsPerToken, Burst: w.Capacity()}
 }
 
 // run rebalances token levels, and resumes the limiter after a pause of the process
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -7,6 +7,27 @@
 	"github.com/wasabigate/wasabigate/internal/deployment"
 )
 
+// Without a burst a workspace may use what its rate brings in a second, and not just 1, which is
+// less than a request that counts tokens costs.
+func TestRateWithoutBurst(t *testing.T) {
+	for _, test := range []struct {
+		rate  float64
+		burst int64
+		want  int64
+	}{
+		{130_345, 0, 130_345},
+		{11, 0, 11},
+		{11, 1, 1},
+		{0.5, 0, 1},
+		{2.5, 0, 2},
+		{0, 3, 3},
+	} {
+		if got := limiterWorkspace(&deployment.Workspace{Rate: test.rate, Burst: test.burst}).Burst; got != test.want {
+			t.Errorf("a rate of %v and a burst of %d allow %d at once, want %d", test.rate, test.burst, got, test.want)
+		}
+	}
+}
+
 // A rate below 1 is not cut to 0, which would refuse everything.
 func TestRatesKeepTheirFraction(t *testing.T) {
 	for _, test := range []struct {
