--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -41,6 +41,7 @@
 		{1.3, 1, 300_000},
 		{2.9999999, 3, 0},
 		{130_345, 130_345, 0},
+		{1e12, 1e12, 0},
 	} {
 		got := limiterWorkspace(&deployment.Workspace{Name: "w", Rate: test.rate, Burst: 2})
 		if want := (config.Workspace{Name: "w", Rate: test.whole, RateMicros: test.micros, Burst: 2}); got != want {
