clientbody: responses that wait for memory give way to each other

The gateway's log shows over a hundred requests that end at their deadline, 3 s after they came, each with "wait for memory for the response": responses that are read as a whole double their share of the account as they grow. Each of them held a part, waited for the rest and could not be evicted, so that none was ever complete; their connections waited for nobody, so that new ones found no room either. Under load more of them begin at once.

If it does, or if its deadline passes, the error is that there is no room, for which the server is not blamed. Reserving the whole length at once was ruled out: it is not known for chunked responses.

--- a/internal/clientbody/response.go
+++ b/internal/clientbody/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,7 @@
 	account  *clientmem.Account
 	control  *http.ResponseController
 	item     *clientmem.Item
+	waiting  atomic.Bool // for room; nothing is being written
 }
 
 // NewResponse returns the account of a response that will be written to w.
@@ -31,25 +33,55 @@
 	return &Response{listener: d.Listener, account: d.Account, control: http.NewResponseController(w)}
 }
 
-// Admit waits for memory for the first bytes of the response. It returns ErrNoRoom if there is none.
+// Admit waits for memory for the first bytes of the response. It returns ErrNoRoom if there is none,
+// also when the context ends meanwhile.
 func (p *Response) Admit(ctx context.Context, bytes int64) error {
 	if p == nil || p.account == nil || p.item == nil && bytes <= clientmem.SmallBytes {
 		return nil
 	}
 	now := time.Now()
 	if p.item == nil {
-		p.item = p.account.NewItem(func() { _ = p.control.SetWriteDeadline(time.Unix(1, 0)) }, now)
+		p.item = p.account.NewItem(p.evict, now)
 		p.item.SetEvictable(false, now)
 	}
-	for end := now.Add(roomTimeout); !p.item.Resize(bytes, now); now = time.Now() {
-		if now.After(end) {
-			clientconn.Count(p.listener, clientconn.ReasonAnswerMemory)
-			return ErrNoRoom
-		}
+	if p.item.Resize(bytes, now) {
+		return nil
+	}
+	err := p.awaitRoom(ctx, bytes, now)
+	if err != nil {
+		clientconn.Count(p.listener, clientconn.ReasonAnswerMemory)
+	}
+	return err
+}
+
+// evict interrupts the writing of the response.
+func (p *Response) evict() {
+	if !p.waiting.Load() {
+		_ = p.control.SetWriteDeadline(time.Unix(1, 0)) // an error means that there is no connection
+	}
+}
+
+// awaitRoom waits for memory for the first bytes of the response. Meanwhile the response may give
+// way to others: they would block each other if each kept a part and waited for the rest.
+func (p *Response) awaitRoom(ctx context.Context, bytes int64, now time.Time) error {
+	p.waiting.Store(true) // until there is room
+	p.item.SetEvictable(true, now)
+	for end := now.Add(roomTimeout); ; {
 		if err := clock.Sleep(ctx, roomInterval); err != nil {
-			return errors.Wrap(err, "wait for memory for the response")
+			return errors.Wrap(ErrNoRoom, err.Error())
 		}
+		now = time.Now()
+		if p.item.Resize(bytes, now) {
+			break
+		}
+		if evicted := !p.item.Progress(0, now); evicted || now.After(end) {
+			return ErrNoRoom
+		}
+	}
+	if !p.item.SetEvictable(false, now) {
+		return ErrNoRoom
 	}
+	p.waiting.Store(false)
 	return nil
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -45,7 +45,7 @@
 	Body     []byte
 	Snapshot *deployment.Snapshot
 	// AdmitResponse waits for memory for the first bytes of a response that is read as a
-	// whole; nil: no bound. Its error is clientbody.ErrNoRoom or that of ctx.
+	// whole; nil: no bound. Its error is clientbody.ErrNoRoom, also when ctx ends.
 	AdmitResponse func(ctx context.Context, bytes int64) error
 
 	Route     *deployment.Route     // set by match
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -123,7 +123,7 @@
 	body, err := backend.ReadBody(resp, admit)
 	if errors.Is(err, clientbody.ErrNoRoom) {
 		r.endAttempt(attempt, fleet.Succeeded) // the server is not to blame
-		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "no memory for the response")
+		return nil, r.asTimeout(ctx, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBackendFailed, "no memory for the response"))
 	}
 	if err != nil {
 		r.setRolloutOutcome(brokenOutcome(ctx, err))
