--- a/internal/matrixtest/matrix_test.go
+++ b/internal/matrixtest/matrix_test.go
@@ -125,7 +125,7 @@
 	}
 	c.request()
 	if len(injections) == 1 { // the first fault of a pair may end the request
-		eventually(t, recoveryTimeout, "the fault was injected", cluster.triggers[0].fired.Load)
+		eventually(t, recoveryTimeout, fmt.Sprintf("the fault was injected; the last response was %s", c.last), cluster.triggers[0].fired.Load)
 		mustSucceed := injections[0].fault.mustSucceed
 		if c.completeCount == 0 && mustSucceed != nil && mustSucceed(k, injections[0].step) {
 			t.Errorf("the caller did not get the complete response; the last was %s", c.last)
