--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -56,6 +56,9 @@
 	ChecksOrders bool // the backend servers reject orders with an old fencing token themselves
 }
 
+// MicrosPerToken is the number of units of Workspace.RateMicros in a token per second.
+const MicrosPerToken = 1_000_000
+
 // Workspace is a section [workspace NAME].
 type Workspace struct {
 	Name  string
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -34,8 +34,6 @@
 	// confirmTimeout is the staleness beyond which a suspended limiter resumes
 	// without waiting for the store.
 	confirmTimeout = follower.MaxPollInterval + time.Second
-	// microsPerToken is the number of millionths in a token.
-	microsPerToken = 1_000_000
 )
 
 // limits enforces the workspaces' rate limits together with the other gateways.
@@ -101,11 +99,11 @@
 
 // limiterWorkspace returns a workspace as the limiter takes it.
 func limiterWorkspace(w *deployment.Workspace) config.Workspace {
-	micros := int64(math.Round(w.Rate * microsPerToken))
+	micros := int64(math.Round(w.Rate * config.MicrosPerToken))
 	if w.Rate > 0 {
 		micros = max(micros, 1)
 	}
-	return config.Workspace{Name: w.Name, Rate: micros / microsPerToken, RateMicros: micros % microsPerToken, Burst: w.Capacity()}
+	return config.Workspace{Name: w.Name, Rate: micros / config.MicrosPerToken, RateMicros: micros % config.MicrosPerToken, Burst: w.Capacity()}
 }
 
 // run rebalances token levels, and resumes the limiter after a pause of the process
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -4,6 +4,8 @@
 	"math/bits"
 	"sync"
 	"time"
+
+	"github.com/wasabigate/wasabigate/internal/config"
 )
 
 // bucket holds one workspace's tokens of all shards that this router owns.
@@ -42,7 +44,7 @@
 
 // unitsPerToken is the number of units, each a millionth of a token per second for a nanosecond,
 // in a token.
-const unitsPerToken = uint64(time.Second) * microsPerToken
+const unitsPerToken = uint64(time.Second) * config.MicrosPerToken
 
 // refill adds the tokens due since the last refill. It keeps the fraction, so
 // that no rounding error accumulates.
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -16,16 +16,13 @@
 	micros int64 // rate in millionths of a token per second
 }
 
-// microsPerToken is the number of units of share.micros in a token per second.
-const microsPerToken = 1_000_000
-
 // limitsOf returns the limits of a workspace over all shards.
 func limitsOf(w *config.Workspace) share {
-	return share{burst: w.Burst, micros: w.Rate*microsPerToken + w.RateMicros}
+	return share{burst: w.Burst, micros: w.Rate*config.MicrosPerToken + w.RateMicros}
 }
 
 // perSecond returns the rate in tokens per second.
-func (s share) perSecond() float64 { return float64(s.micros) / microsPerToken }
+func (s share) perSecond() float64 { return float64(s.micros) / config.MicrosPerToken }
 
 // heldBy returns the shards that the router at address owns.
 func heldBy(table *shard.Table, address string) shardSet {
