sidecar: one end of a process counts as one server

The executor and latecrash each numbered the ends of a backend server's processes for themselves: two requests that were lost together, one of which saw the end at once and the other one late, gave evidence of two servers, and a sound request beside a crashing one is blamed from fewer ends. For engines the executor tells the incarnation, latecrash its own number.

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/wasabigate/wasabigate/internal/sidecar"
 	"github.com/wasabigate/wasabigate/internal/sidecar/cacheindex"
 	"github.com/wasabigate/wasabigate/internal/sidecar/execute"
+	"github.com/wasabigate/wasabigate/internal/sidecar/processend"
 )
 
 // sidecarRole implements role for sidecars.
@@ -57,7 +58,8 @@
 	} else {
 		service := client.NewService(settings.BackendURL)
 		service.OnResponse = observe
-		options.Executor = execute.NewForService(service, options.Ended)
+		options.Numbers = new(processend.Numbers)
+		options.Executor = execute.NewForService(service, options.Ended, options.Numbers)
 	}
 	s.sidecar = sidecar.New(options)
 	return s, errors.Wrap(wire.DRPCRegisterBackend(b.mux, s.sidecar), "backend service")
--- a/internal/sidecar/execute/ends.go
+++ b/internal/sidecar/execute/ends.go
@@ -2,21 +2,19 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/engine"
+	"github.com/wasabigate/wasabigate/internal/sidecar/processend"
 )
 
 // serviceEnds notices the ends of a plain service's processes. It is safe for concurrent
 // use.
 type serviceEnds struct {
-	ended func(ctx context.Context) bool // nil: ends are not noticed
-
-	mu   sync.Mutex
-	last time.Time // when the last end was noticed
+	ended   func(ctx context.Context) bool // nil: ends are not noticed
+	numbers *processend.Numbers
 }
 
 // observe returns the number of the process that has ended under a call that was sent at
@@ -30,10 +28,5 @@
 	if !e.ended(ctx) {
 		return 0
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if sent.After(e.last) {
-		e.last = time.Now()
-	}
-	return uint64(e.last.UnixNano())
+	return e.numbers.Of(sent)
 }
--- a/internal/sidecar/execute/execute.go
+++ b/internal/sidecar/execute/execute.go
@@ -11,6 +11,7 @@
 	"github.com/wasabigate/wasabigate/internal/engine"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/sidecar/processend"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -30,9 +31,9 @@
 }
 
 // NewForService returns the Executor for a plain service. ended reports whether no
-// process of the service runs.
-func NewForService(s engine.Service, ended func(ctx context.Context) bool) job.Executor {
-	return &executor{service: s, ends: serviceEnds{ended: ended}}
+// process of the service runs; numbers counts their ends.
+func NewForService(s engine.Service, ended func(ctx context.Context) bool, numbers *processend.Numbers) job.Executor {
+	return &executor{service: s, ends: serviceEnds{ended: ended, numbers: numbers}}
 }
 
 // Handle implements job.Executor.
--- a/internal/sidecar/latecrash/latecrash.go
+++ b/internal/sidecar/latecrash/latecrash.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/wasabigate/wasabigate/internal/quarantine"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 	"github.com/wasabigate/wasabigate/internal/sidecar/job"
+	"github.com/wasabigate/wasabigate/internal/sidecar/processend"
 	"github.com/wasabigate/wasabigate/internal/verdict"
 )
 
@@ -38,6 +38,8 @@
 	Ended func(ctx context.Context) bool
 	// Incarnation returns that of the engine, which changes with each start; 0: unknown.
 	Incarnation func() uint64
+	// Numbers counts the ends of processes without an incarnation; nil: nobody else does.
+	Numbers *processend.Numbers
 	// Leaving reports whether the backend server leaves, so that its end has another cause.
 	Leaving func() bool
 }
@@ -46,13 +48,15 @@
 type Filter struct {
 	options Options
 	waiting atomic.Int32
-
-	mu   sync.Mutex
-	last time.Time // when the newest end was noticed
 }
 
 // New returns a Filter.
-func New(options Options) *Filter { return &Filter{options: options} }
+func New(options Options) *Filter {
+	if options.Numbers == nil {
+		options.Numbers = new(processend.Numbers)
+	}
+	return &Filter{options: options}
+}
 
 // Name implements job.Filter.
 func (*Filter) Name() string { return "latecrash" }
@@ -116,7 +120,7 @@
 		ended := f.awaitEnd(incarnation)
 		if ended {
 			f.options.Quarantine.RecordCrash(quarantine.Crash{
-				Server: fmt.Sprintf("%s@%d", f.options.Server, f.numberOf(sent)), Sent: sent, Ended: now, Stage: stage, Parts: parts,
+				Server: fmt.Sprintf("%s@%d", f.options.Server, f.numberOf(incarnation, sent)), Sent: sent, Ended: now, Stage: stage, Parts: parts,
 			}, time.Now())
 		}
 		logger.Info(logging.Fields{
@@ -147,15 +151,13 @@
 	return f.options.Ended(ctx) || incarnation != 0 && current != 0 && current != incarnation
 }
 
-// numberOf returns a number for the process that has ended. Requests that were lost together
-// get the same.
-func (f *Filter) numberOf(sent time.Time) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if sent.After(f.last) {
-		f.last = time.Now()
+// numberOf returns the number of the process that has ended: its incarnation, as the executor
+// tells it, or that of its end.
+func (f *Filter) numberOf(incarnation uint64, sent time.Time) uint64 {
+	if incarnation != 0 {
+		return incarnation
 	}
-	return f.last.UnixNano()
+	return f.options.Numbers.Of(sent)
 }
 
 // partsOf returns the request as routers know it.
--- a/internal/sidecar/setup.go
+++ b/internal/sidecar/setup.go
@@ -16,6 +16,7 @@
 	"github.com/wasabigate/wasabigate/internal/sidecar/latecrash"
 	"github.com/wasabigate/wasabigate/internal/sidecar/once"
 	"github.com/wasabigate/wasabigate/internal/sidecar/pieces"
+	"github.com/wasabigate/wasabigate/internal/sidecar/processend"
 	"github.com/wasabigate/wasabigate/internal/sidecar/queue"
 	"github.com/wasabigate/wasabigate/internal/sidecar/verify"
 )
@@ -41,6 +42,8 @@
 	PieceStore platform.PieceStore
 	// Ended reports whether no process serves the backend server's address; nil: unknown.
 	Ended func(context.Context) bool
+	// Numbers counts the ends of a plain service's processes; it is that of the executor.
+	Numbers *processend.Numbers
 	// Name is the backend server's, and Quarantine gets the crashes that are noticed late; nil:
 	// none are.
 	Name       string
@@ -77,7 +80,7 @@
 	}
 	if opts.Quarantine != nil && opts.Ended != nil {
 		filters = append(filters, latecrash.New(latecrash.Options{
-			Server: opts.Name, Quarantine: opts.Quarantine, Ended: opts.Ended, Incarnation: s.engine.incarnation, Leaving: s.isDraining,
+			Server: opts.Name, Quarantine: opts.Quarantine, Ended: opts.Ended, Incarnation: s.engine.incarnation, Leaving: s.isDraining, Numbers: opts.Numbers,
 		}))
 	}
 	s.chain = pipeline.Chain(last, filters...)
