--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -66,22 +66,28 @@
 	return s &^ rest
 }
 
-// shareOf returns the set's share of total, which is split over shards. The shares
+// shareOf returns the set's share of total, which is split over the shards of a class. The shares
 // of all shards add up to total. Shards without burst get no rate, as they have no room for it.
 func (s shardSet) shareOf(shards shardSet, total share) share {
-	bearing := shards
-	if total.burst < shards.count() {
-		bearing = shards.first(total.burst)
+	if total.burst < shard.PerClass {
+		return s.shareOfSmall(shards, total)
 	}
-	return share{burst: s.portion(shards, total.burst), micros: s.portion(bearing, total.micros)}
+	return share{burst: s.portion(shards, total.burst), micros: s.portion(shards, total.micros)}
 }
 
-// portion returns the set's part of total, which is split evenly over shards; the
+// shareOfSmall does the same for a burst that only some shards have a part of.
+func (s shardSet) shareOfSmall(shards shardSet, total share) share {
+	if total.burst <= 0 {
+		return share{}
+	}
+	held := (s & shards.first(total.burst)).count()
+	rest := (s & shards.first(total.micros%total.burst)).count()
+	return share{burst: held, micros: held*(total.micros/total.burst) + rest}
+}
+
+// portion returns the set's part of total, which is split evenly over the shards of a class; the
 // remainder goes to the first shards, one each.
 func (s shardSet) portion(shards shardSet, total int64) int64 {
-	n := shards.count()
-	if n == 0 {
-		return 0
-	}
-	return (s&shards).count()*(total/n) + (s & shards.first(total%n)).count()
+	extra := shards.first(total % shard.PerClass)
+	return (s&shards).count()*(total/shard.PerClass) + (s & extra).count()
 }
