peering: a large configuration is read from one gateway at a time

One peer is asked at a time, in a call of its own with 1 s. Ruled out: a bound on the size, as a gateway that is cut off from the store knows no other source.

--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -87,9 +87,6 @@
 	case reported == position:
 		x.opts.Follower.Confirm(theirs)
 	}
-	if x.lagsBehind(address, report, time.Now()) {
-		x.catchUpOperators(ctx, client, address)
-	}
 }
 
 // operatorLag is how long a peer may have a newer configuration before its operators'
@@ -124,8 +121,20 @@
 	return slices.ContainsFunc(report.Named, func(n *wire.NamedWeights) bool { return n.Version > snapshot.Weights[n.Model].Version })
 }
 
-// catchUpOperators reads from a peer the operators' entries that are in force there.
-func (x *Exchange) catchUpOperators(ctx context.Context, client wire.DRPCGatewaysClient, address string) {
+// entriesTimeout bounds the reading of operators' entries from a peer. A large configuration takes
+// longer than an exchange may.
+const entriesTimeout = time.Second
+
+// catchUpOperators reads from a peer the operators' entries that are in force there, unless they
+// are being read from another one: large ones from all peers at once would fill the link.
+func (x *Exchange) catchUpOperators(ctx context.Context, address string) {
+	if !x.readingEntries.CompareAndSwap(false, true) {
+		return
+	}
+	defer x.readingEntries.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, entriesTimeout)
+	defer cancel()
+	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(ctx, address))
 	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{OperatorsOnly: true})
 	if err != nil {
 		logger.Warn(fields{"peer": address, "error": err.Error()}, "operators' entries not read from a gateway")
--- /dev/null
+++ b/internal/peering/catchup_test.go
@@ -0,0 +1,66 @@
+package peering
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wasabigate/wasabigate/internal/rpc/wire"
+)
+
+// slowEntries is a gateway that takes a while to send operators' entries, as if they were large.
+type slowEntries struct {
+	wire.DRPCGatewaysServer
+	calls, running, most *atomic.Int64
+}
+
+func (s *slowEntries) OperatorEntries(ctx context.Context, req *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
+	if !req.OperatorsOnly {
+		return nil, errTooLarge
+	}
+	s.calls.Add(1)
+	running := s.running.Add(1)
+	defer s.running.Add(-1)
+	for most := s.most.Load(); running > most && !s.most.CompareAndSwap(most, running); most = s.most.Load() {
+	}
+	select {
+	case <-time.After(2 * callTimeout):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return s.DRPCGatewaysServer.OperatorEntries(ctx, req)
+}
+
+// A large configuration takes longer to send than an exchange. It is read from one gateway, not
+// from all that have it at the same time, which would fill the link and be cut off each time.
+func TestLargeConfigurationIsReadFromOneGateway(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	var calls, running, most atomic.Int64
+	s := &sharedStore{}
+	s.put("op/config", "config 1")
+	s.put("op/version/m", "weights m 1")
+	var seeds []string
+	for range 6 {
+		g := newGatewayServing(ctx, t, s, &group, seeds, func(x *Exchange) wire.DRPCGatewaysServer {
+			return &slowEntries{DRPCGatewaysServer: x, calls: &calls, running: &running, most: &most}
+		})
+		seeds = append(seeds, g.address)
+	}
+	late := newGateway(ctx, t, s, &group, seeds)
+	eventually(t, "the first configuration", func() bool { return late.follower.Snapshot().Ready() && len(late.follower.Snapshot().Gateways) == 7 })
+	late.store.setUnreachable(true)
+	s.put("op/config", "config 2")
+	start := time.Now()
+	eventually(t, "the second configuration", func() bool { return late.follower.Snapshot().Config.Version == 2 })
+	if took := time.Since(start); took > 3*time.Second { // the required bound for a change
+		t.Errorf("the configuration arrived after %v, want at most 3 s", took)
+	}
+	if most.Load() > 1 {
+		t.Errorf("%d gateways sent it at the same time, in %d calls", most.Load(), calls.Load())
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -9,6 +9,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -78,7 +79,8 @@
 	mu    sync.Mutex
 	peers map[string]*peer // by RPC address
 
-	told toldOrigins
+	told           toldOrigins
+	readingEntries atomic.Bool // operators' entries are being read from a peer
 }
 
 // peer is the state of another gateway.
@@ -228,17 +230,20 @@
 
 // callPeer exchanges reports with a peer and merges its report.
 func (x *Exchange) callPeer(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(ctx, address))
-	report, err := client.Exchange(ctx, x.report(address))
+	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(callCtx, address))
+	report, err := client.Exchange(callCtx, x.report(address))
 	x.endCall(address, err)
 	if err != nil {
 		return
 	}
 	_ = guard.Call("report of a gateway", func() error { // a panic is logged there
-		x.mergeReport(ctx, report)
-		x.updateFromPeer(ctx, client, address, report)
+		x.mergeReport(callCtx, report)
+		x.updateFromPeer(callCtx, client, address, report)
+		if x.lagsBehind(address, report, time.Now()) {
+			x.catchUpOperators(ctx, address)
+		}
 		return nil
 	})
 }
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -103,6 +103,11 @@
 }
 
 func newGateway(ctx context.Context, t *testing.T, s *sharedStore, group *sync.WaitGroup, seeds []string) *gateway {
+	return newGatewayServing(ctx, t, s, group, seeds, func(x *Exchange) wire.DRPCGatewaysServer { return x })
+}
+
+// newGatewayServing returns a gateway whose calls from others go to what serve returns.
+func newGatewayServing(ctx context.Context, t *testing.T, s *sharedStore, group *sync.WaitGroup, seeds []string, serve func(*Exchange) wire.DRPCGatewaysServer) *gateway {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -113,7 +118,7 @@
 	t.Cleanup(func() { _ = dialer.Close() })
 	x := New(Options{Self: g.address, Seeds: seeds, Dialer: dialer, Follower: g.follower, Fleet: g.fleet, Cache: g.cache})
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterGateways(mux, x); err != nil {
+	if err := wire.DRPCRegisterGateways(mux, serve(x)); err != nil {
 		t.Fatal(err)
 	}
 	group.Go(func() { _ = rpc.Serve(ctx, listener, mux, nil, nil) })
