follower, peering: tell a gateway that starts which servers have retired

Reports now name the last entry of each server that has said within a minute that it leaves, or was removed. Earlier entries give way to it whichever comes first. A process that starts is ready once a gateway that runs has told it, or all have answered or failed, 0.5 s after its first reading at the latest.

--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -44,6 +44,9 @@
 
 // Snapshot is a gateway's cached state of the deployment at one time. It is immutable.
 type Snapshot struct {
+	// Starting is whether the process has not heard yet what other gateways know that the store
+	// does not tell.
+	Starting bool
 	Position platform.Version // of the platform's key-value store
 	Config   *Config
 	Servers  map[string]*Server       // by id
@@ -168,4 +171,4 @@
 }
 
 // Ready reports whether requests can be checked and routed.
-func (s *Snapshot) Ready() bool { return s.Config != nil }
+func (s *Snapshot) Ready() bool { return s.Config != nil && !s.Starting }
--- a/internal/follower/changes.go
+++ b/internal/follower/changes.go
@@ -24,10 +24,11 @@
 	position   platform.Version // events include all changes up to it
 	since      platform.Version // events include all removals after it
 	graceUntil time.Time        // servers that disappeared in an outage may be kept until then
+	retired    map[string]Retired
 }
 
 func (st *state) known() *known {
-	return &known{events: slices.Collect(maps.Values(st.latest)), position: st.position, since: st.since, graceUntil: st.graceUntil}
+	return &known{events: slices.Collect(maps.Values(st.latest)), position: st.position, since: st.since, graceUntil: st.graceUntil, retired: maps.Clone(st.retired)}
 }
 
 // ChangesAfter returns the changes after a position for another gateway. If this one may not
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -108,6 +108,10 @@
 	known     atomic.Pointer[known] // for other gateways
 	failures  failures              // of calls to the store
 	invalid   metric.Int64Counter   // entries that could not be decoded
+	awaiting  atomic.Bool           // snapshots are not ready before other gateways were heard
+	heard     chan struct{}         // closed once they were
+
+	awaitLimit time.Duration // for which they are waited for; 0: not, or the time is running
 
 	state     state     // owned by the goroutine of Run
 	published time.Time // owned by the goroutine of Run
@@ -120,6 +124,7 @@
 	complete  bool           // events are the whole content of the store at the position
 	operators bool           // events are operators' entries of any position
 	reports   []TargetReport // another gateway's reports of target versions
+	retired   []Retired      // last entries of servers that another gateway knows
 	// grace is how long servers that disappeared are kept, since the store may have lost
 	// their entries in an outage; 0: they are removed at once.
 	grace time.Duration
@@ -128,7 +133,7 @@
 // New returns a Follower. Run calls onChange with each new snapshot; onChange must not
 // block.
 func New(feed platform.Feed, layout Layout, onChange func(*deployment.Snapshot)) *Follower {
-	f := &Follower{feed: feed, layout: layout, onChange: onChange, started: time.Now(), batches: make(chan batch), state: newState()}
+	f := &Follower{feed: feed, layout: layout, onChange: onChange, started: time.Now(), batches: make(chan batch), heard: make(chan struct{}), state: newState()}
 	var err error
 	f.invalid, err = otel.Meter("wasabigate/follower").Int64Counter("wasabigate.follower.invalid_entries", metric.WithUnit("{entry}"), metric.WithDescription("Entries of the store that could not be decoded."))
 	if err != nil {
@@ -249,6 +254,7 @@
 	reader.Go(func() { f.readLoop(ctx) })
 	ticker := time.NewTicker(batchInterval)
 	defer ticker.Stop()
+	heard := f.heard
 	for {
 		select {
 		case <-ctx.Done():
@@ -259,6 +265,9 @@
 			if f.state.markLeaving() {
 				f.publish()
 			}
+		case <-heard:
+			heard = nil
+			f.publish()
 		case <-ticker.C:
 			if f.state.removeExpired(time.Now()) || time.Since(f.published) >= publishInterval {
 				f.publish()
@@ -277,6 +286,9 @@
 		for i := range b.reports {
 			changed = f.state.applyReport(&b.reports[i]) || changed
 		}
+	case b.retired != nil:
+		f.state.applyRetired(b.retired, now)
+		changed = true // also other gateways are to know
 	case b.position.Era() < f.state.position.Era():
 		// Read before a restore of the store that this state already includes.
 	case b.complete && b.position < f.state.position:
@@ -417,7 +429,9 @@
 func (f *Follower) publish() {
 	f.published = time.Now()
 	f.known.Store(f.state.known())
+	f.limitWait()
 	snapshot := f.state.snapshot()
+	snapshot.Starting = f.awaiting.Load()
 	f.onChange(snapshot)
 	f.current.Store(snapshot)
 }
@@ -455,7 +469,7 @@
 // backoffLimit returns the longest back-off between two attempts to read the store. It is
 // short while no configuration is known, since the gateway serves no requests then.
 func (f *Follower) backoffLimit() time.Duration {
-	if !f.Snapshot().Ready() {
+	if f.Snapshot().Config == nil {
 		return minBackoff
 	}
 	return maxBackoff
--- a/internal/follower/leaving_test.go
+++ b/internal/follower/leaving_test.go
@@ -55,7 +55,7 @@
 		{deployment.Server{ID: "a", Incarnation: 2, Address: "x"}, false},
 		{deployment.Server{ID: "b", Incarnation: 1, Address: "x"}, false},
 	} {
-		st.applyServer(&test.server)
+		st.applyServer(&test.server, now)
 		if got := st.servers[test.server.ID].Draining; got != test.leaving {
 			t.Errorf("%+v leaves: %v", test.server, got)
 		}
@@ -84,7 +84,7 @@
 	for i := range 2 * maxLeavingTold {
 		id := fmt.Sprint("s", i)
 		f.ReportLeaving(Leaving{ID: id}, "r")
-		f.state.applyServer(&deployment.Server{ID: id})
+		f.state.applyServer(&deployment.Server{ID: id}, now)
 	}
 	f.state.removeExpired(time.Now())
 	if told := len(f.LeavingServers()); told != maxLeavingTold {
--- a/internal/follower/overtaken.go
+++ b/internal/follower/overtaken.go
@@ -15,13 +15,10 @@
 // several of a server's writes. After that the count has started over.
 const overtakenTime = 5 * time.Second
 
-// isOvertaken reports whether a server wrote an entry before the one that is known, or before the
-// last one if it has left lately. An entry without an incarnation or a count is not.
+// isOvertaken reports whether a server wrote an entry before the last one that is known, also by
+// other gateways. An entry without an incarnation or a count is not.
 func (st *state) isOvertaken(server *deployment.Server, now time.Time) bool {
-	known := st.servers[server.ID]
-	if known == nil {
-		known = st.departed[server.ID].server
-	}
+	known := st.lastEntry(server.ID)
 	if known == nil || !writtenBefore(server, known) {
 		delete(st.overtaken, server.ID)
 		return false
@@ -29,6 +26,7 @@
 	first, ok := st.overtaken[server.ID]
 	if ok && now.Sub(first) >= overtakenTime {
 		delete(st.overtaken, server.ID)
+		st.startedOver[server.ID] = now
 		return false
 	}
 	if !ok {
@@ -53,7 +51,9 @@
 	return a.Sequence > 0 && a.Sequence < b.Sequence
 }
 
-// forgetOvertaken forgets the late writes of long ago.
+// forgetOvertaken forgets the late writes of long ago, and counts that started over then.
 func (st *state) forgetOvertaken(now time.Time) {
-	maps.DeleteFunc(st.overtaken, func(_ string, first time.Time) bool { return now.Sub(first) >= departureTTL })
+	isOld := func(_ string, at time.Time) bool { return now.Sub(at) >= departureTTL }
+	maps.DeleteFunc(st.overtaken, isOld)
+	maps.DeleteFunc(st.startedOver, isOld)
 }
--- a/internal/follower/restore.go
+++ b/internal/follower/restore.go
@@ -63,7 +63,7 @@
 		if known.SameProcess(server) && server.ColdUntil.After(known.ColdUntil) {
 			server.ColdUntil = known.ColdUntil
 		}
-		return st.applyServer(server)
+		return st.applyServer(server, now)
 	}
 	gone, ok := st.departed[server.ID]
 	if ok && now.Sub(gone.at) < departureTTL && !isOlder(gone.server, server) {
@@ -71,7 +71,7 @@
 		logger.Info(fields{"server": server.ID}, "restored entry of a backend server that is gone")
 		return false
 	}
-	return st.applyServer(server)
+	return st.applyServer(server, now)
 }
 
 // isOlder reports whether entry a of a server was written before entry b.
@@ -89,7 +89,7 @@
 	changed := false
 	for _, h := range st.held {
 		if !now.Before(h.listAt) {
-			changed = st.applyServer(h.server) || changed
+			changed = st.applyServer(h.server, now) || changed
 		}
 	}
 	return changed
--- a/internal/follower/restore_test.go
+++ b/internal/follower/restore_test.go
@@ -41,7 +41,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			st := newState()
-			st.applyServer(test.known)
+			st.applyServer(test.known, now)
 			if test.gone {
 				st.removeServer(test.known.ID, 0, now)
 			}
@@ -61,7 +61,7 @@
 	for _, removedAgain := range []bool{false, true} {
 		st := newState()
 		server := &deployment.Server{ID: "s", Incarnation: 1, Sequence: 5}
-		st.applyServer(server)
+		st.applyServer(server, now)
 		st.removeServer("s", 0, now)
 		st.applyRestoredServer(server, now)
 		if st.removeExpired(now.Add(heldTime-time.Second)) || st.servers["s"] != nil {
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -30,7 +30,11 @@
 	// overtaken is when the first of the entries of a server came that it had written before
 	// the known one.
 	overtaken map[string]time.Time
-	leaving   *leavingServers
+	// startedOver is when the count of a server's entries started over; its former one is not
+	// believed any more.
+	startedOver map[string]time.Time
+	leaving     *leavingServers
+	retired     map[string]Retired // by server ID, what other gateways are told
 	// graceUntil is until when servers that disappeared in an outage may be kept.
 	graceUntil  time.Time
 	weights     map[string]deployment.WeightsTarget
@@ -53,7 +57,9 @@
 		departed:    make(map[string]departure),
 		held:        make(map[string]heldServer),
 		overtaken:   make(map[string]time.Time),
+		startedOver: make(map[string]time.Time),
 		leaving:     newLeavingServers(),
+		retired:     make(map[string]Retired),
 		weights:     make(map[string]deployment.WeightsTarget),
 		weightsAges: make(map[string]struct{}),
 		gateways:    make(map[string]platform.Version),
@@ -141,7 +147,7 @@
 	case item.Config != nil:
 		return st.applyConfig(item.Config)
 	case item.Server != nil:
-		return !st.isOvertaken(item.Server, now) && st.applyServer(item.Server)
+		return !st.isOvertaken(item.Server, now) && st.applyServer(item.Server, now)
 	case item.Weights.Model != "":
 		return st.applyWeights(item.Weights, now)
 	}
@@ -158,8 +164,13 @@
 	return true
 }
 
-func (st *state) applyServer(server *deployment.Server) bool {
+func (st *state) applyServer(server *deployment.Server, now time.Time) bool {
 	previous := st.servers[server.ID]
+	if server.Draining {
+		st.retire(retiredOf(server, false, now))
+	} else {
+		delete(st.retired, server.ID)
+	}
 	delete(st.removeAt, server.ID)
 	delete(st.held, server.ID)
 	server = st.leaving.mark(server)
@@ -184,6 +195,7 @@
 		}
 		return false
 	}
+	st.retire(retiredOf(st.servers[id], true, now))
 	st.departed[id] = departure{server: st.servers[id], at: now}
 	delete(st.servers, id)
 	delete(st.removeAt, id)
@@ -196,6 +208,7 @@
 func (st *state) removeExpired(now time.Time) bool {
 	changed := st.listHeld(now)
 	st.forgetOvertaken(now)
+	st.forgetRetired(now)
 	st.leaving.prune(st.servers, now)
 	for id, deadline := range st.removeAt {
 		if !now.Before(deadline) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// shutdownMargin is the part of the drain time-out reserved for the steps after the
 	// HTTP server has shut down.
 	shutdownMargin = 500 * time.Millisecond
+	// startWait is how long a process that starts waits at most for what other gateways know, from
+	// its first reading of the store on. It covers an exchange with one that is unreachable.
+	startWait = 500 * time.Millisecond
 	// unlistedPeerTTL is how long a gateway that the store does not list still shares
 	// the workspaces' rates after it was last seen in an exchange.
 	unlistedPeerTTL = 2 * time.Second
@@ -179,6 +182,7 @@
 	g.store = adapter.Store(settings.Platform.KeyValue)
 	g.limits = newLimits(settings, g.dialer)
 	g.follower = follower.New(g.store, adapter.Layout, g.onSnapshot)
+	g.follower.AwaitGateways(startWait)
 	g.limits.follower = g.follower
 	registerStateGauges(g.follower)
 	clientconn.RegisterMemoryGauge(g.memory)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -93,6 +93,7 @@
 	aheadSince time.Time // as seen in its responses; zero: it is not ahead
 	calling    bool
 	failing    bool
+	running    bool // its last report came after it had started
 	nextTry    time.Time
 }
 
@@ -112,6 +113,7 @@
 // Run exchanges reports until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		x.endWait()
 		addresses := x.peersToCall()
 		interval := max(minInterval, time.Duration(len(addresses))*intervalPerPeer)
 		now := time.Now()
@@ -122,7 +124,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(interval):
+		case <-time.After(x.shortened(interval)):
 		}
 	}
 }
@@ -146,6 +148,9 @@
 		addresses = append(addresses, x.opts.Seeds...)
 	}
 	addresses = append(addresses, x.peersAhead()...)
+	if x.opts.Follower.IsAwaiting() {
+		addresses = append(addresses, x.peersToHear()...)
+	}
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
 	return slices.DeleteFunc(addresses, func(address string) bool { return address == x.opts.Self })
@@ -236,10 +241,12 @@
 	report, err := client.Exchange(callCtx, x.report(address))
 	x.endCall(address, err)
 	if err != nil {
+		x.endWait()
 		return
 	}
 	_ = guard.Call("report of a gateway", func() error { // a panic is logged there
 		x.mergeReport(callCtx, report)
+		x.endWait()
 		x.updateFromPeer(callCtx, client, address, report)
 		if x.lagsBehind(address, report, time.Now()) {
 			x.catchUpOperators(ctx, address)
@@ -268,6 +275,7 @@
 // Exchange implements wire.DRPCGatewaysServer.
 func (x *Exchange) Exchange(ctx context.Context, report *wire.GatewayReport) (*wire.GatewayReport, error) {
 	x.mergeReport(ctx, report)
+	x.endWait()
 	return x.report(report.Sender), nil
 }
 
@@ -283,6 +291,7 @@
 		StoreSilenceMs: x.staleness().Milliseconds(),
 		Position:       snapshot.Position.Revision(),
 		StoreEra:       uint64(snapshot.Position.Era()),
+		Starting:       x.opts.Follower.IsAwaiting(),
 	}
 	for id, load := range x.opts.Fleet.OwnLoad() {
 		report.Loads = append(report.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), PendingTokens: load.PendingTokens})
@@ -302,6 +311,11 @@
 	for _, server := range x.opts.Follower.LeavingServers() {
 		report.Leaving = append(report.Leaving, &wire.LeavingServer{Server: server.ID, Incarnation: server.Incarnation})
 	}
+	for _, r := range x.opts.Follower.Retired() {
+		report.Retired = append(report.Retired, &wire.RetiredServer{
+			Server: r.ID, Incarnation: r.Incarnation, Sequence: r.Sequence, Removed: r.Removed, AgeMs: now.Sub(r.At).Milliseconds(),
+		})
+	}
 	for _, use := range x.newUses(address) {
 		report.Uses = append(report.Uses, &wire.CacheUse{
 			Salt: use.Salt, Parts: use.Parts, Server: use.Holder.ID, Address: use.Holder.Address, Saved: use.Saved,
@@ -365,6 +379,7 @@
 	for _, server := range report.Leaving {
 		x.opts.Follower.ReportLeaving(follower.Leaving{ID: server.Server, Incarnation: server.Incarnation}, report.Sender)
 	}
+	x.mergeRetired(ctx, report.Retired, now)
 	for _, note := range report.Notes {
 		x.opts.Fleet.MergeObservation(fleet.Observation{
 			Server: note.Server, Incarnation: note.Incarnation, Model: note.Model, Weights: note.Weights,
@@ -389,6 +404,17 @@
 	}
 	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
 	p.ahead = isAhead(report, x.opts.Follower.Snapshot())
+	p.running = !report.Starting
+}
+
+func (x *Exchange) mergeRetired(ctx context.Context, list []*wire.RetiredServer, now time.Time) {
+	retired := make([]follower.Retired, 0, len(list))
+	for _, r := range list {
+		retired = append(retired, follower.Retired{
+			ID: r.Server, Incarnation: r.Incarnation, Sequence: r.Sequence, Removed: r.Removed, At: now.Add(-max(0, milliseconds(r.AgeMs))),
+		})
+	}
+	x.opts.Follower.MergeRetired(ctx, retired)
 }
 
 func (x *Exchange) mergeTargetReports(ctx context.Context, list []*wire.NamedWeights, now time.Time) {
