follower, peering: log size and duration of what configurations cost

The line 'configuration in force' has the entry's bytes, the time to decode it and the position beside its revision; reads from gateways have their duration, also failed ones.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -396,6 +396,7 @@
 	if event.Deleted {
 		return false
 	}
+	begun := time.Now()
 	item, err := f.decode(event, now)
 	if err != nil {
 		return false
@@ -406,10 +407,17 @@
 	} else {
 		applied = f.state.applyItem(&item, now)
 	}
-	if applied {
-		f.state.record(event)
+	if !applied {
+		return false
+	}
+	f.state.record(event)
+	if config := item.Config; config != nil {
+		logger.Info(fields{
+			logging.FieldConfigVersion: config.Version, "routes": len(config.Routes), "workspaces": len(config.Workspaces),
+			"bytes": len(event.Value), "decode_ms": time.Since(begun).Milliseconds(), "revision": event.Version.Revision(), "position": f.state.position.Revision(),
+		}, "configuration in force")
 	}
-	return applied
+	return true
 }
 
 // decode decodes an entry, and logs a failure.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -9,7 +9,6 @@
 
 	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/deployment"
-	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/streamversion"
 )
@@ -160,7 +159,6 @@
 		return false
 	}
 	st.config = config
-	logger.Info(fields{logging.FieldConfigVersion: config.Version, "routes": len(config.Routes), "workspaces": len(config.Workspaces)}, "configuration in force")
 	return true
 }
 
--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -61,6 +61,9 @@
 	return size
 }
 
+// replySize returns the size of a reply's keys and values in bytes.
+func replySize(reply *wire.OperatorEntriesReply) int { return sizeOf(decodeEvents(reply.Entries)) }
+
 // maxReplyBytes bounds the entries in a reply: about 30 ms of a link of 10 Mbit/s. If there
 // are more, the caller reads the store, whose link is fast. A request for position 0 is
 // not bounded: its sender can't reach the store.
@@ -135,19 +138,22 @@
 	ctx, cancel := context.WithTimeout(ctx, entriesTimeout)
 	defer cancel()
 	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(ctx, address))
+	begun := time.Now()
 	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{OperatorsOnly: true})
 	if err != nil {
-		logger.Warn(fields{"peer": address, "error": err.Error()}, "operators' entries not read from a gateway")
+		logger.Warn(fields{"peer": address, "ms": time.Since(begun).Milliseconds(), "error": err.Error()}, "operators' entries not read from a gateway")
 		return
 	}
+	logger.Info(fields{"peer": address, "bytes": replySize(reply), "ms": time.Since(begun).Milliseconds()}, "operators' entries read from a gateway")
 	x.opts.Follower.MergeOperatorEvents(ctx, decodeEvents(reply.Entries))
 }
 
 // catchUp reads from a peer the changes of the store after a position.
 func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after platform.Version) {
+	begun := time.Now()
 	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era())})
 	if err != nil {
-		logger.Warn(fields{"peer": address, "error": err.Error()}, "entries not read from a gateway")
+		logger.Warn(fields{"peer": address, "ms": time.Since(begun).Milliseconds(), "error": err.Error()}, "entries not read from a gateway")
 		x.opts.Follower.ForceRead()
 		return
 	}
