peering, entrysync: send large operators' entries as changes, in parts

Cause: a whole copy of the entry was asked for under fixed times (0.3 s, 1 s), cut off when it did not fit, and begun again from nothing, by several calls that shared one link with the exchanges. Above some size it never ended. Class: the time of a transfer is bounded by a constant while its size grows.

Change: replies name large values by digest. Who lacks one reads it in parts of 16 KB, as a compressed change to a value that both have, else compressed as a whole; one transfer at a time, judged by the progress of each part, resumed at another gateway that encodes alike. A position is only taken as known up to what is missing, so that the store still gives it. Gateways that watch the store tell those that don't of a new configuration at once, and those read it at once. configstore's codec moved to package delta. A spoiled change is refused and the whole is read. Gateways of the former build get and send whole values.

Ruled out as the only cause: the processor. Decoding 5,650 routes took 113 ms on those gateways that got them in time, and versions were missing, not late.

--- a/internal/configstore/envelope.go
+++ b/internal/configstore/envelope.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"crypto/sha256"
 
-	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wasabigate/wasabigate/internal/config"
+	"github.com/wasabigate/wasabigate/internal/delta"
 	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
@@ -22,30 +22,14 @@
 // Key returns the key that holds the configuration of an environment.
 func Key(environment string) string { return keyPrefix + environment }
 
-// zstdMagic is the prefix of compressed values. No serialized envelope starts with
-// it.
-var zstdMagic = []byte{0x28, 0xb5, 0x2f, 0xfd}
+// Delta returns target as a change from base, for a peer that has base. Both are serialized
+// envelopes.
+func Delta(base, target []byte) []byte { return delta.Make(base, target) }
 
-// decoder is shared, since DecodeAll is safe for concurrent use. Encoders are made
-// on demand, since daemons compress only deltas.
-var decoder = newDecoder()
-
-func newEncoder(options ...zstd.EOption) *zstd.Encoder {
-	options = append(options, zstd.WithEncoderConcurrency(1))
-	e, err := zstd.NewWriter(nil, options...)
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return e
-}
-
-func newDecoder(options ...zstd.DOption) *zstd.Decoder {
-	options = append(options, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxEnvelopeBytes))
-	d, err := zstd.NewReader(nil, options...)
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return d
+// ApplyDelta returns the target of a delta. The error wraps platform.ErrCorrupt if the delta is
+// damaged or was made from another base.
+func ApplyDelta(base, change []byte) ([]byte, error) {
+	return delta.Apply(base, change, maxEnvelopeBytes)
 }
 
 // Open decodes a value of the key-value service or an envelope from a peer, checks
@@ -64,12 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return compress(newEncoder(), serialized), nil
-}
-
-func compress(e *zstd.Encoder, text []byte) []byte {
-	defer func() { _ = e.Close() }()
-	return e.EncodeAll(text, nil)
+	return delta.Compress(serialized), nil
 }
 
 func serialize(envelope *wire.Envelope) ([]byte, error) {
@@ -79,11 +58,11 @@
 
 func decodeEnvelope(value []byte) (*wire.Envelope, error) {
 	serialized := value
-	if bytes.HasPrefix(value, zstdMagic) {
+	if bytes.HasPrefix(value, delta.Magic) {
 		var err error
-		serialized, err = decoder.DecodeAll(value, nil)
+		serialized, err = delta.Decompress(value, maxEnvelopeBytes)
 		if err != nil {
-			return nil, errors.Wrapf(platform.ErrCorrupt, "decompress the configuration: %v", err)
+			return nil, errors.Wrap(err, "read the configuration")
 		}
 	}
 	envelope := &wire.Envelope{}
--- a/internal/follower/changes.go
+++ b/internal/follower/changes.go
@@ -13,6 +13,7 @@
 type Changes struct {
 	Events   []platform.Event
 	Position platform.Version // up to which they are known
+	Removals platform.Version // if complete, up to which removals are known; at least Position
 	Complete bool             // Events are the whole content of the store
 	Age      time.Duration    // since the store confirmed them
 	Grace    time.Duration    // how much longer servers that disappeared in an outage are kept
@@ -21,14 +22,22 @@
 // known is what a gateway can pass on of the store's content. It is immutable.
 type known struct {
 	events     []platform.Event // the last one of each key, which may be a deletion
+	operators  []platform.Event // those of operators
 	position   platform.Version // events include all changes up to it
 	since      platform.Version // events include all removals after it
 	graceUntil time.Time        // servers that disappeared in an outage may be kept until then
 	retired    map[string]Retired
 }
 
-func (st *state) known() *known {
-	return &known{events: slices.Collect(maps.Values(st.latest)), position: st.position, since: st.since, graceUntil: st.graceUntil, retired: maps.Clone(st.retired)}
+func (st *state) known(fromOperator func(key string) bool) *known {
+	events := slices.Collect(maps.Values(st.latest))
+	var operators []platform.Event
+	for i := range events {
+		if fromOperator(events[i].Key) {
+			operators = append(operators, events[i])
+		}
+	}
+	return &known{events: events, operators: operators, position: st.position, since: st.since, graceUntil: st.graceUntil, retired: maps.Clone(st.retired)}
 }
 
 // ChangesAfter returns the changes after a position for another gateway. If this one may not
@@ -55,7 +64,7 @@
 func (f *Follower) Merge(ctx context.Context, c Changes) {
 	grace := max(f.failures.graceAfter(f.Staleness(time.Now())), min(c.Grace, relistGrace))
 	select {
-	case f.batches <- batch{events: c.Events, position: c.Position, complete: c.Complete, grace: grace}:
+	case f.batches <- batch{events: c.Events, position: c.Position, removals: c.Removals, complete: c.Complete, grace: grace}:
 		f.Confirm(c.Age)
 	case <-ctx.Done():
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -4,6 +4,7 @@
 package follower
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"sync"
@@ -111,6 +112,8 @@
 	awaiting  atomic.Bool           // snapshots are not ready before other gateways were heard
 	heard     chan struct{}         // closed once they were
 
+	configChanged chan struct{}
+
 	awaitLimit time.Duration // for which they are waited for; 0: not, or the time is running
 
 	state     state     // owned by the goroutine of Run
@@ -121,10 +124,11 @@
 type batch struct {
 	events    []platform.Event
 	position  platform.Version
-	complete  bool           // events are the whole content of the store at the position
-	operators bool           // events are operators' entries of any position
-	reports   []TargetReport // another gateway's reports of target versions
-	retired   []Retired      // last entries of servers that another gateway knows
+	complete  bool             // events are the whole content of the store at the position
+	removals  platform.Version // if complete, up to which it has all removals, if that is above the position
+	operators bool             // events are operators' entries of any position
+	reports   []TargetReport   // another gateway's reports of target versions
+	retired   []Retired        // last entries of servers that another gateway knows
 	// grace is how long servers that disappeared are kept, since the store may have lost
 	// their entries in an outage; 0: they are removed at once.
 	grace time.Duration
@@ -133,7 +137,7 @@
 // New returns a Follower. Run calls onChange with each new snapshot; onChange must not
 // block.
 func New(feed platform.Feed, layout Layout, onChange func(*deployment.Snapshot)) *Follower {
-	f := &Follower{feed: feed, layout: layout, onChange: onChange, started: time.Now(), batches: make(chan batch), heard: make(chan struct{}), state: newState()}
+	f := &Follower{feed: feed, layout: layout, onChange: onChange, started: time.Now(), batches: make(chan batch), heard: make(chan struct{}), configChanged: make(chan struct{}, 1), state: newState()}
 	var err error
 	f.invalid, err = otel.Meter("wasabigate/follower").Int64Counter("wasabigate.follower.invalid_entries", metric.WithUnit("{entry}"), metric.WithDescription("Entries of the store that could not be decoded."))
 	if err != nil {
@@ -148,19 +152,19 @@
 
 // OperatorEvents returns the operators' entries that are in force.
 func (f *Follower) OperatorEvents() []platform.Event {
-	known := f.known.Load()
-	if known == nil {
-		return nil
-	}
-	var events []platform.Event
-	for _, event := range known.events {
-		if f.layout.FromOperator(event.Key) {
-			events = append(events, event)
-		}
+	if known := f.known.Load(); known != nil {
+		return known.operators
 	}
-	return events
+	return nil
 }
 
+// FromOperator reports whether operators write the entry with the key.
+func (f *Follower) FromOperator(key string) bool { return f.layout.FromOperator(key) }
+
+// ConfigChanged returns a channel that receives a value after a snapshot with another
+// configuration was published.
+func (f *Follower) ConfigChanged() <-chan struct{} { return f.configChanged }
+
 // MergeOperatorEvents merges the operators' entries that are in force at another gateway,
 // whatever the store has now: a restored store may have lost them.
 func (f *Follower) MergeOperatorEvents(ctx context.Context, events []platform.Event) {
@@ -327,7 +331,7 @@
 	}
 	f.state.position = max(f.state.position, b.position)
 	if b.complete {
-		f.state.since = max(f.state.since, b.position)
+		f.state.since = max(f.state.since, b.position, b.removals)
 	}
 	return changed
 }
@@ -338,7 +342,7 @@
 	for i := range events {
 		event := &events[i]
 		if f.layout.FromOperator(event.Key) && f.applyOperatorEvent(event, now) {
-			logger.Info(fields{"key": event.Key}, "operators' entry restored from another gateway")
+			logger.Info(fields{"key": event.Key}, "operators' entry taken from another gateway")
 			changed = true
 		}
 	}
@@ -396,6 +400,12 @@
 	if event.Deleted {
 		return false
 	}
+	if known := f.state.latest[event.Key]; event.Key == f.state.configKey && bytes.Equal(known.Value, event.Value) {
+		if event.Version > known.Version {
+			f.state.record(event)
+		}
+		return false // it is in force, and decoding it again may take long
+	}
 	begun := time.Now()
 	item, err := f.decode(event, now)
 	if err != nil {
@@ -412,6 +422,7 @@
 	}
 	f.state.record(event)
 	if config := item.Config; config != nil {
+		f.state.configKey = event.Key
 		logger.Info(fields{
 			logging.FieldConfigVersion: config.Version, "routes": len(config.Routes), "workspaces": len(config.Workspaces),
 			"bytes": len(event.Value), "decode_ms": time.Since(begun).Milliseconds(), "revision": event.Version.Revision(), "position": f.state.position.Revision(),
@@ -436,12 +447,17 @@
 
 func (f *Follower) publish() {
 	f.published = time.Now()
-	f.known.Store(f.state.known())
+	f.known.Store(f.state.known(f.layout.FromOperator))
 	f.limitWait()
 	snapshot := f.state.snapshot()
 	snapshot.Starting = f.awaiting.Load()
 	f.onChange(snapshot)
-	f.current.Store(snapshot)
+	if former := f.current.Swap(snapshot); former.Config != snapshot.Config {
+		select {
+		case f.configChanged <- struct{}{}:
+		default: // one is waiting already
+		}
+	}
 }
 
 // readLoop reads and watches the store until ctx ends, and sends batches to Run.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -22,10 +22,12 @@
 	applied  map[string]platform.Version // by key, the version applied last
 	latest   map[string]platform.Event   // by key, including deletions
 	config   *deployment.Config
-	servers  map[string]*deployment.Server
-	removeAt map[string]time.Time // when to remove servers that are not listed again
-	departed map[string]departure // servers that were removed
-	held     map[string]heldServer
+	// configKey is the key of the entry that holds config.
+	configKey string
+	servers   map[string]*deployment.Server
+	removeAt  map[string]time.Time // when to remove servers that are not listed again
+	departed  map[string]departure // servers that were removed
+	held      map[string]heldServer
 	// overtaken is when the first of the entries of a server came that it had written before
 	// the known one.
 	overtaken map[string]time.Time
--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -8,8 +8,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/entrysync"
 	"github.com/wasabigate/wasabigate/internal/follower"
 	"github.com/wasabigate/wasabigate/internal/platform"
+	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
@@ -17,19 +19,36 @@
 // store after the requested position.
 func (x *Exchange) OperatorEntries(_ context.Context, req *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
 	if req.OperatorsOnly {
-		return &wire.OperatorEntriesReply{Entries: encodeEvents(x.opts.Follower.OperatorEvents())}, nil
+		return &wire.OperatorEntriesReply{Entries: x.encodeFor(req, x.opts.Follower.OperatorEvents())}, nil
 	}
 	after := platform.NewVersion(platform.Era(req.StoreEra), req.After)
 	changes := x.opts.Follower.ChangesAfter(after)
-	if after != 0 && sizeOf(changes.Events) > maxReplyBytes {
+	entries := x.encodeFor(req, changes.Events)
+	if after != 0 && sizeOf(entries) > maxReplyBytes {
 		return nil, errTooLarge
 	}
 	return &wire.OperatorEntriesReply{
-		Entries: encodeEvents(changes.Events), Position: changes.Position.Revision(), StoreEra: uint64(changes.Position.Era()),
+		Entries: entries, Position: changes.Position.Revision(), StoreEra: uint64(changes.Position.Era()),
 		StoreSilenceMs: changes.Age.Milliseconds(), Complete: changes.Complete, HasRemovals: true, GraceMs: changes.Grace.Milliseconds(),
 	}, nil
 }
 
+// encodeFor encodes events for a request, without the large values of operators' entries if it
+// asks for that.
+func (x *Exchange) encodeFor(req *wire.OperatorEntriesRequest, events []platform.Event) []*wire.StoredEntry {
+	entries := encodeEvents(events)
+	if !req.ByReference {
+		return entries
+	}
+	for _, e := range entries {
+		if len(e.Value) > entrysync.LargeValue && x.opts.Follower.FromOperator(e.Key) {
+			digest := x.library.Add(e.Key, e.Value)
+			e.Value, e.Digest = nil, digest[:]
+		}
+	}
+	return entries
+}
+
 func encodeEvents(events []platform.Event) []*wire.StoredEntry {
 	entries := make([]*wire.StoredEntry, 0, len(events))
 	for i := range events {
@@ -52,18 +71,15 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// sizeOf returns the size of the events' keys and values in bytes.
-func sizeOf(events []platform.Event) int {
+// sizeOf returns the size of the entries' keys and values in bytes.
+func sizeOf(entries []*wire.StoredEntry) int {
 	size := 0
-	for i := range events {
-		size += len(events[i].Key) + len(events[i].Value)
+	for _, e := range entries {
+		size += len(e.Key) + len(e.Value)
 	}
 	return size
 }
 
-// replySize returns the size of a reply's keys and values in bytes.
-func replySize(reply *wire.OperatorEntriesReply) int { return sizeOf(decodeEvents(reply.Entries)) }
-
 // maxReplyBytes bounds the entries in a reply: about 30 ms of a link of 10 Mbit/s. If there
 // are more, the caller reads the store, whose link is fast. A request for position 0 is
 // not bounded: its sender can't reach the store.
@@ -74,8 +90,8 @@
 
 // updateFromPeer takes the state of the store from a peer if the peer's is fresher and
 // this gateway's is stale: the store is unreachable, or other gateways watch it for this
-// one.
-func (x *Exchange) updateFromPeer(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) {
+// one. It returns the large operators' entries that the peer left out and this gateway lacks.
+func (x *Exchange) updateFromPeer(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) (missing []*wire.StoredEntry) {
 	mine, theirs := x.staleness(), milliseconds(report.StoreSilenceMs)
 	position := x.opts.Follower.Snapshot().Position
 	reported := platform.NewVersion(platform.Era(report.StoreEra), report.Position)
@@ -86,20 +102,28 @@
 	switch {
 	case mine <= staleAfter || theirs >= mine:
 	case reported > position || position == 0:
-		x.catchUp(ctx, client, address, after)
+		return x.catchUp(ctx, client, address, after)
 	case reported == position:
 		x.opts.Follower.Confirm(theirs)
 	}
+	return nil
 }
 
-// operatorLag is how long a peer may have a newer configuration before its operators'
-// entries are read. It is longer than a change regularly takes to reach all gateways.
-const operatorLag = 600 * time.Millisecond
+// operatorLag is how long a peer may have a newer configuration before a gateway that watches the
+// store itself reads it from the peer. It is twice the pause between two calls to the store.
+const operatorLag = 300 * time.Millisecond
 
 // lagsBehind reports whether a peer has had a newer configuration, or target version of
-// weights, for operatorLag. The store may have lost it in a restore.
+// weights, for so long that they are to be read from it: at once by a gateway that does not watch
+// the store, else for operatorLag. The store may have lost them in a restore, or its answer takes
+// long.
 func (x *Exchange) lagsBehind(address string, report *wire.GatewayReport, now time.Time) bool {
-	ahead := isAhead(report, x.opts.Follower.Snapshot())
+	snapshot := x.opts.Follower.Snapshot()
+	ahead := isAhead(report, snapshot)
+	lag := time.Duration(0)
+	if roster.Watches(snapshot.Gateways, x.opts.Self) {
+		lag = operatorLag
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peer(address)
@@ -109,11 +133,7 @@
 	case p.aheadSince.IsZero():
 		p.aheadSince = now
 	}
-	if !ahead || now.Sub(p.aheadSince) < operatorLag {
-		return false
-	}
-	p.aheadSince = now
-	return true
+	return ahead && now.Sub(p.aheadSince) >= lag && !now.Before(p.nextRead)
 }
 
 // isAhead reports whether a peer has a newer configuration or target version of weights.
@@ -124,47 +144,38 @@
 	return slices.ContainsFunc(report.Named, func(n *wire.NamedWeights) bool { return n.Version > snapshot.Weights[n.Model].Version })
 }
 
-// entriesTimeout bounds the reading of operators' entries from a peer. A large configuration takes
-// longer than an exchange may.
-const entriesTimeout = time.Second
-
-// catchUpOperators reads from a peer the operators' entries that are in force there, unless they
-// are being read from another one: large ones from all peers at once would fill the link.
-func (x *Exchange) catchUpOperators(ctx context.Context, address string) {
-	if !x.readingEntries.CompareAndSwap(false, true) {
-		return
-	}
-	defer x.readingEntries.Store(false)
-	ctx, cancel := context.WithTimeout(ctx, entriesTimeout)
-	defer cancel()
-	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(ctx, address))
-	begun := time.Now()
-	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{OperatorsOnly: true})
-	if err != nil {
-		logger.Warn(fields{"peer": address, "ms": time.Since(begun).Milliseconds(), "error": err.Error()}, "operators' entries not read from a gateway")
-		return
-	}
-	logger.Info(fields{"peer": address, "bytes": replySize(reply), "ms": time.Since(begun).Milliseconds()}, "operators' entries read from a gateway")
-	x.opts.Follower.MergeOperatorEvents(ctx, decodeEvents(reply.Entries))
-}
-
-// catchUp reads from a peer the changes of the store after a position.
-func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after platform.Version) {
+// catchUp reads from a peer the changes of the store after a position. It returns the large
+// operators' entries that the peer left out and this gateway lacks.
+func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after platform.Version) (missing []*wire.StoredEntry) {
 	begun := time.Now()
-	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era())})
+	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era()), ByReference: true})
 	if err != nil {
 		logger.Warn(fields{"peer": address, "ms": time.Since(begun).Milliseconds(), "error": err.Error()}, "entries not read from a gateway")
 		x.opts.Follower.ForceRead()
-		return
+		return nil
 	}
 	if !reply.Complete && !reply.HasRemovals {
 		x.opts.Follower.ForceRead() // an earlier version of the program leaves out removals before its start
-		return
+		return nil
 	}
 	position := platform.NewVersion(platform.Era(reply.StoreEra), reply.Position)
 	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
+	present, missing := x.resolve(reply.Entries)
 	x.opts.Follower.Merge(ctx, follower.Changes{
-		Events: decodeEvents(reply.Entries), Position: position, Complete: reply.Complete,
+		Events: decodeEvents(present), Position: x.positionWithout(missing, position), Removals: position, Complete: reply.Complete,
 		Age: milliseconds(reply.StoreSilenceMs), Grace: milliseconds(reply.GraceMs),
 	})
+	return missing
+}
+
+// positionWithout returns up to which position the state is known without the missing entries, so
+// that the store still gives them if no other gateway does.
+func (x *Exchange) positionWithout(missing []*wire.StoredEntry, position platform.Version) platform.Version {
+	known := x.opts.Follower.Snapshot().Position
+	for _, e := range missing {
+		if e.Revision > 0 {
+			position = min(position, platform.NewVersion(platform.Era(e.Era), e.Revision-1))
+		}
+	}
+	return max(position, known)
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -9,13 +9,11 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wasabigate/wasabigate/internal/canary"
 	"github.com/wasabigate/wasabigate/internal/deployment"
+	"github.com/wasabigate/wasabigate/internal/entrysync"
 	"github.com/wasabigate/wasabigate/internal/fleet"
 	"github.com/wasabigate/wasabigate/internal/follower"
 	"github.com/wasabigate/wasabigate/internal/guard"
@@ -79,8 +77,10 @@
 	mu    sync.Mutex
 	peers map[string]*peer // by RPC address
 
-	told           toldOrigins
-	readingEntries atomic.Bool // operators' entries are being read from a peer
+	told      toldOrigins
+	library   *entrysync.Library
+	transfers transfers
+	aheadSeen chan struct{} // receives a value when a peer is found to be ahead
 }
 
 // peer is the state of another gateway.
@@ -91,6 +91,7 @@
 	joined     time.Time // first report after a silence
 	ahead      bool      // its last report showed newer operators' entries
 	aheadSince time.Time // as seen in its responses; zero: it is not ahead
+	nextRead   time.Time // of operators' entries, after one that failed
 	calling    bool
 	failing    bool
 	running    bool // its last report came after it had started
@@ -107,7 +108,10 @@
 	if opts.Limits == nil {
 		opts.Limits = serverlimit.New(opts.Self)
 	}
-	return &Exchange{opts: opts, started: time.Now(), peers: make(map[string]*peer)}
+	return &Exchange{
+		opts: opts, started: time.Now(), peers: make(map[string]*peer), library: entrysync.NewLibrary(),
+		transfers: newTransfers(), aheadSeen: make(chan struct{}, 1),
+	}
 }
 
 // Run exchanges reports until ctx ends.
@@ -116,15 +120,34 @@
 		x.endWait()
 		addresses := x.peersToCall()
 		interval := max(minInterval, time.Duration(len(addresses))*intervalPerPeer)
-		now := time.Now()
-		for _, address := range addresses {
-			if x.beginCall(address, now) {
-				go x.callPeer(ctx, address)
-			}
+		x.call(ctx, addresses)
+		x.untilNextRound(ctx, time.After(x.shortened(interval)))
+	}
+}
+
+// call exchanges reports with those of the peers that can be called now.
+func (x *Exchange) call(ctx context.Context, addresses []string) {
+	now := time.Now()
+	for _, address := range addresses {
+		if x.beginCall(address, now) {
+			go x.callPeer(ctx, address)
 		}
+	}
+}
+
+// untilNextRound waits for the next round of exchanges. A new configuration does not wait for it.
+func (x *Exchange) untilNextRound(ctx context.Context, next <-chan time.Time) {
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(x.shortened(interval)):
+			return
+		case <-next:
+			return
+		case <-x.aheadSeen:
+			x.call(ctx, x.peersAhead())
+		case <-x.opts.Follower.ConfigChanged():
+			x.recordVersions()
+			x.call(ctx, x.peersToTell())
 		}
 	}
 }
@@ -205,7 +228,7 @@
 		return 0
 	}
 	slices.SortFunc(watchers, func(a, b string) int {
-		return cmp.Or(cmp.Compare(failing(a), failing(b)), cmp.Compare(xxhash.Sum64String(a+x.opts.Self), xxhash.Sum64String(b+x.opts.Self)))
+		return cmp.Or(cmp.Compare(failing(a), failing(b)), compareWatchers(a, b, x.opts.Self))
 	})
 	return watchers[:min(len(watchers), maxWatcherCalls)]
 }
@@ -247,8 +270,8 @@
 	_ = guard.Call("report of a gateway", func() error { // a panic is logged there
 		x.mergeReport(callCtx, report)
 		x.endWait()
-		x.updateFromPeer(callCtx, client, address, report)
-		if x.lagsBehind(address, report, time.Now()) {
+		missing := x.updateFromPeer(callCtx, client, address, report)
+		if len(missing) > 0 || x.lagsBehind(address, report, time.Now()) {
 			x.catchUpOperators(ctx, address)
 		}
 		return nil
@@ -403,8 +426,20 @@
 		p.joined = now
 	}
 	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
-	p.ahead = isAhead(report, x.opts.Follower.Snapshot())
+	snapshot := x.opts.Follower.Snapshot()
+	p.ahead = isAhead(report, snapshot)
 	p.running = !report.Starting
+	if p.ahead && !roster.Watches(snapshot.Gateways, x.opts.Self) {
+		signal(x.aheadSeen)
+	}
+}
+
+// signal sends a value unless one is waiting already.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 func (x *Exchange) mergeRetired(ctx context.Context, list []*wire.RetiredServer, now time.Time) {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -108,13 +108,17 @@
 
 // newGatewayServing returns a gateway whose calls from others go to what serve returns.
 func newGatewayServing(ctx context.Context, t *testing.T, s *sharedStore, group *sync.WaitGroup, seeds []string, serve func(*Exchange) wire.DRPCGatewaysServer) *gateway {
+	return newGatewayDialing(ctx, t, s, group, seeds, serve, rpc.NewDialer(nil))
+}
+
+// newGatewayDialing returns a gateway that calls others with a dialer of its own.
+func newGatewayDialing(ctx context.Context, t *testing.T, s *sharedStore, group *sync.WaitGroup, seeds []string, serve func(*Exchange) wire.DRPCGatewaysServer, dialer *rpc.Dialer) *gateway {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	g := &gateway{address: listener.Addr().String(), store: &storeClient{store: s}, fleet: fleet.New(), cache: kvcache.NewDirectory()}
 	g.follower = follower.New(g.store, testLayout{}, func(snapshot *deployment.Snapshot) { g.fleet.Prune(snapshot) })
-	dialer := rpc.NewDialer(nil)
 	t.Cleanup(func() { _ = dialer.Close() })
 	x := New(Options{Self: g.address, Seeds: seeds, Dialer: dialer, Follower: g.follower, Fleet: g.fleet, Cache: g.cache})
 	mux := drpcmux.New()
