platform: decode only the routes of a configuration that are new

What callers saw: as before.

Cause: each change of one route decoded and checked all of them.

Change: the texts of the routes in force are kept with what they decode to. Known routes that follow each other are replaced by one null before the rest goes through the decoder and the checks, which is valid JSON if the whole is. Whatever fails is decoded again as a whole, for the error's line.

Taken out again: routes by prefix in a map instead of a list by length.

--- a/cmd/wasabigated/main.go
+++ b/cmd/wasabigated/main.go
@@ -68,7 +68,7 @@
 			Hangups: hangups,
 			Reload:  func() (*config.Settings, error) { return loadSettings(c) },
 			Store:   func(baseURL string) service.Store { return platform.NewStore(baseURL) },
-			Layout:  platform.Layout{},
+			Layout:  platform.NewLayout(),
 			Headers: platform.Headers{},
 			Engines: func(observe rollout.Observe) rollout.Engines { return platform.NewEngines(observe) },
 
