--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -40,6 +40,7 @@
 type Gateway struct {
 	Address string           // of its RPC listener
 	Since   platform.Version // at which it registered in the store
+	Narrow  bool             // its link takes long for large entries of the store
 }
 
 // Snapshot is a gateway's cached state of the deployment at one time. It is immutable.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -39,8 +39,8 @@
 	// graceUntil is until when servers that disappeared in an outage may be kept.
 	graceUntil  time.Time
 	weights     map[string]deployment.WeightsTarget
-	weightsAges map[string]struct{}         // keys that tell the age of target versions
-	gateways    map[string]platform.Version // by key, the version of the registration
+	weightsAges map[string]struct{}           // keys that tell the age of target versions
+	gateways    map[string]deployment.Gateway // by key
 	leader      string
 	crashes     platform.Entry
 	streams     map[string]*streamversion.Assignment // by service
@@ -63,7 +63,7 @@
 		retired:     make(map[string]Retired),
 		weights:     make(map[string]deployment.WeightsTarget),
 		weightsAges: make(map[string]struct{}),
-		gateways:    make(map[string]platform.Version),
+		gateways:    make(map[string]deployment.Gateway),
 		streams:     make(map[string]*streamversion.Assignment),
 		rollouts:    make(map[string]*deployment.Rollout),
 		former:      make(map[string][]canary.Order),
@@ -79,7 +79,7 @@
 		return !event.Deleted && !contains(keys, key) && !fromOperator(key)
 	})
 	maps.DeleteFunc(st.weightsAges, func(key string, _ struct{}) bool { return !contains(keys, key) })
-	maps.DeleteFunc(st.gateways, func(key string, _ platform.Version) bool { return !contains(keys, key) })
+	maps.DeleteFunc(st.gateways, func(key string, _ deployment.Gateway) bool { return !contains(keys, key) })
 	for id := range st.servers {
 		if !contains(servers, id) {
 			st.removeServer(id, grace, now)
@@ -251,7 +251,8 @@
 	case strings.HasPrefix(event.Key, GatewayPrefix) && event.Deleted:
 		delete(st.gateways, event.Key)
 	case strings.HasPrefix(event.Key, GatewayPrefix):
-		st.gateways[event.Key] = event.Version
+		address, _, _ := strings.Cut(strings.TrimPrefix(event.Key, GatewayPrefix), "/")
+		st.gateways[event.Key] = deployment.Gateway{Address: address, Since: event.Version, Narrow: deployment.IsNarrow(event.Value)}
 	case event.Key == CanaryOwnerKey && event.Deleted:
 		st.owner = ""
 	case event.Key == CanaryOwnerKey:
@@ -327,14 +328,11 @@
 // listGateways returns one gateway for each address. A restarted process has two
 // entries until the lease of the previous process ends.
 func (st *state) listGateways() []deployment.Gateway {
-	since := make(map[string]platform.Version)
-	for key, position := range st.gateways {
-		address, _, _ := strings.Cut(strings.TrimPrefix(key, GatewayPrefix), "/")
-		since[address] = max(since[address], position)
-	}
-	gateways := make([]deployment.Gateway, 0, len(since))
-	for _, address := range slices.Sorted(maps.Keys(since)) {
-		gateways = append(gateways, deployment.Gateway{Address: address, Since: since[address]})
+	latest := make(map[string]deployment.Gateway)
+	for _, gateway := range st.gateways {
+		if gateway.Since >= latest[gateway.Address].Since {
+			latest[gateway.Address] = gateway
+		}
 	}
-	return gateways
+	return slices.SortedFunc(maps.Values(latest), func(a, b deployment.Gateway) int { return strings.Compare(a.Address, b.Address) })
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -365,7 +365,7 @@
 // startBackground starts the background goroutines. The rollouts end with ctx, before
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
-	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress)
+	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress, g.isNarrow())
 	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.weightsAges.run, g.keeper.Run, g.exchange.TellOrigins} {
 		group.Go(func() error { work(background); return nil })
 	}
@@ -376,6 +376,15 @@
 	}
 }
 
+// isNarrow returns what reports whether this gateway's link was found to be narrow, or nil if that
+// is not measured.
+func (g *Gateway) isNarrow() func() bool {
+	if meter, ok := g.store.(platform.LinkMeter); ok {
+		return meter.IsNarrow
+	}
+	return nil
+}
+
 func serveHTTP(group *errgroup.Group, server *http.Server, listener net.Listener) {
 	if listener == nil {
 		return
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -21,6 +21,12 @@
 	Changes(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
 }
 
+// LinkMeter is a client of a service that measures the link to it.
+type LinkMeter interface {
+	// IsNarrow reports whether the largest value takes long to arrive.
+	IsNarrow() bool
+}
+
 // LeaseKV is the subset of a key-value service that leases need.
 type LeaseKV interface {
 	Get(ctx context.Context, key string) (Entry, error)
--- a/internal/roster/members.go
+++ b/internal/roster/members.go
@@ -22,13 +22,20 @@
 const maxWatchers = 5
 
 // Watchers returns the addresses of the gateways that watch the store: the first in the
-// order of their hashes, so that they are spread over availability zones.
+// order of their hashes, so that they are spread over availability zones, and those with narrow
+// links only if there are not enough others. The store sends each watcher whole entries.
 func Watchers(listed []deployment.Gateway) []string {
-	addresses := make([]string, 0, len(listed))
+	var wide, narrow []string
 	for i := range listed {
-		addresses = append(addresses, listed[i].Address)
+		if listed[i].Narrow {
+			narrow = append(narrow, listed[i].Address)
+		} else {
+			wide = append(wide, listed[i].Address)
+		}
 	}
-	sortByHash(addresses)
+	sortByHash(wide)
+	sortByHash(narrow)
+	addresses := slices.Concat(wide, narrow)
 	return addresses[:min(len(addresses), maxWatchers)]
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/clock"
+	"github.com/wasabigate/wasabigate/internal/deployment"
 	"github.com/wasabigate/wasabigate/internal/logging"
 	"github.com/wasabigate/wasabigate/internal/platform"
 )
@@ -35,34 +36,40 @@
 
 // Registration keeps this process in the list of gateways.
 type Registration struct {
-	kv  platform.LeaseKV
-	key string
+	kv     platform.LeaseKV
+	key    string
+	narrow func() bool
 }
 
 // NewRegistration returns a Registration. Its key is prefix, the address and a random
-// number that distinguishes this process from earlier ones at the address.
-func NewRegistration(kv platform.LeaseKV, prefix, address string) *Registration {
-	return &Registration{kv: kv, key: prefix + address + "/" + strconv.FormatUint(rand.Uint64(), 36)}
+// number that distinguishes this process from earlier ones at the address. narrow reports whether
+// the process's link was found to be narrow; nil: it never is.
+func NewRegistration(kv platform.LeaseKV, prefix, address string, narrow func() bool) *Registration {
+	if narrow == nil {
+		narrow = func() bool { return false }
+	}
+	return &Registration{kv: kv, key: prefix + address + "/" + strconv.FormatUint(rand.Uint64(), 36), narrow: narrow}
 }
 
 // Run keeps the process listed until ctx ends, and then revokes its lease.
 func (r *Registration) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		lease, era, err := r.register(ctx)
+		narrow := r.narrow()
+		lease, era, err := r.register(ctx, narrow)
 		if err != nil {
 			logger.Warn(fields{"error": err.Error()}, "gateway not registered")
 			clock.Sleep(ctx, retryInterval/2+rand.N(retryInterval))
 			continue
 		}
-		logger.Info(fields{"key": r.key}, "gateway registered")
-		r.renewLoop(ctx, lease, era)
+		logger.Info(fields{"key": r.key, "narrow": narrow}, "gateway registered")
+		r.renewLoop(ctx, lease, era, narrow)
 	}
 }
 
 // register writes the entry under a new lease and returns the era of the write. If the
 // response to the write is lost, the caller registers again under another lease and the
 // former one expires.
-func (r *Registration) register(ctx context.Context) (platform.LeaseID, platform.Era, error) {
+func (r *Registration) register(ctx context.Context, narrow bool) (platform.LeaseID, platform.Era, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	lease, err := r.kv.GrantLease(ctx, leaseTTL)
@@ -73,17 +80,17 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return 0, 0, err
 	}
-	version, err := r.kv.CompareAndSwap(ctx, r.key, []byte("{}"), entry.Version, lease)
+	version, err := r.kv.CompareAndSwap(ctx, r.key, deployment.EncodeRegistration(narrow), entry.Version, lease)
 	return lease, version.Era(), err
 }
 
-// renewLoop renews the lease until it expires, the store is restored or ctx ends, and
-// revokes it in the latter case. A restored store may have lost the entry, and may give
-// out the lease's ID again.
-func (r *Registration) renewLoop(ctx context.Context, lease platform.LeaseID, era platform.Era) {
+// renewLoop renews the lease until it expires, the store is restored, the link turns narrow or wide
+// or ctx ends, and revokes it in the latter case. A restored store may have lost the entry, and may
+// give out the lease's ID again.
+func (r *Registration) renewLoop(ctx context.Context, lease platform.LeaseID, era platform.Era, narrow bool) {
 	interval := renewInterval
 	for {
-		r.sleep(ctx, interval, era)
+		r.sleep(ctx, interval, era, narrow)
 		if ctx.Err() != nil {
 			r.revoke(ctx, lease, era)
 			return
@@ -92,6 +99,9 @@
 			logger.Warn(fields{"era": uint64(r.kv.Era())}, "registering again in the restored store")
 			return
 		}
+		if r.narrow() != narrow {
+			return
+		}
 		err := r.kv.RenewLease(ctx, lease)
 		if errors.Is(err, platform.ErrNotFound) {
 			logger.Warn(nil, "lease of the registration expired")
@@ -104,9 +114,10 @@
 	}
 }
 
-// sleep waits for an interval, or until the store is known to be restored.
-func (r *Registration) sleep(ctx context.Context, interval time.Duration, era platform.Era) {
-	for deadline := time.Now().Add(interval); ctx.Err() == nil && r.kv.Era() == era; {
+// sleep waits for an interval, or until the store is known to be restored or the link is found to
+// be narrow or wide.
+func (r *Registration) sleep(ctx context.Context, interval time.Duration, era platform.Era, narrow bool) {
+	for deadline := time.Now().Add(interval); ctx.Err() == nil && r.kv.Era() == era && r.narrow() == narrow; {
 		remaining := time.Until(deadline)
 		if remaining <= 0 {
 			return
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -109,6 +111,7 @@
 	mu           sync.Mutex
 	leases       map[platform.LeaseID]time.Time
 	keys         map[string]platform.LeaseID
+	value        []byte // that was written last
 	loseResponse bool
 	next         platform.LeaseID
 }
@@ -133,10 +136,10 @@
 	return platform.Entry{}, platform.ErrNotFound
 }
 
-func (f *fakeKV) CompareAndSwap(_ context.Context, key string, _ []byte, _ platform.Version, lease platform.LeaseID) (platform.Version, error) {
+func (f *fakeKV) CompareAndSwap(_ context.Context, key string, value []byte, _ platform.Version, lease platform.LeaseID) (platform.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.keys[key] = lease
+	f.keys[key], f.value = lease, value
 	if f.loseResponse {
 		f.loseResponse = false
 		return 0, platform.ErrOutcomeUnknown
@@ -178,7 +181,7 @@
 		kv := &fakeKV{leases: make(map[platform.LeaseID]time.Time), keys: make(map[string]platform.LeaseID), loseResponse: true}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
-		group.Go(func() { NewRegistration(kv, "p/", "10.0.0.1:1").Run(ctx) })
+		group.Go(func() { NewRegistration(kv, "p/", "10.0.0.1:1", nil).Run(ctx) })
 		for _, moment := range []string{"after a lost response", "after an expired lease", "much later"} {
 			time.Sleep(5 * time.Second)
 			if n := kv.listed("p/10.0.0.1:1/"); n != 1 {
@@ -208,7 +211,7 @@
 		var group sync.WaitGroup
 		time.Sleep(time.Minute)
 		for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
-			group.Go(func() { NewRegistration(store, "p/", address).Run(ctx) })
+			group.Go(func() { NewRegistration(store, "p/", address, nil).Run(ctx) })
 		}
 		for restores := range 3 {
 			time.Sleep(5 * time.Second)
@@ -227,3 +230,46 @@
 		group.Wait()
 	})
 }
+
+// A gateway whose link is found to be narrow says so under its one entry, and again when it is wide.
+func TestRegistrationOfANarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := &fakeKV{leases: make(map[platform.LeaseID]time.Time), keys: make(map[string]platform.LeaseID)}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		var narrow atomic.Bool
+		group.Go(func() { NewRegistration(kv, "p/", "10.0.0.1:1", narrow.Load).Run(ctx) })
+		for _, want := range []bool{false, true, false} {
+			narrow.Store(want)
+			time.Sleep(2 * time.Second)
+			kv.mu.Lock()
+			if deployment.IsNarrow(kv.value) != want {
+				t.Errorf("value %s, want narrow %v", kv.value, want)
+			}
+			kv.mu.Unlock()
+			if n := kv.listed("p/"); n != 1 {
+				t.Errorf("listed %d times, want once", n)
+			}
+		}
+		cancel()
+		group.Wait()
+	})
+}
+
+// Gateways with narrow links watch the store only if there are not enough others.
+func TestWatchersHaveWideLinks(t *testing.T) {
+	list := gatewayList("a", "b", "c", "d", "e", "f", "g", "h")
+	for i := range list {
+		list[i].Narrow = i < 4
+	}
+	watchers := Watchers(list)
+	if len(watchers) != maxWatchers || !slices.Equal(slices.Sorted(slices.Values(watchers[:4])), []string{"e", "f", "g", "h"}) {
+		t.Errorf("watchers %v, want the wide ones first", watchers)
+	}
+	for i := range list {
+		list[i].Narrow = true
+	}
+	if all := Watchers(list); !slices.Equal(all, Watchers(gatewayList("a", "b", "c", "d", "e", "f", "g", "h"))) {
+		t.Errorf("all are narrow: watchers %v", all)
+	}
+}
