peering: every gateway reads a newer configuration at once

TestLargeConfigurationIsReadFromOneGateway counted the calls of all gateways together, since only the late one made any; requests now name their sender, and no gateway may have two at the same time.

--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -11,7 +11,6 @@
 	"github.com/wasabigate/wasabigate/internal/entrysync"
 	"github.com/wasabigate/wasabigate/internal/follower"
 	"github.com/wasabigate/wasabigate/internal/platform"
-	"github.com/wasabigate/wasabigate/internal/roster"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
@@ -109,31 +108,16 @@
 	return nil
 }
 
-// operatorLag is how long a peer may have a newer configuration before a gateway that watches the
-// store itself reads it from the peer. It is twice the pause between two calls to the store.
-const operatorLag = 300 * time.Millisecond
-
-// lagsBehind reports whether a peer has had a newer configuration, or target version of
-// weights, for so long that they are to be read from it: at once by a gateway that does not watch
-// the store, else for operatorLag. The store may have lost them in a restore, or its answer takes
-// long.
+// lagsBehind reports whether a peer has a newer configuration, or target version of weights, that
+// is to be read from it. A gateway that watches the store reads it too: the store may have lost it
+// in a restore, and sends it as a whole, which may take long.
 func (x *Exchange) lagsBehind(address string, report *wire.GatewayReport, now time.Time) bool {
-	snapshot := x.opts.Follower.Snapshot()
-	ahead := isAhead(report, snapshot)
-	lag := time.Duration(0)
-	if roster.Watches(snapshot.Gateways, x.opts.Self) {
-		lag = operatorLag
+	if !isAhead(report, x.opts.Follower.Snapshot()) {
+		return false
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := x.peer(address)
-	switch {
-	case !ahead:
-		p.aheadSince = time.Time{}
-	case p.aheadSince.IsZero():
-		p.aheadSince = now
-	}
-	return ahead && now.Sub(p.aheadSince) >= lag && !now.Before(p.nextRead)
+	return !now.Before(x.peer(address).nextRead)
 }
 
 // isAhead reports whether a peer has a newer configuration or target version of weights.
@@ -148,7 +132,7 @@
 // operators' entries that the peer left out and this gateway lacks.
 func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after platform.Version) (missing []*wire.StoredEntry) {
 	begun := time.Now()
-	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era()), ByReference: true})
+	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era()), ByReference: true, Sender: x.opts.Self})
 	if err != nil {
 		logger.Warn(fields{"peer": address, "ms": time.Since(begun).Milliseconds(), "error": err.Error()}, "entries not read from a gateway")
 		x.opts.Follower.ForceRead()
--- a/internal/peering/catchup_test.go
+++ b/internal/peering/catchup_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,18 +12,36 @@
 // slowEntries is a gateway that takes a while to send operators' entries, as if they were large.
 type slowEntries struct {
 	wire.DRPCGatewaysServer
-	calls, running, most *atomic.Int64
+	readers *readers
+}
+
+// readers counts, by gateway, the reads of operators' entries from others that run.
+type readers struct {
+	mu          sync.Mutex
+	running     map[string]int
+	calls, most int // of any one gateway
+}
+
+func (r *readers) begin(reader string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls++
+	r.running[reader]++
+	r.most = max(r.most, r.running[reader])
+}
+
+func (r *readers) end(reader string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[reader]--
 }
 
 func (s *slowEntries) OperatorEntries(ctx context.Context, req *wire.OperatorEntriesRequest) (*wire.OperatorEntriesReply, error) {
 	if !req.OperatorsOnly {
 		return nil, errTooLarge
 	}
-	s.calls.Add(1)
-	running := s.running.Add(1)
-	defer s.running.Add(-1)
-	for most := s.most.Load(); running > most && !s.most.CompareAndSwap(most, running); most = s.most.Load() {
-	}
+	s.readers.begin(req.Sender)
+	defer s.readers.end(req.Sender)
 	select {
 	case <-time.After(2 * callTimeout):
 	case <-ctx.Done():
@@ -40,14 +57,14 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
-	var calls, running, most atomic.Int64
+	r := &readers{running: make(map[string]int)}
 	s := &sharedStore{}
 	s.put("op/config", "config 1")
 	s.put("op/version/m", "weights m 1")
 	var seeds []string
 	for range 6 {
 		g := newGatewayServing(ctx, t, s, &group, seeds, func(x *Exchange) wire.DRPCGatewaysServer {
-			return &slowEntries{DRPCGatewaysServer: x, calls: &calls, running: &running, most: &most}
+			return &slowEntries{DRPCGatewaysServer: x, readers: r}
 		})
 		seeds = append(seeds, g.address)
 	}
@@ -60,7 +77,9 @@
 	if took := time.Since(start); took > 3*time.Second { // the required bound for a change
 		t.Errorf("the configuration arrived after %v, want at most 3 s", took)
 	}
-	if most.Load() > 1 {
-		t.Errorf("%d gateways sent it at the same time, in %d calls", most.Load(), calls.Load())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.most != 1 {
+		t.Errorf("%d gateways sent it to one at the same time, in %d calls", r.most, r.calls)
 	}
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -90,7 +90,6 @@
 	findings   uint64    // digest of its findings on parts that crash servers
 	joined     time.Time // first report after a silence
 	ahead      bool      // its last report showed newer operators' entries
-	aheadSince time.Time // as seen in its responses; zero: it is not ahead
 	nextRead   time.Time // of operators' entries, after one that failed
 	calling    bool
 	failing    bool
@@ -426,10 +425,9 @@
 		p.joined = now
 	}
 	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
-	snapshot := x.opts.Follower.Snapshot()
-	p.ahead = isAhead(report, snapshot)
+	p.ahead = isAhead(report, x.opts.Follower.Snapshot())
 	p.running = !report.Starting
-	if p.ahead && !roster.Watches(snapshot.Gateways, x.opts.Self) {
+	if p.ahead {
 		signal(x.aheadSeen)
 	}
 }
--- a/internal/peering/transfers.go
+++ b/internal/peering/transfers.go
@@ -79,7 +79,8 @@
 	}
 }
 
-// peersToTell returns the gateways that get changes of the store from this one, if it watches it.
+// peersToTell returns the gateways that are to hear of a new configuration at once, if this one
+// watches the store: the others that do, and those that prefer to call this one.
 func (x *Exchange) peersToTell() []string {
 	listed := x.opts.Follower.Snapshot().Gateways
 	if !roster.Watches(listed, x.opts.Self) {
@@ -88,7 +89,7 @@
 	watchers := roster.Watchers(listed)
 	var addresses []string
 	for _, gateway := range listed {
-		if !slices.Contains(watchers, gateway.Address) && slices.Contains(watchersOf(gateway.Address, watchers), x.opts.Self) {
+		if gateway.Address != x.opts.Self && (slices.Contains(watchers, gateway.Address) || slices.Contains(watchersOf(gateway.Address, watchers), x.opts.Self)) {
 			addresses = append(addresses, gateway.Address)
 		}
 	}
@@ -146,7 +147,7 @@
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(listCtx, address))
-	reply, err := client.OperatorEntries(listCtx, &wire.OperatorEntriesRequest{OperatorsOnly: true, ByReference: true})
+	reply, err := client.OperatorEntries(listCtx, &wire.OperatorEntriesRequest{OperatorsOnly: true, ByReference: true, Sender: x.opts.Self})
 	if err != nil {
 		return err
 	}
