--- a/platform/seeds_test.go
+++ b/internal/seeded/seeded.go
@@ -1,4 +1,5 @@
-package platform
+// Package seeded tells tests which seeds to play, and for how long.
+package seeded
 
 import (
 	"os"
@@ -8,9 +9,9 @@
 	"time"
 )
 
-// seededRuns returns the seeds and the length of runs: those given by the environment variables
+// Runs returns the seeds and the length of runs: those given by the environment variables
 // NAME_SEEDS, a comma-separated list, and NAME_SECONDS, or else those for CI.
-func seededRuns(t *testing.T, name string, seeds []uint64, length time.Duration) ([]uint64, time.Duration) {
+func Runs(t testing.TB, name string, seeds []uint64, length time.Duration) ([]uint64, time.Duration) {
 	t.Helper()
 	if list := os.Getenv(name + "_SEEDS"); list != "" {
 		seeds = nil
