peering: a gateway that answers late is left for another, not for the store

It now has a second of its own, and after that another gateway is asked; the store before the state gets too stale, as before, or at once if the answer is an error.

--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -90,7 +90,7 @@
 // updateFromPeer takes the state of the store from a peer if the peer's is fresher and
 // this gateway's is stale: the store is unreachable, or other gateways watch it for this
 // one. It returns the large operators' entries that the peer left out and this gateway lacks.
-func (x *Exchange) updateFromPeer(ctx context.Context, client wire.DRPCGatewaysClient, address string, report *wire.GatewayReport) (missing []*wire.StoredEntry) {
+func (x *Exchange) updateFromPeer(ctx context.Context, address string, report *wire.GatewayReport) (missing []*wire.StoredEntry) {
 	mine, theirs := x.staleness(), milliseconds(report.StoreSilenceMs)
 	position := x.opts.Follower.Snapshot().Position
 	reported := platform.NewVersion(platform.Era(report.StoreEra), report.Position)
@@ -101,7 +101,7 @@
 	switch {
 	case mine <= staleAfter || theirs >= mine:
 	case reported > position || position == 0:
-		return x.catchUp(ctx, client, address, after)
+		return x.catchUp(ctx, address, after)
 	case reported == position:
 		x.opts.Follower.Confirm(theirs)
 	}
@@ -130,12 +130,17 @@
 
 // catchUp reads from a peer the changes of the store after a position. It returns the large
 // operators' entries that the peer left out and this gateway lacks.
-func (x *Exchange) catchUp(ctx context.Context, client wire.DRPCGatewaysClient, address string, after platform.Version) (missing []*wire.StoredEntry) {
+func (x *Exchange) catchUp(ctx context.Context, address string, after platform.Version) (missing []*wire.StoredEntry) {
 	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	client := wire.NewDRPCGatewaysClient(x.opts.Dialer.Conn(ctx, address))
 	reply, err := client.OperatorEntries(ctx, &wire.OperatorEntriesRequest{After: after.Revision(), StoreEra: uint64(after.Era()), ByReference: true, Sender: x.opts.Self})
 	if err != nil {
 		logger.Warn(fields{"peer": address, "ms": time.Since(begun).Milliseconds(), "error": err.Error()}, "entries not read from a gateway")
-		x.opts.Follower.ForceRead()
+		if ctx.Err() == nil { // else another gateway is asked, and the store before the state gets too stale
+			x.opts.Follower.ForceRead()
+		}
 		return nil
 	}
 	if !reply.Complete && !reply.HasRemovals {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -80,6 +80,7 @@
 	told      toldOrigins
 	library   *entrysync.Library
 	transfers transfers
+	behind    behind
 	aheadSeen chan struct{} // receives a value when a peer is found to be ahead
 }
 
@@ -107,10 +108,12 @@
 	if opts.Limits == nil {
 		opts.Limits = serverlimit.New(opts.Self)
 	}
-	return &Exchange{
+	x := &Exchange{
 		opts: opts, started: time.Now(), peers: make(map[string]*peer), library: entrysync.NewLibrary(),
 		transfers: newTransfers(), aheadSeen: make(chan struct{}, 1),
 	}
+	x.registerGauges()
+	return x
 }
 
 // Run exchanges reports until ctx ends.
@@ -269,7 +272,7 @@
 	_ = guard.Call("report of a gateway", func() error { // a panic is logged there
 		x.mergeReport(callCtx, report)
 		x.endWait()
-		missing := x.updateFromPeer(callCtx, client, address, report)
+		missing := x.updateFromPeer(ctx, address, report)
 		if len(missing) > 0 || x.lagsBehind(address, report, time.Now()) {
 			x.catchUpOperators(ctx, address)
 		}
@@ -425,7 +428,9 @@
 		p.joined = now
 	}
 	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
-	p.ahead = isAhead(report, x.opts.Follower.Snapshot())
+	snapshot := x.opts.Follower.Snapshot()
+	p.ahead = isAhead(report, snapshot)
+	x.behind.note(report.Sender, report.ConfigVersion, configVersion(snapshot), now)
 	p.running = !report.Starting
 	if p.ahead {
 		signal(x.aheadSeen)
