follower: what was read before does not undo what others told beside a missing entry

Cause, new with the changes in parts: while a large entry is on its way, a gateway's position stays before it, though it has the other changes up to a later one. A read of the store at a position between counted as newer, and servers that it did not have yet as removed. Class: one number stands for two things that are known up to different points.

The state now keeps how far it has all but operators' entries; reads from before that only give operators' entries, which have versions of their own. follower.TestReadBesideAMissingConfiguration fails without it.

Also: a gateway whose link is not measured reads all entries when it begins to watch, so that narrow links are known before the next change.

--- a/internal/follower/changes.go
+++ b/internal/follower/changes.go
@@ -13,7 +13,7 @@
 type Changes struct {
 	Events   []platform.Event
 	Position platform.Version // up to which they are known
-	Removals platform.Version // if complete, up to which removals are known; at least Position
+	Reached  platform.Version // up to which all but operators' entries are known, if above Position
 	Complete bool             // Events are the whole content of the store
 	Age      time.Duration    // since the store confirmed them
 	Grace    time.Duration    // how much longer servers that disappeared in an outage are kept
@@ -64,7 +64,7 @@
 func (f *Follower) Merge(ctx context.Context, c Changes) {
 	grace := max(f.failures.graceAfter(f.Staleness(time.Now())), min(c.Grace, relistGrace))
 	select {
-	case f.batches <- batch{events: c.Events, position: c.Position, removals: c.Removals, complete: c.Complete, grace: grace}:
+	case f.batches <- batch{events: c.Events, position: c.Position, reached: c.Reached, complete: c.Complete, grace: grace}:
 		f.Confirm(c.Age)
 	case <-ctx.Done():
 	}
--- a/internal/follower/changes_test.go
+++ b/internal/follower/changes_test.go
@@ -83,6 +83,35 @@
 	}
 }
 
+// While a large operators' entry is still on its way from another gateway, what that one told of
+// servers stands against what was read before, and the entry is taken from whoever has it.
+func TestReadBesideAMissingConfiguration(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		runFollower(t, func(_ *fakeFeed, follower *Follower) {
+			ctx := context.Background()
+			entry := func(key, value string, version platform.Version) platform.Event {
+				return platform.Event{Entry: platform.Entry{Key: key, Value: []byte(value), Version: version}}
+			}
+			const server = "server lm 10.0.0.1:80"
+			// Another gateway knows all up to 200, of which the configuration at 120 is missing.
+			follower.Merge(ctx, Changes{Position: 119, Reached: 200, Complete: true, Events: []platform.Event{entry("servers/b", server, 180)}})
+			synctest.Wait()
+			if s := follower.Snapshot(); s.Position != 119 || s.Servers["b"] == nil {
+				t.Fatalf("servers %v at %v", s.Servers, s.Position)
+			}
+			// Read from the store before: a, which was removed at 150, and not b.
+			follower.Merge(ctx, Changes{Position: 140, Complete: complete, Events: []platform.Event{entry("op/config", "config 7", 120), entry("servers/a", server, 130)}})
+			synctest.Wait()
+			if s := follower.Snapshot(); s.Servers["b"] == nil || len(s.Servers) != 1 || s.Config.Version != 7 {
+				t.Errorf("complete %v: servers %v, configuration %d, want b and 7", complete, s.Servers, s.Config.Version)
+			}
+			if changes := follower.ChangesAfter(110); !changes.Complete {
+				t.Error("removals up to 200 are passed on that are not known")
+			}
+		})
+	}
+}
+
 // The changes that are passed on reach the position that they name, whenever they are asked for.
 func TestChangesReachTheirPosition(t *testing.T) {
 	f := newFakeFeed()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -125,7 +125,7 @@
 	events    []platform.Event
 	position  platform.Version
 	complete  bool             // events are the whole content of the store at the position
-	removals  platform.Version // if complete, up to which it has all removals, if that is above the position
+	reached   platform.Version // up to which it has all but operators' entries, if above the position
 	operators bool             // events are operators' entries of any position
 	reports   []TargetReport   // another gateway's reports of target versions
 	retired   []Retired        // last entries of servers that another gateway knows
@@ -286,6 +286,9 @@
 	switch {
 	case b.operators:
 		changed = f.applyOperatorEvents(b.events, now)
+		if changed {
+			logger.Info(fields{"entries": len(b.events)}, "operators' entries taken from another gateway")
+		}
 	case b.reports != nil:
 		for i := range b.reports {
 			changed = f.state.applyReport(&b.reports[i]) || changed
@@ -295,8 +298,9 @@
 		changed = true // also other gateways are to know
 	case b.position.Era() < f.state.position.Era():
 		// Read before a restore of the store that this state already includes.
-	case b.complete && b.position < f.state.position:
-		// Read before newer changes came from another gateway.
+	case b.complete && b.position < f.state.reached:
+		// Read before newer changes came from another gateway, but maybe not newer operators' entries.
+		changed = f.applyOperatorEvents(b.events, now)
 	default:
 		changed = f.applyStoreBatch(&b, now)
 	}
@@ -324,14 +328,19 @@
 	changed := b.complete
 	for i := range b.events {
 		event := &b.events[i]
-		if !b.complete && event.Version <= f.state.position {
+		included := f.state.reached
+		if f.layout.FromOperator(event.Key) {
+			included = f.state.position
+		}
+		if !b.complete && event.Version <= included {
 			continue // the state includes it, or a later one of its key
 		}
 		changed = f.applyEvent(event, grace, now) || changed
 	}
-	f.state.position = max(f.state.position, b.position)
+	reached := max(b.position, b.reached)
+	f.state.position, f.state.reached = max(f.state.position, b.position), max(f.state.reached, reached)
 	if b.complete {
-		f.state.since = max(f.state.since, b.position, b.removals)
+		f.state.since = max(f.state.since, reached)
 	}
 	return changed
 }
@@ -341,10 +350,7 @@
 	changed := false
 	for i := range events {
 		event := &events[i]
-		if f.layout.FromOperator(event.Key) && f.applyOperatorEvent(event, now) {
-			logger.Info(fields{"key": event.Key}, "operators' entry taken from another gateway")
-			changed = true
-		}
+		changed = f.layout.FromOperator(event.Key) && f.applyOperatorEvent(event, now) || changed
 	}
 	return changed
 }
@@ -474,6 +480,10 @@
 			backoff = minBackoff
 			if f.waitWhileIdle(ctx) {
 				position = max(position, f.Snapshot().Position)
+				if f.isLinkUnknown() && !f.idle.Load() {
+					position, err = f.readAll(ctx)
+					continue
+				}
 			}
 			position, err = f.watch(ctx, position)
 		}
@@ -514,6 +524,13 @@
 	return waited
 }
 
+// isLinkUnknown reports whether the link to the store is to be measured. One that begins to watch
+// reads all entries for that: if its link is narrow, another one is to watch before the next change.
+func (f *Follower) isLinkUnknown() bool {
+	meter, ok := f.feed.(platform.LinkMeter)
+	return ok && !meter.IsMeasured()
+}
+
 // readAll reads all entries of the store.
 func (f *Follower) readAll(ctx context.Context) (platform.Version, error) {
 	entries, position, err := f.feed.Read(ctx, "")
--- a/internal/follower/idle_test.go
+++ b/internal/follower/idle_test.go
@@ -1,8 +1,13 @@
 package follower
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/wasabigate/wasabigate/internal/deployment"
 )
 
 // removalDeadline is the time within which a removal must be in force: the users' bound of two
@@ -29,3 +34,45 @@
 		})
 	}
 }
+
+// meteredFeed measures the link with the first answer after the gateway was idle.
+type meteredFeed struct {
+	*fakeFeed
+	measured *atomic.Bool
+}
+
+func (meteredFeed) IsNarrow() bool { return false }
+
+func (f meteredFeed) IsMeasured() bool { return f.measured.Load() }
+
+// A gateway that begins to watch the store measures its link before the next change comes, once.
+func TestWatcherMeasuresItsLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := meteredFeed{newFakeFeed(), new(atomic.Bool)}
+		feed.put("op/config", "config 1")
+		follower := New(feed, textLayout{}, func(*deployment.Snapshot) {})
+		follower.SetIdle(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { follower.Run(ctx); close(done) }()
+		reads := func() int {
+			feed.mu.Lock()
+			defer feed.mu.Unlock()
+			return feed.reads
+		}
+		for _, want := range []int{1, 2, 2} {
+			time.Sleep(time.Second)
+			follower.Confirm(0)
+			time.Sleep(time.Second)
+			if got := reads(); got != want {
+				t.Errorf("%d reads of all entries, want %d", got, want)
+			}
+			follower.SetIdle(false)
+			time.Sleep(5 * time.Second)
+			feed.measured.Store(true)
+			follower.SetIdle(true)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -17,6 +17,7 @@
 // owned by one goroutine.
 type state struct {
 	position platform.Version            // the state includes all changes up to it
+	reached  platform.Version            // the state includes all changes up to it but operators', at least position
 	since    platform.Version            // latest has all removals after it
 	restored bool                        // the batch that is applied is the first of a new era
 	applied  map[string]platform.Version // by key, the version applied last
--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -151,7 +151,7 @@
 	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
 	present, missing := x.resolve(reply.Entries)
 	x.opts.Follower.Merge(ctx, follower.Changes{
-		Events: decodeEvents(present), Position: x.positionWithout(missing, position), Removals: position, Complete: reply.Complete,
+		Events: decodeEvents(present), Position: x.positionWithout(missing, position), Reached: position, Complete: reply.Complete,
 		Age: milliseconds(reply.StoreSilenceMs), Grace: milliseconds(reply.GraceMs),
 	})
 	return missing
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -25,6 +25,8 @@
 type LinkMeter interface {
 	// IsNarrow reports whether the largest value takes long to arrive.
 	IsNarrow() bool
+	// IsMeasured reports whether a response has been large enough to tell.
+	IsMeasured() bool
 }
 
 // LeaseKV is the subset of a key-value service that leases need.
