peering: a gateway that lacks a configuration passes nothing on by position

Such a gateway now answers that it has nothing, for the few tenths of a second until it has the entry; the caller asks another one. TestGatewayThatLacksAConfigurationPassesNothingOn.

--- a/internal/follower/changes.go
+++ b/internal/follower/changes.go
@@ -24,6 +24,7 @@
 	events     []platform.Event // the last one of each key, which may be a deletion
 	operators  []platform.Event // those of operators
 	position   platform.Version // events include all changes up to it
+	reached    platform.Version // events include all changes up to it but operators'
 	since      platform.Version // events include all removals after it
 	graceUntil time.Time        // servers that disappeared in an outage may be kept until then
 	retired    map[string]Retired
@@ -37,7 +38,7 @@
 			operators = append(operators, events[i])
 		}
 	}
-	return &known{events: events, operators: operators, position: st.position, since: st.since, graceUntil: st.graceUntil, retired: maps.Clone(st.retired)}
+	return &known{events: events, operators: operators, position: st.position, reached: st.reached, since: st.since, graceUntil: st.graceUntil, retired: maps.Clone(st.retired)}
 }
 
 // ChangesAfter returns the changes after a position for another gateway. If this one may not
@@ -49,7 +50,7 @@
 		return Changes{}
 	}
 	changes := Changes{
-		Position: known.position, Complete: after < known.since,
+		Position: known.position, Reached: known.reached, Complete: after < known.since,
 		Age: f.Staleness(now), Grace: max(0, known.graceUntil.Sub(now)),
 	}
 	for _, event := range known.events {
--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,11 @@
 	}
 	after := platform.NewVersion(platform.Era(req.StoreEra), req.After)
 	changes := x.opts.Follower.ChangesAfter(after)
+	if changes.Reached > changes.Position {
+		// A large operators' entry is missing here. The events go beyond the position, so that the
+		// caller could not tell what is newer.
+		return &wire.OperatorEntriesReply{HasRemovals: true, StoreSilenceMs: math.MaxInt32}, nil
+	}
 	entries := x.encodeFor(req, changes.Events)
 	if after != 0 && sizeOf(entries) > maxReplyBytes {
 		return nil, errTooLarge
@@ -148,6 +154,9 @@
 		return nil
 	}
 	position := platform.NewVersion(platform.Era(reply.StoreEra), reply.Position)
+	if position == 0 {
+		return nil // the peer lacks an entry itself
+	}
 	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
 	present, missing := x.resolve(reply.Entries)
 	x.opts.Follower.Merge(ctx, follower.Changes{
--- a/internal/peering/thinlink_test.go
+++ b/internal/peering/thinlink_test.go
@@ -15,6 +15,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/wasabigate/wasabigate/internal/delta"
+	"github.com/wasabigate/wasabigate/internal/follower"
+	"github.com/wasabigate/wasabigate/internal/platform"
 	"github.com/wasabigate/wasabigate/internal/rpc"
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
@@ -207,3 +209,36 @@
 		})
 	}
 }
+
+// A gateway to which a large configuration is still on its way passes nothing on by position, as it
+// has servers' entries of later positions: the receiver would remove those when it hears of a
+// position between.
+func TestGatewayThatLacksAConfigurationPassesNothingOn(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	s := &sharedStore{}
+	s.put("op/config", "config 1")
+	var exchange *Exchange
+	g := newGatewayServing(ctx, t, s, &group, nil, func(x *Exchange) wire.DRPCGatewaysServer { exchange = x; return x })
+	eventually(t, "the store's state", func() bool { return g.follower.Snapshot().Position > 1 })
+	g.store.setUnreachable(true)
+	known := g.follower.Snapshot().Position
+	request := &wire.OperatorEntriesRequest{After: known.Revision()}
+	for _, c := range []struct {
+		reached uint64
+		want    uint64
+	}{{10, 10}, {20, 0}, {20, 20}} {
+		position := c.reached
+		if c.want == 0 {
+			position-- // the configuration at 20 is missing
+		}
+		g.follower.Merge(ctx, follower.Changes{Position: platform.NewVersion(0, position), Reached: platform.NewVersion(0, c.reached)})
+		eventually(t, "the changes", func() bool { return g.follower.Snapshot().Position == platform.NewVersion(0, position) })
+		reply, err := exchange.OperatorEntries(ctx, request)
+		if err != nil || reply.Position != c.want || len(reply.Entries) > 0 && c.want == 0 {
+			t.Errorf("known up to %d, but the configuration: %d entries at %d, %v, want %d", c.reached, len(reply.GetEntries()), reply.GetPosition(), err, c.want)
+		}
+	}
+}
