peering: what a gateway passes on counts up to the position that it names

Cause: to keep a reply that lacks a large entry from being ignored, its position was raised to the receiver's own at the time of merging. That is not needed since the state tells apart how far it has operators' entries and the others. A missing entry of an earlier era does not hold the position back either, as the store has lost it. peering.TestPositionWithout.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -298,7 +298,7 @@
 		changed = true // also other gateways are to know
 	case b.position.Era() < f.state.position.Era():
 		// Read before a restore of the store that this state already includes.
-	case b.complete && b.position < f.state.reached:
+	case b.complete && max(b.position, b.reached) < f.state.reached:
 		// Read before newer changes came from another gateway, but maybe not newer operators' entries.
 		changed = f.applyOperatorEvents(b.events, now)
 	default:
--- a/internal/peering/catchup.go
+++ b/internal/peering/catchup.go
@@ -160,20 +160,20 @@
 	logger.Debug(fields{"peer": address, "entries": len(reply.Entries), "after": after.String(), "position": position.String()}, "entries read from a gateway")
 	present, missing := x.resolve(reply.Entries)
 	x.opts.Follower.Merge(ctx, follower.Changes{
-		Events: decodeEvents(present), Position: x.positionWithout(missing, position), Reached: position, Complete: reply.Complete,
+		Events: decodeEvents(present), Position: positionWithout(missing, position), Reached: position, Complete: reply.Complete,
 		Age: milliseconds(reply.StoreSilenceMs), Grace: milliseconds(reply.GraceMs),
 	})
 	return missing
 }
 
 // positionWithout returns up to which position the state is known without the missing entries, so
-// that the store still gives them if no other gateway does.
-func (x *Exchange) positionWithout(missing []*wire.StoredEntry, position platform.Version) platform.Version {
-	known := x.opts.Follower.Snapshot().Position
+// that the store still gives them if no other gateway does. It does not have those of an earlier
+// era, which were lost in a restore.
+func positionWithout(missing []*wire.StoredEntry, position platform.Version) platform.Version {
 	for _, e := range missing {
-		if e.Revision > 0 {
+		if e.Revision > 0 && platform.Era(e.Era) == position.Era() {
 			position = min(position, platform.NewVersion(platform.Era(e.Era), e.Revision-1))
 		}
 	}
-	return max(position, known)
+	return position
 }
--- a/internal/peering/thinlink_test.go
+++ b/internal/peering/thinlink_test.go
@@ -242,3 +242,24 @@
 		}
 	}
 }
+
+// What another gateway knows counts as known up to the position that it names, whatever this one
+// has learned meanwhile.
+func TestPositionWithout(t *testing.T) {
+	entry := func(era, revision uint64) *wire.StoredEntry { return &wire.StoredEntry{Era: era, Revision: revision} }
+	position := platform.NewVersion(1, 44)
+	for _, c := range []struct {
+		missing []*wire.StoredEntry
+		want    platform.Version
+	}{
+		{nil, position},
+		{[]*wire.StoredEntry{entry(1, 30), entry(1, 20)}, platform.NewVersion(1, 19)},
+		{[]*wire.StoredEntry{entry(1, 50)}, position},
+		{[]*wire.StoredEntry{entry(0, 60)}, position},
+		{[]*wire.StoredEntry{entry(1, 0)}, position},
+	} {
+		if got := positionWithout(c.missing, position); got != c.want {
+			t.Errorf("missing %v: known up to %v, want %v", c.missing, got, c.want)
+		}
+	}
+}
