--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -26,6 +26,8 @@
 	conns       map[net.Conn]struct{}
 	down        bool
 	frozenUntil time.Time // no bytes are forwarded before
+	rate        int       // bytes a second from the target, of all connections; 0: no limit
+	busyUntil   time.Time // carries what was forwarded until then
 	recorded    bytes.Buffer
 }
 
@@ -106,6 +108,27 @@
 	l.frozenUntil = time.Now().Add(d)
 }
 
+// SetRate limits the bytes a second that come from the target, over all connections together; 0:
+// no limit.
+func (l *Link) SetRate(bytesPerSecond int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate = bytesPerSecond
+}
+
+// carry returns how long to wait until n more bytes from the target have been carried. The caller
+// must hold mu.
+func (l *Link) carry(n int) time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
+	if now := time.Now(); l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(n) * time.Second / time.Duration(l.rate))
+	return time.Until(l.busyUntil)
+}
+
 // Recorded returns all bytes sent to the target.
 func (l *Link) Recorded() []byte {
 	l.mu.Lock()
@@ -198,14 +221,28 @@
 
 // Write implements io.Writer.
 func (w writer) Write(p []byte) (int, error) {
-	w.link.mu.Lock()
-	wait := time.Until(w.link.frozenUntil)
-	if w.record {
-		w.link.recorded.Write(p)
-	}
-	w.link.mu.Unlock()
-	if wait > 0 {
-		time.Sleep(wait)
+	written := 0
+	for written < len(p) {
+		part := p[written:min(written+maxForwarded, len(p))]
+		w.link.mu.Lock()
+		wait := time.Until(w.link.frozenUntil)
+		if w.record {
+			w.link.recorded.Write(part)
+		} else {
+			wait = max(wait, w.link.carry(len(part)))
+		}
+		w.link.mu.Unlock()
+		if wait > 0 {
+			time.Sleep(wait)
+		}
+		n, err := w.to.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	return w.to.Write(p)
+	return written, nil
 }
+
+// maxForwarded bounds the bytes that are forwarded at once, so that connections share a rate.
+const maxForwarded = 16 << 10
