--- a/internal/peering/thinlink_test.go
+++ b/internal/peering/thinlink_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,39 +20,10 @@
 	"github.com/wasabigate/wasabigate/internal/rpc/wire"
 )
 
-// thinLink is a link that all connections of a process share.
-type thinLink struct {
-	mu             sync.Mutex
-	bytesPerSecond int
-	received       atomic.Int64
-}
-
 // halfOfThinLink is what clients leave of the thinnest link of a deployment, 10 Mbit/s, in bytes
 // a second.
 const halfOfThinLink = 625_000
 
-func (l *thinLink) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &thinConn{Conn: conn, link: l}, nil
-}
-
-type thinConn struct {
-	net.Conn
-	link *thinLink
-}
-
-func (c *thinConn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data[:min(len(data), 1500)])
-	c.link.mu.Lock()
-	defer c.link.mu.Unlock()
-	c.link.received.Add(int64(n))
-	time.Sleep(time.Duration(n) * time.Second / time.Duration(c.link.bytesPerSecond))
-	return n, err
-}
-
 // largeConfig returns a configuration of about a megabyte, the most that the platform's store
 // takes. Versions differ in one of its routes.
 func largeConfig(version int) string {
@@ -85,7 +55,7 @@
 		seeds = append(seeds, newGateway(ctx, t, s, &group, seeds).address)
 	}
 	time.Sleep(time.Second) // the others have started
-	link := &thinLink{bytesPerSecond: halfOfThinLink}
+	link := newTestLink(halfOfThinLink)
 	thin := newGatewayDialing(ctx, t, s, &group, seeds, func(x *Exchange) wire.DRPCGatewaysServer { return x }, rpc.NewDialerFunc(link.dial))
 	thin.store.setUnreachable(true)
 	version := func() uint64 { return configVersion(thin.follower.Snapshot()) }
--- a/internal/peering/thinsoak_test.go
+++ b/internal/peering/thinsoak_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/wasabigate/wasabigate/internal/deployment"
@@ -95,7 +94,7 @@
 type soakGateway struct {
 	soak    *thinSoak
 	address string
-	link    *soakLink
+	link    *testLink
 
 	mu        sync.Mutex
 	follower  *follower.Follower // nil: it does not run
@@ -104,78 +103,9 @@
 	disturbed time.Time // last
 }
 
-// soakLink carries a gateway's connections to the store and to others.
-type soakLink struct {
-	mu    sync.Mutex
-	rate  int
-	down  bool
-	conns map[net.Conn]struct{}
-	busy  time.Time // until when it carries what was received, or is frozen
-}
-
-// wait waits until n more bytes have been carried.
-func (l *soakLink) wait(n int) {
-	l.mu.Lock()
-	if now := time.Now(); l.busy.Before(now) {
-		l.busy = now
-	}
-	l.busy = l.busy.Add(time.Duration(n) * time.Second / time.Duration(l.rate))
-	left := time.Until(l.busy)
-	l.mu.Unlock()
-	if left > time.Millisecond { // shorter sleeps take longer than they should
-		time.Sleep(left)
-	}
-}
-
-func (l *soakLink) isDown() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.down
-}
-
-func (l *soakLink) setDown(down bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.down = down
-	if down {
-		for conn := range l.conns {
-			_ = conn.Close()
-		}
-		clear(l.conns)
-	}
-}
-
-func (l *soakLink) freeze(d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.busy = time.Now().Add(d)
-}
-
-func (l *soakLink) add(conn net.Conn) net.Conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.down {
-		_ = conn.Close()
-	}
-	l.conns[conn] = struct{}{}
-	return &soakConn{Conn: conn, link: l}
-}
-
-// soakConn is a connection of which the received bytes take the link's time.
-type soakConn struct {
-	net.Conn
-	link *soakLink
-}
-
-func (c *soakConn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data[:min(len(data), 1500)])
-	c.link.wait(n)
-	return n, err
-}
-
 type soakListener struct {
 	net.Listener
-	link *soakLink
+	link *testLink
 }
 
 func (l *soakListener) Accept() (net.Conn, error) {
@@ -255,16 +185,7 @@
 		servers.Prune(snapshot)
 		process.SetIdle(!roster.Watches(snapshot.Gateways, g.address))
 	})
-	dialer := rpc.NewDialerFunc(func(ctx context.Context, network, address string) (net.Conn, error) {
-		if g.link.isDown() {
-			return nil, errors.New("the link is down")
-		}
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return g.link.add(conn), nil
-	})
+	dialer := rpc.NewDialerFunc(g.link.dial)
 	x := New(Options{Self: g.address, Seeds: g.soak.seeds(), Dialer: dialer, Follower: process, Fleet: servers, Cache: kvcache.NewDirectory()})
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterGateways(mux, x); err != nil {
@@ -439,7 +360,7 @@
 				if i%3 == 0 {
 					rate = soakWideLink
 				}
-				s.gateways = append(s.gateways, &soakGateway{soak: s, address: closedAddress(t), link: &soakLink{rate: rate, conns: make(map[net.Conn]struct{})}})
+				s.gateways = append(s.gateways, &soakGateway{soak: s, address: closedAddress(t), link: newTestLink(rate)})
 			}
 			s.configure(50)
 			for _, g := range s.gateways {
