follower: an empty entry is never taken for the configuration in force

Its store has entries without a value and gives the configuration beside them, so that the check for an entry that is in force already held. Decoding an empty value costs nothing; the check now leaves it out.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -406,7 +406,7 @@
 	if event.Deleted {
 		return false
 	}
-	if known := f.state.latest[event.Key]; event.Key == f.state.configKey && bytes.Equal(known.Value, event.Value) {
+	if known := f.state.latest[event.Key]; event.Key == f.state.configKey && len(event.Value) > 0 && bytes.Equal(known.Value, event.Value) {
 		if event.Version > known.Version {
 			f.state.record(event)
 		}
