peering: a gateway that is behind no longer calls the others in a loop

Callers saw: on gateways with little processor or a thin link, a large configuration came later than its transfer and decoding take.

Cause: each report of a gateway that is ahead asked for an exchange at once, and the answer to that is such a report again. A configuration that can't be used kept the loop up for good.

Change: only news asks for an exchange: a peer that was not ahead before, or has a newer configuration than in its last report; and once at the end of a transfer, for what was reported meanwhile. A transfer ends when what it read is in force, so that the same entry is not asked for again while it is decoded. Entries that make a peer newer and can't be used here are logged and not asked for again for a second.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -127,6 +127,7 @@
 	complete  bool             // events are the whole content of the store at the position
 	reached   platform.Version // up to which it has all but operators' entries, if above the position
 	operators bool             // events are operators' entries of any position
+	applied   chan<- struct{}  // closed when the batch has been applied, or nil
 	reports   []TargetReport   // another gateway's reports of target versions
 	retired   []Retired        // last entries of servers that another gateway knows
 	// grace is how long servers that disappeared are kept, since the store may have lost
@@ -166,10 +167,17 @@
 func (f *Follower) ConfigChanged() <-chan struct{} { return f.configChanged }
 
 // MergeOperatorEvents merges the operators' entries that are in force at another gateway,
-// whatever the store has now: a restored store may have lost them.
+// whatever the store has now: a restored store may have lost them. It returns when they are in
+// force here, or ctx ends.
 func (f *Follower) MergeOperatorEvents(ctx context.Context, events []platform.Event) {
+	applied := make(chan struct{})
 	select {
-	case f.batches <- batch{events: events, operators: true}:
+	case f.batches <- batch{events: events, operators: true, applied: applied}:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-applied:
 	case <-ctx.Done():
 	}
 }
@@ -265,6 +273,9 @@
 			return
 		case b := <-f.batches:
 			f.apply(b, time.Now())
+			if b.applied != nil {
+				close(b.applied)
+			}
 		case <-f.state.leaving.changed:
 			if f.state.markLeaving() {
 				f.publish()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -81,7 +81,7 @@
 	library   *entrysync.Library
 	transfers transfers
 	behind    behind
-	aheadSeen chan struct{} // receives a value when a peer is found to be ahead
+	aheadSeen chan struct{} // receives a value when a peer that is ahead is to be called at once
 }
 
 // peer is the state of another gateway.
@@ -91,11 +91,13 @@
 	findings   uint64    // digest of its findings on parts that crash servers
 	joined     time.Time // first report after a silence
 	ahead      bool      // its last report showed newer operators' entries
-	nextRead   time.Time // of operators' entries, after one that failed
-	calling    bool
-	failing    bool
-	running    bool // its last report came after it had started
-	nextTry    time.Time
+	// configVersion is the version of the configuration in its last report.
+	configVersion uint64
+	nextRead      time.Time // of operators' entries, after one that failed
+	calling       bool
+	failing       bool
+	running       bool // its last report came after it had started
+	nextTry       time.Time
 }
 
 var _ wire.DRPCGatewaysServer = (*Exchange)(nil)
@@ -274,7 +276,7 @@
 		x.endWait()
 		missing := x.updateFromPeer(ctx, address, report)
 		if len(missing) > 0 || x.lagsBehind(address, report, time.Now()) {
-			x.catchUpOperators(ctx, address)
+			x.catchUpOperators(ctx, address, report)
 		}
 		return nil
 	})
@@ -429,10 +431,11 @@
 	}
 	p.lastReport, p.findings = now, report.Quarantine.GetDigest()
 	snapshot := x.opts.Follower.Snapshot()
-	p.ahead = isAhead(report, snapshot)
+	isNews := !p.ahead || report.ConfigVersion > p.configVersion
+	p.ahead, p.configVersion = isAhead(report, snapshot), report.ConfigVersion
 	x.behind.note(report.Sender, report.ConfigVersion, configVersion(snapshot), now)
 	p.running = !report.Starting
-	if p.ahead {
+	if p.ahead && isNews {
 		signal(x.aheadSeen)
 	}
 }
--- a/internal/peering/transfers.go
+++ b/internal/peering/transfers.go
@@ -125,14 +125,21 @@
 	return present, missing
 }
 
-// catchUpOperators reads from a peer the operators' entries that are in force there, unless a
-// transfer is running: several would only share a thin link.
-func (x *Exchange) catchUpOperators(ctx context.Context, address string) {
+// errNotTaken means that this gateway can't use the entries that make a peer's state newer.
+var errNotTaken = errors.New("entries read, but not taken")
+
+// catchUpOperators reads from a peer that sent a report the operators' entries that are in force
+// there, unless a transfer is running: several would only share a thin link.
+func (x *Exchange) catchUpOperators(ctx context.Context, address string, report *wire.GatewayReport) {
 	if !x.transfers.running.TryLock() {
 		return
 	}
+	defer signal(x.aheadSeen) // for what others reported meanwhile
 	defer x.transfers.running.Unlock()
 	err := x.readOperators(ctx, address)
+	if err == nil && isAhead(report, x.opts.Follower.Snapshot()) {
+		err = errNotTaken
+	}
 	if err == nil {
 		return
 	}
