follower: the name under which tenants share KV cache never comes back

Cause: the name is made of the set of tenants that are isolated now, and comes back with the set. Ruled out: gateways that disagree (all three have the same salt), requests of the former configuration (sent 2 s after the last change), the gateways' lists of parts.

Change: the version of the last configuration that isolated a tenant which was not isolated before is a part of the name; it only grows. Gateways derive it from the configurations that they see, and one of them keeps it in the store, so that it outlasts all processes. Nothing is written and no name changes where no tenant was ever isolated.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -6,11 +6,8 @@
 import (
 	"crypto/sha256"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Kind classifies the requests of a route by how they may be retried.
@@ -46,8 +43,8 @@
 	// workspace may be left that has one.
 	Closed bool
 	// SharingGroup names what all but isolated workspaces share KV cache under, and requests
-	// without a workspace. It differs for each set of isolated workspaces: engines may hold what a
-	// workspace made before it was isolated. Set by Index.
+	// without a workspace. It differs for each set of isolated workspaces. Set by Index, and by
+	// SharedSince for what was isolated earlier.
 	SharingGroup string
 
 	routesByHost map[string][]*Route // longest prefix first
@@ -178,7 +175,7 @@
 		}
 	}
 	c.keys = make(map[KeyDigest]*Workspace)
-	c.SharingGroup = sharingGroup(c.Workspaces)
+	c.SharingGroup = NameOfSet(c.IsolatedWorkspaces())
 	for i := range c.Workspaces {
 		for _, key := range c.Workspaces[i].Keys {
 			c.keys[key] = &c.Workspaces[i]
@@ -187,22 +184,6 @@
 	return c
 }
 
-// sharingGroup returns the group of the workspaces that are not isolated, a hash of the names
-// of the others. It is empty if there are no others.
-func sharingGroup(workspaces []Workspace) string {
-	var isolated []string
-	for i := range workspaces {
-		if workspaces[i].Isolated {
-			isolated = append(isolated, strconv.Quote(workspaces[i].Name))
-		}
-	}
-	if len(isolated) == 0 {
-		return ""
-	}
-	slices.Sort(isolated)
-	return "-" + strconv.FormatUint(xxhash.Sum64String(strings.Join(isolated, ",")), 36)
-}
-
 // Route returns the host's route with the longest matching prefix of the path, or nil.
 func (c *Config) Route(host, path string) *Route {
 	for _, route := range c.routesByHost[strings.ToLower(host)] {
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -58,6 +58,9 @@
 	Gateways    []Gateway
 	Leader      string         // value of the lease key of the gateway that runs the rollout; empty: none
 	Crashes     platform.Entry // what gateways know of requests that crash servers; Version 0: nothing
+	Sharing     platform.Entry // what gateways keep of the isolation of workspaces; Version 0: nothing
+	// SharingToStore is what Sharing is to hold, or nil if it does.
+	SharingToStore *Sharing
 	// Streams assigns the streams of services to software versions, by service.
 	Streams map[string]*streamversion.Assignment
 	// Rollouts are the rollouts of software versions, by service.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -44,6 +44,7 @@
 	gateways    map[string]deployment.Gateway // by key
 	leader      string
 	crashes     platform.Entry
+	sharing     sharing
 	streams     map[string]*streamversion.Assignment // by service
 	rollouts    map[string]*deployment.Rollout       // by service
 	former      map[string][]canary.Order            // orders that were replaced, by service
@@ -95,6 +96,9 @@
 	if !contains(keys, CrashesKey) {
 		st.crashes = platform.Entry{}
 	}
+	if !contains(keys, SharingKey) {
+		st.sharing.apply(platform.Entry{})
+	}
 }
 
 func contains(set map[string]struct{}, key string) bool {
@@ -249,6 +253,10 @@
 		st.crashes = platform.Entry{}
 	case event.Key == CrashesKey:
 		st.crashes = event.Entry
+	case event.Key == SharingKey && event.Deleted:
+		st.sharing.apply(platform.Entry{})
+	case event.Key == SharingKey:
+		st.sharing.apply(event.Entry)
 	case strings.HasPrefix(event.Key, GatewayPrefix) && event.Deleted:
 		delete(st.gateways, event.Key)
 	case strings.HasPrefix(event.Key, GatewayPrefix):
@@ -290,6 +298,9 @@
 
 // snapshot returns an immutable copy of the state.
 func (st *state) snapshot() *deployment.Snapshot {
+	if st.config != nil {
+		st.config = st.sharing.update(st.config, st.position)
+	}
 	s := &deployment.Snapshot{
 		Position: st.position,
 		Config:   st.config,
@@ -298,6 +309,7 @@
 		Gateways: st.listGateways(),
 		Leader:   st.leader,
 		Crashes:  st.crashes,
+		Sharing:  st.sharing.entry,
 		Streams:  maps.Clone(st.streams),
 		Rollouts: maps.Clone(st.rollouts),
 
@@ -305,6 +317,9 @@
 
 		RolloutOwner: st.owner,
 	}
+	if wanted, differs := st.sharing.toStore(); differs {
+		s.SharingToStore = &wanted
+	}
 	return s.Index()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 	quarantine   *quarantine.Quarantine
 	crashes      *savedCrashes
 	weightsAges  *weightsAges
+	sharing      *savedSharing
 	serverLimits *serverlimit.Limits
 	access       *serveraccess.Access
 }
@@ -195,6 +196,7 @@
 		deadline: settings.Gateway.WeightsDeadline, store: g.store, self: settings.Daemon.RPCAddress,
 		snapshot: g.follower.Snapshot, gateways: g.runningGateways, merge: g.follower.MergeReports,
 	}
+	g.sharing = &savedSharing{store: g.store, self: settings.Daemon.RPCAddress, snapshot: g.follower.Snapshot, gateways: g.runningGateways}
 	g.serverLimits = serverlimit.New(settings.Daemon.RPCAddress)
 	g.access = serveraccess.New(serveraccess.Options{
 		Source: g.follower.Snapshot, Fleet: g.fleet, Limits: g.serverLimits, Backoffs: serverbackoff.New(),
@@ -366,7 +368,7 @@
 // the gateway drains; the others run until background ends, after the drain.
 func (g *Gateway) startBackground(ctx, background context.Context, group *errgroup.Group) {
 	registration := roster.NewRegistration(g.store, follower.GatewayPrefix, g.settings.Daemon.RPCAddress, g.isNarrow())
-	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.weightsAges.run, g.keeper.Run, g.exchange.TellOrigins} {
+	for _, work := range []func(context.Context){g.follower.Run, g.exchange.Run, g.limits.run, registration.Run, g.reloadOnSignal, g.shareBoundsRegularly, g.crashes.run, g.weightsAges.run, g.sharing.run, g.keeper.Run, g.exchange.TellOrigins} {
 		group.Go(func() error { work(background); return nil })
 	}
 	group.Go(func() error { g.rollout.Run(ctx); return nil })
