--- a/internal/follower/sharing.go
+++ b/internal/follower/sharing.go
@@ -36,7 +36,8 @@
 // update looks at a configuration, and returns it with the name under which its workspaces share.
 func (s *sharing) update(config *deployment.Config, position platform.Version) *deployment.Config {
 	if position == 0 {
-		// The entry may be there and was not read yet: no other gateway uses this name.
+		// The store's entry was not read yet, and may rule out the name of the present set. No earlier
+		// configuration had this one.
 		return config.SharedSince(config.Version)
 	}
 	if config == s.config && s.known.Since >= s.stored.Since {
